--- /dev/null
+++ b/consensus/settings.go
@@ -0,0 +1,121 @@
+package consensus
+
+// What a program that embeds a replica has to say: its identity, its peers, the state machine that the
+// log drives, and the seams through which it reaches the network and the disk.
+
+import (
+	"time"
+
+	"guavahitch.example/guavahitch/journal"
+	"guavahitch.example/guavahitch/outcome"
+	"guavahitch.example/guavahitch/wire"
+)
+
+const (
+	// DefaultHeartbeat is the time between two heartbeats of a leader.
+	DefaultHeartbeat = 60 * time.Millisecond
+	// DefaultElectionTimeout is the shortest silence of a leader after which a replica stands for election.
+	DefaultElectionTimeout = 500 * time.Millisecond
+	// DefaultSlowSync is the longest sync that a replica puts up with before it steps aside.
+	DefaultSlowSync = 3 * time.Second
+	// DefaultSnapshotBytes is the size of the log at which a snapshot is made, unless the state is larger.
+	DefaultSnapshotBytes = 8 << 20
+	// MaxCommandBytes is the largest command.
+	MaxCommandBytes = 4 << 20
+)
+
+type (
+	// Entry is one committed command.
+	Entry struct {
+		Index   uint64
+		Term    uint64
+		Command []byte
+		// TimeMs is the leader's time at the proposal, in milliseconds since 1970. It never decreases
+		// along the log, so a state machine that takes it as its clock is deterministic.
+		TimeMs int64
+	}
+
+	// Settings say which replica to open and what it works on.
+	Settings struct {
+		// ID names the replica; it stays the same when the disk is replaced.
+		ID string
+		// Address is where the other replicas reach this one; the log only passes it on.
+		Address string
+		// Members are the replicas that found the group, this one among them. They matter only while the
+		// folder is empty; later members come from the log.
+		Members []Member
+		// Folder holds the replica's files.
+		Folder string
+		// Disk replaces the files of Folder, when set.
+		Disk *journal.Disk
+		// Apply changes the state machine by one committed command and returns its result.
+		Apply func(Entry) []byte
+		// Snapshot returns the whole state. Apply, Snapshot and Restore are called from one goroutine.
+		Snapshot func() []byte
+		// Restore replaces the whole state.
+		Restore func([]byte) error
+		// Send hands a message to the transport. It must not block, and may lose, repeat, delay or
+		// reorder messages.
+		Send func(to string, m *wire.ReplicaMessage)
+		// Seed starts the generator of election timeouts and identities; 0 draws one from the system.
+		Seed uint64
+		// Heartbeat, ElectionTimeout, SlowSync and SnapshotBytes replace their defaults, when set.
+		Heartbeat       time.Duration
+		ElectionTimeout time.Duration
+		SlowSync        time.Duration
+		SnapshotBytes   int
+		// IsReplacing lets the leader replace a member that lost its disk on its own: the new incarnation
+		// becomes a learner, catches up, is promoted, and the old one is removed.
+		IsReplacing bool
+		// OnChange, when set, is called from the control goroutine with each change of role or leader.
+		OnChange func(Status)
+	}
+
+	// Member is a replica of the group.
+	Member struct {
+		ID string
+		// Incarnation is drawn at random when the replica's folder is made; 0 while it is not known.
+		Incarnation uint64
+		Address     string
+		// IsVoter is false for a learner, which receives the log and does not vote.
+		IsVoter bool
+	}
+
+	// Status is what a replica knows of itself and its group.
+	Status struct {
+		ID          string
+		Incarnation uint64
+		Term        uint64
+		// Leader is the ID of the leader, empty while none is known.
+		Leader string
+		// Role is "blank", "learner", "follower", "candidate", "leader", "aside" or "closed".
+		Role    string
+		Members []Member
+		// Joining are replicas with empty folders that asked to join.
+		Joining []Member
+		Commit  uint64
+		Applied uint64
+		// Fault tells why the replica stepped aside.
+		Fault string
+	}
+
+	// NotLeaderError is in the chain of a refusal by a replica that does not lead.
+	NotLeaderError struct {
+		// Leader is the ID of the leader, empty while none is known.
+		Leader string
+	}
+)
+
+// Error names the leader.
+func (e *NotLeaderError) Error() string {
+	if e.Leader == "" {
+		return "no leader is known"
+	}
+	return "the leader is " + e.Leader
+}
+
+func notLeader(step, leader string) error {
+	return outcome.Error{
+		Step: step, Outcome: outcome.NotRun, Reason: "not-leader", RetryAfter: retryAfter,
+	}.WithCause(&NotLeaderError{Leader: leader})
+}
--- /dev/null
+++ b/journal/sync_other.go
@@ -0,0 +1,8 @@
+//go:build !linux
+
+package journal
+
+import "os"
+
+// syncData writes a file to the disk.
+func syncData(f *os.File) error { return f.Sync() }
