balance: a planner that moves the replicas with the most gain

Cause: a group's map must follow its load at a bounded cost. Change: local search for each layer with weighted replicas, joined into one curve of options over all layers.

--- /dev/null
+++ b/balance/planner.go
@@ -0,0 +1,249 @@
+package balance
+
+import (
+	"time"
+
+	"github.com/rotisserie/eris"
+
+	"guavahitch.example/guavahitch/expertmap"
+)
+
+type (
+	// Planner finds better maps for a group. It keeps no state between plans.
+	Planner struct {
+		// Costs turns moves and switches into bytes and time.
+		Costs Costs
+		// MovesPerLayer bounds the moves of one layer in one plan.
+		MovesPerLayer int
+		// EvenShares makes all replicas of an expert take equal parts, for engines that cannot weigh them.
+		EvenShares bool
+	}
+
+	// Costs are the costs of a change of map.
+	Costs struct {
+		// ExpertBytes is the size of one expert of one layer.
+		ExpertBytes int64
+		// StoreRate is the group's part of the weight store's rate, in bytes a second.
+		StoreRate float64
+		// Pause is how long all ranks wait for a switch; PausePerMove is added for each replica that the
+		// rank with the most of them takes into use.
+		Pause        time.Duration
+		PausePerMove time.Duration
+	}
+
+	// Plan is the outcome of a search: the present map, and a curve of options that move more and more.
+	Plan struct {
+		// Present tells what the present map does under the estimate.
+		Present Figures
+		// Options are ordered by their moves. The first one moves only what a lost rank forces, and changes
+		// weights; it is the whole curve when no move gains anything.
+		Options []Option
+
+		present expertmap.Map
+		planner Planner
+		group   Group
+		load    []float64
+		layers  [][]step
+		forced  []int
+		points  []point
+	}
+
+	// Option is one point of a plan's curve.
+	Option struct {
+		Moves int
+		Bytes int64
+		// Load is how long the weight store takes; Pause is how long all ranks wait.
+		Load  time.Duration
+		Pause time.Duration
+		// Slowdown is the estimated time of a step over that of perfectly even ranks.
+		Slowdown float64
+	}
+
+	// Figures tell how even a map is under given loads.
+	Figures struct {
+		// Skew is the time of the latest rank over the mean of the ranks, each layer waiting for its latest.
+		Skew float64
+		// Slowdown is the time of a step over that of perfectly even ranks.
+		Slowdown float64
+	}
+)
+
+// NewPlanner returns a planner with the usual bound on moves.
+func NewPlanner(costs Costs) Planner {
+	return Planner{Costs: costs, MovesPerLayer: defaultMovesPerLayer}
+}
+
+// defaultMovesPerLayer bounds the moves of one layer in one plan.
+const defaultMovesPerLayer = 48
+
+// Plan searches maps that are more even than the present one. Load holds the estimated tokens of each
+// expert, by layer and expert, in any unit.
+func (p Planner) Plan(present expertmap.Map, load []float64, group Group) (*Plan, error) {
+	shape := present.Shape()
+	if err := group.Validate(shape); err != nil {
+		return nil, err
+	}
+	if len(load) != shape.Layers*shape.Experts {
+		return nil, eris.Errorf("plan: load has %d entries, the map needs %d", len(load), shape.Layers*shape.Experts)
+	}
+	if group.totalSpeed() == 0 {
+		return nil, eris.New("plan: all ranks of the group are lost")
+	}
+	plan := &Plan{
+		Present: Measure(present, load, group),
+		present: present, planner: p, group: group, load: load,
+		layers: make([][]step, shape.Layers),
+		forced: make([]int, shape.Layers),
+	}
+	if err := plan.search(); err != nil {
+		return nil, err
+	}
+	return plan, nil
+}
+
+// search finds the moves of each layer and joins them into one curve.
+func (p *Plan) search() error {
+	shape := p.present.Shape()
+	s := newSearch(shape, p.group, p.freeSlots(), p.planner.EvenShares)
+	placed, shares := p.present.Placed(), p.present.Shares()
+	loading := make([]int, shape.Ranks)
+	var segments []segment
+	start, forcedMoves := 0.0, 0
+	for number := range shape.Layers {
+		ideal := p.loadLayer(s.state, number, placed, shares)
+		steps, ok := s.repair(nil)
+		if !ok {
+			return eris.Errorf("plan: no slot is left for an expert of layer %d", number)
+		}
+		p.forced[number] = len(steps)
+		forcedMoves += len(steps)
+		for _, st := range steps {
+			loading[int(st.slot)/shape.Slots]++
+		}
+		p.settle(s.state)
+		latest := s.state.time[s.state.latest()]
+		start += latest
+		if ideal > 0 {
+			steps = s.improve(steps, p.planner.MovesPerLayer, ideal)
+		}
+		p.layers[number] = steps
+		segments = append(segments, segmentsOf(number, latest, p.forced[number], steps)...)
+	}
+	p.points = curveOf(segments, p.layers, loading, shape.Slots, p.group.Staging, forcedMoves)
+	p.options(start)
+	return nil
+}
+
+// loadLayer resets the state to a layer of the present map and returns the time of perfectly even ranks.
+func (p *Plan) loadLayer(l *layer, number int, placed []int16, shares []float64) float64 {
+	shape := p.present.Shape()
+	from, to := number*shape.LayerSize(), (number+1)*shape.LayerSize()
+	load := p.load[number*shape.Experts : (number+1)*shape.Experts]
+	if p.planner.EvenShares {
+		l.reset(placed[from:to], nil, load)
+	} else {
+		l.reset(placed[from:to], shares[from:to], load)
+	}
+	return sum(load) / p.group.totalSpeed()
+}
+
+// settle divides the loads among the replicas.
+func (p *Plan) settle(l *layer) {
+	if p.planner.EvenShares {
+		for e := range l.first {
+			l.divide(e, nil)
+		}
+		return
+	}
+	l.sweep(startRounds)
+}
+
+// freeSlots returns how many more replicas each rank's memory holds.
+func (p *Plan) freeSlots() []int {
+	shape := p.present.Shape()
+	free := make([]int, shape.Ranks)
+	for r := range free {
+		free[r] = shape.Layers * shape.Slots
+		if p.group.Capacity != nil {
+			free[r] = min(free[r], p.group.Capacity[r])
+		}
+	}
+	for n, e := range p.present.Placed() {
+		if e != expertmap.Empty {
+			free[n/shape.Slots%shape.Ranks]--
+		}
+	}
+	return free
+}
+
+// options turns the points of the curve into options with their costs.
+func (p *Plan) options(start float64) {
+	ideal := sum(p.load) / p.group.totalSpeed()
+	for _, pt := range p.points {
+		option := p.planner.Costs.option(pt.moves, pt.busiest)
+		option.Slowdown = 1
+		if ideal > 0 {
+			option.Slowdown = (start - pt.gain) / ideal
+		}
+		p.Options = append(p.Options, option)
+	}
+}
+
+// option returns the costs of a switch.
+func (c Costs) option(moves, busiest int) Option {
+	size := int64(moves) * c.ExpertBytes
+	return Option{
+		Moves: moves, Bytes: size,
+		Load:  time.Duration(float64(size) / c.StoreRate * float64(time.Second)),
+		Pause: c.Pause + time.Duration(busiest)*c.PausePerMove,
+	}
+}
+
+// Build returns the map of an option, one version above the present one.
+func (p *Plan) Build(option int) (expertmap.Map, error) {
+	if option < 0 || option >= len(p.points) {
+		return expertmap.Map{}, eris.Errorf("plan: option %d of %d", option, len(p.points))
+	}
+	shape := p.present.Shape()
+	take := append([]int(nil), p.forced...)
+	for _, pt := range p.points[1 : option+1] {
+		take[pt.segment.layer] = pt.segment.steps
+	}
+	s := newSearch(shape, p.group, p.freeSlots(), p.planner.EvenShares)
+	placed, shares := p.present.Placed(), p.present.Shares()
+	weights := make([]uint16, len(placed))
+	for number := range shape.Layers {
+		p.loadLayer(s.state, number, placed, shares)
+		for _, st := range p.layers[number][:take[number]] {
+			s.place(int(st.slot), st.expert)
+		}
+		p.settle(s.state)
+		from := number * shape.LayerSize()
+		copy(placed[from:], s.state.held)
+		s.state.weights(weights[from:from+shape.LayerSize()], p.planner.EvenShares)
+	}
+	return p.present.WithVersion(p.present.Version()+1).WithPlacement(placed, weights)
+}
+
+// weights writes the weight of each replica among the replicas of its expert.
+func (l *layer) weights(into []uint16, even bool) {
+	for n, e := range l.held {
+		switch {
+		case e == expertmap.Empty:
+			into[n] = 0
+		case even || l.load[e] <= 0 || l.count[e] == 1:
+			into[n] = expertmap.FullWeight
+		default:
+			into[n] = uint16(l.part[n]/l.load[e]*expertmap.FullWeight + 0.5)
+		}
+	}
+}
+
+// sum adds up the values.
+func sum(values []float64) float64 {
+	total := 0.0
+	for _, v := range values {
+		total += v
+	}
+	return total
+}
--- /dev/null
+++ b/balance/planner_test.go
@@ -0,0 +1,124 @@
+package balance_test
+
+import (
+	"fmt"
+	"math"
+	"math/rand/v2"
+	"testing"
+	"time"
+
+	"github.com/stretchr/testify/require"
+	"pgregory.net/rapid"
+
+	"guavahitch.example/guavahitch/balance"
+	"guavahitch.example/guavahitch/expertmap"
+)
+
+// costs are those of the tests: experts of 44 MB, 1.25 GB/s of the weight store.
+var costs = balance.Costs{
+	ExpertBytes: 44 << 20, StoreRate: 1.25e9, Pause: 100 * time.Millisecond, PausePerMove: 2 * time.Millisecond,
+}
+
+// problem is a drawn input of the planner.
+type problem struct {
+	present expertmap.Map
+	load    []float64
+	group   balance.Group
+}
+
+func problems() *rapid.Generator[problem] {
+	return rapid.Custom(func(t *rapid.T) problem {
+		s := expertmap.Shape{
+			Ranks: rapid.IntRange(2, 10).Draw(t, "ranks"), Layers: rapid.IntRange(1, 4).Draw(t, "layers"),
+			Slots: rapid.IntRange(2, 4).Draw(t, "slots"),
+		}
+		s.Experts = rapid.IntRange(2, s.LayerSize()-s.Slots).Draw(t, "experts")
+		m, err := expertmap.New("g", s)
+		require.NoError(t, err)
+		load := make([]float64, s.Layers*s.Experts)
+		for n := range load {
+			load[n] = math.Exp(rapid.Float64Range(-2, 2).Draw(t, "load"))
+		}
+		group := balance.NewGroup(s.Ranks, rapid.IntRange(1, 6).Draw(t, "staging"))
+		for r := range group.Speeds {
+			group.Speeds[r] = rapid.Float64Range(0.5, 1).Draw(t, "speed")
+		}
+		return problem{present: m, load: load, group: group}
+	})
+}
+
+func TestPlanKeepsItsPromises(t *testing.T) {
+	planner := balance.NewPlanner(costs)
+	rapid.Check(t, func(t *rapid.T) {
+		p := problems().Draw(t, "problem")
+		plan, err := planner.Plan(p.present, p.load, p.group)
+		require.NoError(t, err)
+		again, err := planner.Plan(p.present, p.load, p.group)
+		require.NoError(t, err)
+		option := rapid.IntRange(0, len(plan.Options)-1).Draw(t, "option")
+		built, err := plan.Build(option) // places every expert in every layer, or fails
+		require.NoError(t, err)
+		rebuilt, err := again.Build(option)
+		require.NoError(t, err)
+		require.Equal(t, built, rebuilt)
+
+		moves, err := expertmap.Moves(p.present, built)
+		require.NoError(t, err)
+		require.LessOrEqual(t, len(moves), plan.Options[option].Moves)
+		loads := make([]int, p.present.Shape().Ranks)
+		for _, m := range moves {
+			loads[m.Rank]++
+			require.LessOrEqual(t, loads[m.Rank], p.group.Staging)
+		}
+		after := balance.Measure(built, p.load, p.group)
+		require.LessOrEqual(t, after.Slowdown, plan.Present.Slowdown*1.0005, "weights are rounded to 1/65535")
+	})
+}
+
+func ExamplePlanner() {
+	present, _ := expertmap.New("drafting", expertmap.Shape{Ranks: 4, Experts: 4, Layers: 1, Slots: 2})
+	load := []float64{70, 10, 10, 10}
+	plan, _ := balance.NewPlanner(costs).Plan(present, load, balance.NewGroup(4, 8))
+	for _, option := range plan.Options {
+		fmt.Printf("%d moves: slowdown %.2f\n", option.Moves, option.Slowdown)
+	}
+	// Output:
+	// 0 moves: slowdown 1.40
+	// 1 moves: slowdown 1.07
+	// 2 moves: slowdown 1.00
+}
+
+// zipf returns loads with a few hot experts, others in each layer.
+func zipf(shape expertmap.Shape, seed uint64) []float64 {
+	random := rand.New(rand.NewPCG(seed, 1))
+	load := make([]float64, 0, shape.Layers*shape.Experts)
+	for range shape.Layers * shape.Experts {
+		load = append(load, math.Exp(random.NormFloat64()))
+	}
+	return load
+}
+
+func BenchmarkPlan(b *testing.B) {
+	shape := expertmap.Shape{Ranks: 128, Experts: 128, Layers: 58, Slots: 2}
+	present, err := expertmap.New("g", shape)
+	require.NoError(b, err)
+	group := balance.NewGroup(shape.Ranks, 16)
+	load := zipf(shape, 1)
+	planner := balance.NewPlanner(costs)
+	b.Run("size=128x128", func(b *testing.B) {
+		b.ReportAllocs()
+		var last balance.Option
+		var after balance.Figures
+		for b.Loop() {
+			plan, err := planner.Plan(present, load, group)
+			require.NoError(b, err)
+			m, err := plan.Build(len(plan.Options) - 1)
+			require.NoError(b, err)
+			last = plan.Options[len(plan.Options)-1]
+			after = balance.Measure(m, load, group)
+		}
+		b.ReportMetric(float64(b.Elapsed().Milliseconds())/float64(b.N), "ms")
+		b.ReportMetric(float64(last.Moves), "moves")
+		b.ReportMetric(after.Skew, "skew-after")
+	})
+}
--- /dev/null
+++ b/balance/search.go
@@ -0,0 +1,236 @@
+package balance
+
+import "guavahitch.example/guavahitch/expertmap"
+
+const (
+	// startRounds settle the division of loads in a placement; moveRounds do so after one move.
+	startRounds = 24
+	moveRounds  = 3
+	// candidates is the number of slots tried for one move.
+	candidates = 4
+	// minImprovement is the least relative fall of the unevenness that keeps a move.
+	minImprovement = 1e-5
+	// evenEnough is the time of the latest rank over the ideal at which a layer is left alone.
+	evenEnough = 1.002
+)
+
+type (
+	// step is one replica placed into a slot, with the time of the latest rank after it.
+	step struct {
+		slot   int32
+		expert int16
+		latest float64
+	}
+
+	// search finds the moves of one layer.
+	search struct {
+		group    Group
+		slots    int
+		state    *layer
+		saved    *layer
+		free     []int
+		best     [candidates]int
+		domainAt []int
+		// even makes all replicas of an expert take equal parts.
+		even bool
+	}
+)
+
+// newSearch returns a search over the layers of a shape. Free is how many more replicas each rank can hold.
+func newSearch(shape expertmap.Shape, group Group, free []int, even bool) *search {
+	s := &search{
+		group: group,
+		slots: shape.Slots,
+		state: newLayer(shape, group.Speeds),
+		saved: newLayer(shape, group.Speeds),
+		free:  free,
+		even:  even,
+	}
+	s.domainAt = domainNumbers(group, shape.Ranks)
+	return s
+}
+
+// domainNumbers numbers the failure domains in the order of the ranks.
+func domainNumbers(group Group, ranks int) []int {
+	numbers := make([]int, ranks)
+	known := map[string]int{}
+	for r := range ranks {
+		name := group.domain(r)
+		if _, ok := known[name]; !ok {
+			known[name] = len(known)
+		}
+		numbers[r] = known[name]
+	}
+	return numbers
+}
+
+// repair places each expert that lost its last replica, and returns the steps it took; it fails when no
+// slot is left.
+func (s *search) repair(steps []step) ([]step, bool) {
+	for e := range s.state.first {
+		if s.state.count[e] > 0 {
+			continue
+		}
+		found := s.slotsFor(int16(e))
+		if found == 0 {
+			return steps, false
+		}
+		s.place(s.best[0], int16(e))
+		steps = append(steps, step{slot: int32(s.best[0]), expert: int16(e)})
+	}
+	return steps, true
+}
+
+// improve adds up to limit moves, each of which makes the layer more even.
+func (s *search) improve(steps []step, limit int, ideal float64) []step {
+	for range limit {
+		hot := s.state.latest()
+		if s.state.time[hot] <= ideal*evenEnough || !s.improveRank(hot, &steps) {
+			break
+		}
+	}
+	return steps
+}
+
+// improveRank tries to take load off a rank, its experts in the order of their load there.
+func (s *search) improveRank(rank int, steps *[]step) bool {
+	above := maxTime
+	for range s.slots {
+		slot := s.heaviest(rank, above)
+		if slot == none {
+			return false
+		}
+		above = s.state.part[slot]
+		if s.tryMoves(s.state.held[slot], steps) {
+			return true
+		}
+	}
+	return false
+}
+
+// heaviest returns the slot of a rank with the greatest load below a bound.
+func (s *search) heaviest(rank int, below float64) int {
+	at := none
+	for n := rank * s.slots; n < (rank+1)*s.slots; n++ {
+		if part := s.state.part[n]; part > 0 && part < below && (at == none || part > s.state.part[at]) {
+			at = n
+		}
+	}
+	return at
+}
+
+// tryMoves places another replica of an expert into the best of a few slots, or leaves all as it was.
+func (s *search) tryMoves(e int16, steps *[]step) bool {
+	found := s.slotsFor(e)
+	before := s.state.unevenness()
+	bestSlot, bestScore := none, before*(1-minImprovement)
+	s.saved.copyFrom(s.state)
+	tries := s.best
+	for _, n := range tries[:found] {
+		s.place(n, e)
+		if score := s.state.unevenness(); score < bestScore {
+			bestSlot, bestScore = n, score
+		}
+		s.state.copyFrom(s.saved)
+	}
+	if bestSlot == none {
+		return false
+	}
+	if s.state.held[bestSlot] == expertmap.Empty {
+		s.free[bestSlot/s.slots]--
+	}
+	s.place(bestSlot, e)
+	if !s.even {
+		s.state.sweep(moveRounds)
+	}
+	latest := s.state.time[s.state.latest()]
+	*steps = append(*steps, step{slot: int32(bestSlot), expert: e, latest: latest})
+	return true
+}
+
+// place puts a replica into a slot in place of the one there and levels the two experts.
+func (s *search) place(n int, e int16) {
+	l := s.state
+	if old := l.held[n]; old != expertmap.Empty {
+		l.unlink(n)
+		s.settle(int(old))
+	}
+	l.link(n, e)
+	s.settle(int(e))
+}
+
+// settle divides the load of one expert among its replicas.
+func (s *search) settle(e int) {
+	if s.even {
+		s.state.divide(e, nil)
+		return
+	}
+	s.state.level(e)
+}
+
+// slotsFor fills best with the slots that could take a replica of an expert, the least loaded first, and
+// returns how many it found. A slot can be taken when it is empty and memory allows, or when the expert in
+// it has another replica. Ranks in failure domains without the expert come before equally loaded others.
+func (s *search) slotsFor(e int16) int {
+	l := s.state
+	var keys [candidates]float64
+	found := 0
+	for r := range l.time {
+		if l.cost[r] == 0 || l.holds(r, e) {
+			continue
+		}
+		spread := 0.0
+		if s.domainHolds(s.domainAt[r], e) {
+			spread = domainPenalty
+		}
+		for n := r * s.slots; n < (r+1)*s.slots; n++ {
+			if !s.canTake(n) {
+				continue
+			}
+			key := (l.time[r] + l.part[n]*l.cost[r]) * (1 + spread)
+			found = s.insert(n, key, &keys, found)
+		}
+	}
+	return found
+}
+
+// domainPenalty is how much later a rank looks when its failure domain already holds the expert.
+const domainPenalty = 0.02
+
+// canTake reports whether the replica in a slot can be given up.
+func (s *search) canTake(n int) bool {
+	e := s.state.held[n]
+	if e == expertmap.Empty {
+		return s.free[n/s.slots] > 0
+	}
+	return s.state.count[e] > 1
+}
+
+// insert puts a slot into best by its key, if it is among the first ones.
+func (s *search) insert(n int, key float64, keys *[candidates]float64, found int) int {
+	at := found
+	if at == candidates {
+		at--
+		if key >= keys[at] {
+			return found
+		}
+	} else {
+		found++
+	}
+	for at > 0 && key < keys[at-1] {
+		keys[at], s.best[at] = keys[at-1], s.best[at-1]
+		at--
+	}
+	keys[at], s.best[at] = key, n
+	return found
+}
+
+// domainHolds reports whether a rank of a failure domain has a replica of the expert.
+func (s *search) domainHolds(domain int, e int16) bool {
+	for n := s.state.first[e]; n != none; n = s.state.next[n] {
+		if s.domainAt[int(n)/s.slots] == domain {
+			return true
+		}
+	}
+	return false
+}
