--- /dev/null
+++ b/fairness/rate_meter.go
@@ -0,0 +1,39 @@
+package fairness
+
+import (
+	"math"
+	"time"
+)
+
+// rateWindow is the time over which the service rate is averaged.
+const rateWindow = 3 * time.Second
+
+// rateMeter measures the cost granted a second while requests wait. Time without waiting requests does not
+// count, for then the rate is that of the demand and not of the room.
+type rateMeter struct {
+	cost    float64
+	seconds float64
+	last    time.Time // the last grant, zero when no request waited after it
+}
+
+// add counts a grant; waiting tells whether requests still wait after it.
+func (m *rateMeter) add(now time.Time, cost float64, waiting bool) {
+	if !m.last.IsZero() {
+		seconds := now.Sub(m.last).Seconds()
+		keep := math.Exp(-seconds / rateWindow.Seconds())
+		m.cost = m.cost*keep + cost
+		m.seconds = m.seconds*keep + seconds
+	}
+	m.last = time.Time{}
+	if waiting {
+		m.last = now
+	}
+}
+
+// rate returns the cost granted a second, or 0 while unknown.
+func (m *rateMeter) rate() float64 {
+	if m.seconds < rateWindow.Seconds()/10 {
+		return 0
+	}
+	return m.cost / m.seconds
+}
--- /dev/null
+++ b/routing/attempt.go
@@ -0,0 +1,98 @@
+package routing
+
+import (
+	"sync"
+	"time"
+)
+
+const (
+	// failuresToClose is the number of failures in a row that close an upstream for a while.
+	failuresToClose = 2
+	// shortestClosing is the time for which the first closing lasts; each further failure doubles it.
+	shortestClosing = 250 * time.Millisecond
+	// longestClosing bounds the time for which failures close an upstream.
+	longestClosing = 8 * time.Second
+)
+
+type (
+	// Attempt takes the reports on one attempt. Its methods may be called from any goroutine, in any order;
+	// what comes after the end is ignored.
+	Attempt struct {
+		account *account
+		work    work
+		settle  func()
+
+		mutex      sync.Mutex
+		dispatched time.Time
+		last       time.Time
+		uncached   int64
+		ended      bool
+	}
+
+	// work is what an attempt adds to an account.
+	work struct {
+		tokens  int64
+		pending int64
+		rank    int
+	}
+)
+
+// FirstToken reports that the first token came.
+func (a *Attempt) FirstToken(now time.Time) {
+	a.mutex.Lock()
+	defer a.mutex.Unlock()
+	if a.ended || !a.last.IsZero() {
+		return
+	}
+	a.last = now
+	a.account.pending.Add(-a.work.pending)
+	if a.uncached >= BlockTokens {
+		smooth(&a.account.prefill, now.Sub(a.dispatched)/time.Duration(a.uncached), prefillGain)
+	}
+}
+
+// Tokens reports that further tokens came.
+func (a *Attempt) Tokens(now time.Time, count int) {
+	a.mutex.Lock()
+	defer a.mutex.Unlock()
+	if a.ended || a.last.IsZero() || count <= 0 {
+		return
+	}
+	smooth(&a.account.step, now.Sub(a.last)/time.Duration(count), stepGain)
+	a.last = now
+}
+
+// Ended reports that the attempt ended with an answer, or was refused or cancelled by no fault of the upstream.
+func (a *Attempt) Ended(now time.Time) {
+	if a.close(now) {
+		a.account.failures.Store(0)
+		a.settle()
+	}
+}
+
+// Failed reports that the upstream failed the attempt or could not be reached.
+func (a *Attempt) Failed(now time.Time) {
+	if !a.close(now) {
+		return
+	}
+	failures := a.account.failures.Add(1)
+	if failures >= failuresToClose {
+		length := shortestClosing << min(failures-failuresToClose, 5)
+		a.account.closed.Store(now.Add(min(length, longestClosing)).UnixNano())
+	}
+	a.settle()
+}
+
+func (a *Attempt) close(now time.Time) bool {
+	a.mutex.Lock()
+	defer a.mutex.Unlock()
+	if a.ended {
+		return false
+	}
+	a.ended = true
+	if a.last.IsZero() {
+		a.account.pending.Add(-a.work.pending)
+	}
+	a.account.end(now, a.work)
+	return true
+}
--- /dev/null
+++ b/routing/picker.go
@@ -0,0 +1,272 @@
+package routing
+
+import (
+	"cmp"
+	"net/http"
+	"slices"
+	"sync"
+	"sync/atomic"
+	"time"
+
+	"guavahitch.example/guavahitch/outcome"
+	"guavahitch.example/guavahitch/wire"
+)
+
+const (
+	// DefaultSubset is the number of upstreams of one service that one entry uses.
+	DefaultSubset = 16
+	// stepPick is the step that errors of this package name.
+	stepPick = "pick"
+	// roomRetry is the retry advice when all upstreams are full.
+	roomRetry = 500 * time.Millisecond
+	// absentRetry is the retry advice when no upstream of the service is open.
+	absentRetry = 2 * time.Second
+)
+
+type (
+	// Settings are the settings of a picker.
+	Settings struct {
+		// Entry is the name of the entry; it selects the subset.
+		Entry string
+		// FailureDomain is the failure domain of the entry.
+		FailureDomain string
+		// Seed starts the sequence by which equal candidates are told apart.
+		Seed uint64
+		// Subset is the number of upstreams of one service that the entry uses; zero stands for DefaultSubset.
+		Subset int
+		// Overcommit is the number of requests beyond its capacity that an upstream may hold.
+		Overcommit int
+		// IgnorePrefixes turns the use of prefix views off.
+		IgnorePrefixes bool
+		// OnRoom is called when a place at an upstream came free; it may be nil and must not block.
+		OnRoom func()
+	}
+
+	// Picker chooses upstreams for the traffic of one entry. All methods may be called from any goroutine.
+	Picker struct {
+		settings Settings
+		plan     atomic.Pointer[plan]
+		sequence atomic.Uint64
+		mutex    sync.Mutex
+	}
+
+	// plan is a table made ready for decisions.
+	plan struct {
+		table    Table
+		services map[string]*pool
+		byName   map[string]*candidate
+	}
+
+	// pool holds the candidates of one service: the subset of this entry, and all in the order of a hash ring.
+	pool struct {
+		subset []*candidate
+		ring   []point
+	}
+
+	point struct {
+		hash      uint64
+		candidate *candidate
+	}
+
+	candidate struct {
+		upstream Upstream
+		account  *account
+		far      bool
+		slow     float64
+	}
+)
+
+// NewPicker returns a picker without upstreams.
+func NewPicker(s Settings) *Picker {
+	if s.Subset <= 0 {
+		s.Subset = DefaultSubset
+	}
+	if s.OnRoom == nil {
+		s.OnRoom = func() {}
+	}
+	p := &Picker{settings: s}
+	p.plan.Store(&plan{})
+	return p
+}
+
+// Use replaces the table. What is known of an upstream is kept while its epoch stays the same.
+func (p *Picker) Use(t Table) {
+	p.mutex.Lock()
+	defer p.mutex.Unlock()
+	old := p.plan.Load()
+	next := &plan{table: t, services: map[string]*pool{}, byName: make(map[string]*candidate, t.Len())}
+	offers := map[string][]string{}
+	for _, u := range t.Upstreams() {
+		next.byName[u.Name] = p.candidateFor(old, u)
+		for _, service := range u.Services {
+			offers[service] = append(offers[service], u.Name)
+		}
+	}
+	for service, names := range offers {
+		next.services[service] = p.newPool(next, service, names)
+	}
+	p.plan.Store(next)
+	p.settings.OnRoom()
+}
+
+func (p *Picker) candidateFor(old *plan, u Upstream) *candidate {
+	c := &candidate{upstream: u, slow: max(u.SlowFactor, 1), far: u.FailureDomain != p.settings.FailureDomain}
+	if known, ok := old.byName[u.Name]; ok && known.upstream.Epoch == u.Epoch && known.upstream.Ranks == u.Ranks {
+		c.account = known.account
+		return c
+	}
+	c.account = newAccount(u)
+	if u.Load != nil {
+		c.account.observe(time.Time{}, u.Load)
+	}
+	return c
+}
+
+func (p *Picker) newPool(next *plan, service string, names []string) *pool {
+	l := &pool{}
+	for _, name := range Subset(p.settings.Entry+"/"+service, names, p.settings.Subset) {
+		l.subset = append(l.subset, next.byName[name])
+	}
+	for _, name := range names {
+		l.ring = append(l.ring, point{hash: pairHash(service, name), candidate: next.byName[name]})
+	}
+	slices.SortFunc(l.ring, func(a, b point) int { return cmp.Compare(a.hash, b.hash) })
+	return l
+}
+
+// Table returns the table in use.
+func (p *Picker) Table() Table { return p.plan.Load().table }
+
+// Observe takes a load report of an upstream that was sampled at the given time. Reports of another epoch and
+// reports out of order are dropped.
+func (p *Picker) Observe(sampled time.Time, name string, epoch uint64, load *wire.Load) {
+	c, ok := p.plan.Load().byName[name]
+	if !ok || load == nil || c.upstream.Epoch != epoch {
+		return
+	}
+	c.account.observe(sampled, load)
+	p.settings.OnRoom()
+}
+
+// ObservePrefix takes an event of an upstream's prefix cache.
+func (p *Picker) ObservePrefix(e PrefixEvent) {
+	c, ok := p.plan.Load().byName[e.Upstream]
+	if !ok || c.upstream.Epoch != e.Epoch {
+		return
+	}
+	c.account.cache.apply(e)
+}
+
+// HasRoom reports whether an upstream of the service would take a request now.
+func (p *Picker) HasRoom(now time.Time, service string) bool {
+	l, ok := p.plan.Load().services[service]
+	if !ok {
+		return false
+	}
+	for _, c := range l.subset {
+		if c.isOpen(now) && c.free()+int64(p.settings.Overcommit) > 0 {
+			return true
+		}
+	}
+	return false
+}
+
+// Pick chooses the upstream and rank of one attempt and counts it there at once. The error is always NotRun:
+// reason "no-lease" when the table is too old to act on, "no-upstream" when nothing that serves the request is
+// open, "no-room" when all are full, and "too-late" when no answer can come before the deadline.
+func (p *Picker) Pick(now time.Time, r Request) (Choice, *outcome.Error) {
+	current := p.plan.Load()
+	if until := current.table.until; !until.IsZero() && !now.Before(until) {
+		return Choice{}, refusal("no-lease", "the view of the upstreams is too old", absentRetry)
+	}
+	l, ok := current.services[r.Service]
+	if !ok {
+		return Choice{}, refusal("no-upstream", "no upstream offers "+r.Service, absentRetry)
+	}
+	best, e, open := p.best(now, l, r)
+	switch {
+	case best == nil && open:
+		return Choice{}, refusal("no-room", "all upstreams are full", roomRetry)
+	case best == nil:
+		return Choice{}, refusal("no-upstream", "no upstream of "+r.Service+" is open", absentRetry)
+	case !r.Deadline.IsZero() && now.Add(e.wait).After(r.Deadline):
+		return Choice{}, refusal("too-late", "the first token would come after the deadline", max(e.wait, roomRetry))
+	}
+	return p.dispatch(now, best, e, r), nil
+}
+
+func (p *Picker) best(now time.Time, l *pool, r Request) (*candidate, estimate, bool) {
+	var best *candidate
+	var bestEstimate estimate
+	open := false
+	offset := int(mix(p.settings.Seed^p.sequence.Add(1)) % uint64(max(1, len(l.subset))))
+	consider := func(c *candidate) {
+		if !c.isOpen(now) || r.isExcluded(c.upstream.Name) {
+			return
+		}
+		open = true
+		e := c.estimate(r, p.settings)
+		if !r.Admitted && e.room+int64(p.settings.Overcommit) <= 0 {
+			return
+		}
+		if r.Alone {
+			e.score = e.score * time.Duration(1+c.running())
+		}
+		if best == nil || e.score < bestEstimate.score {
+			best, bestEstimate = c, e
+		}
+	}
+	for n := range l.subset {
+		consider(l.subset[(n+offset)%len(l.subset)])
+	}
+	if len(l.ring) > len(l.subset) {
+		for _, c := range l.homes(r.PrefixHashes) {
+			consider(c)
+		}
+		if !open {
+			for n := range min(len(l.ring), p.settings.Subset) {
+				consider(l.ring[int((mix(p.settings.Seed+uint64(offset))+uint64(n))%uint64(len(l.ring)))].candidate)
+			}
+		}
+	}
+	return best, bestEstimate, open
+}
+
+// homes returns the upstreams at which all entries look for the prompt's first block, in a table larger than
+// their subsets.
+func (l *pool) homes(hashes []uint64) []*candidate {
+	if len(hashes) == 0 {
+		return nil
+	}
+	n, _ := slices.BinarySearchFunc(l.ring, mix(hashes[0]), func(p point, hash uint64) int { return cmp.Compare(p.hash, hash) })
+	first := l.ring[n%len(l.ring)].candidate
+	second := l.ring[(n+1)%len(l.ring)].candidate
+	return []*candidate{first, second}
+}
+
+func (p *Picker) dispatch(now time.Time, c *candidate, e estimate, r Request) Choice {
+	uncached := int64(r.PromptTokens - e.cached)
+	w := work{tokens: int64(r.PromptTokens + r.OutputTokens), pending: uncached}
+	w.rank = c.account.pickRank(w.tokens)
+	c.account.begin(now, w)
+	c.account.cache.store(r.PrefixHashes)
+	attempt := &Attempt{account: c.account, work: w, dispatched: now, uncached: uncached, settle: p.settings.OnRoom}
+	return Choice{
+		Upstream: c.upstream, Rank: w.rank, Wait: e.wait, Total: e.total, CachedTokens: e.cached, Attempt: attempt,
+	}
+}
+
+func (c *candidate) isOpen(now time.Time) bool {
+	return c.upstream.IsOpen(now) && c.account.closed.Load() <= now.UnixNano()
+}
+
+func (c *candidate) running() int64 { return c.account.running.Load() + c.account.others.Load() }
+
+func (c *candidate) free() int64 { return c.account.capacity.Load() - c.running() }
+
+func refusal(reason, detail string, retryAfter time.Duration) *outcome.Error {
+	return &outcome.Error{
+		Step: stepPick, Outcome: outcome.NotRun, Reason: reason, Detail: detail, RetryAfter: retryAfter,
+		Status: http.StatusServiceUnavailable,
+	}
+}
--- /dev/null
+++ b/routing/picker_test.go
@@ -0,0 +1,66 @@
+package routing_test
+
+import (
+	"fmt"
+	"testing"
+	"time"
+
+	"github.com/stretchr/testify/require"
+
+	"guavahitch.example/guavahitch/outcome"
+	"guavahitch.example/guavahitch/routing"
+	"guavahitch.example/guavahitch/wire"
+)
+
+var start = time.Date(2026, 1, 2, 3, 4, 5, 0, time.UTC)
+
+func upstream(name string) routing.Upstream {
+	return routing.Upstream{Name: name, Services: []string{"match"}, Capacity: 4, Epoch: 1}
+}
+
+func ExamplePicker() {
+	picker := routing.NewPicker(routing.Settings{Entry: "entry-1"})
+	picker.Use(routing.Table{}.With(upstream("levis-1"), upstream("levis-2").WithDraining(true)))
+	now := time.Now()
+	choice, refused := picker.Pick(now, routing.Request{Service: "match", PromptTokens: 200, OutputTokens: 100})
+	fmt.Println(choice.Upstream.Name, refused == nil)
+	choice.Attempt.FirstToken(now.Add(30 * time.Millisecond))
+	choice.Attempt.Ended(now.Add(3 * time.Second))
+	// Output: levis-1 true
+}
+
+func TestOwnDispatchesCountAtOnce(t *testing.T) {
+	picker := routing.NewPicker(routing.Settings{Entry: "entry-1"})
+	picker.Use(routing.Table{}.With(upstream("a"), upstream("b"), upstream("c")))
+	counts := map[string]int{}
+	for range 12 {
+		choice, refused := picker.Pick(start, routing.Request{Service: "match"})
+		require.Nil(t, refused)
+		counts[choice.Upstream.Name]++
+	}
+	require.Equal(t, map[string]int{"a": 4, "b": 4, "c": 4}, counts)
+	_, refused := picker.Pick(start, routing.Request{Service: "match"})
+	require.Equal(t, "no-room", refused.Reason)
+	require.Equal(t, outcome.NotRun, refused.Outcome)
+	require.False(t, picker.HasRoom(start, "match"))
+}
+
+func TestNoDispatchOnAnOldTable(t *testing.T) {
+	picker := routing.NewPicker(routing.Settings{Entry: "entry-1"})
+	picker.Use(routing.Table{}.With(upstream("a")).WithLease(start.Add(time.Second)))
+	_, refused := picker.Pick(start.Add(time.Second), routing.Request{Service: "match"})
+	require.Equal(t, "no-lease", refused.Reason)
+}
+
+func TestReportsOfOthersCount(t *testing.T) {
+	picker := routing.NewPicker(routing.Settings{Entry: "entry-1"})
+	picker.Use(routing.Table{}.With(upstream("a"), upstream("b")))
+	picker.Observe(start, "a", 1, &wire.Load{Running: 4, Sequence: 2})
+	picker.Observe(start, "a", 1, &wire.Load{Running: 0, Sequence: 1})
+	picker.Observe(start, "b", 2, &wire.Load{Running: 4, Sequence: 3})
+	for range 4 {
+		choice, refused := picker.Pick(start, routing.Request{Service: "match"})
+		require.Nil(t, refused)
+		require.Equal(t, "b", choice.Upstream.Name)
+	}
+}
