Control: the state machine and the server of wire.Control, thin

Cause: entries and sidecars need membership, an inventory, key claims and records to be built against. Change: control.State applies announcements, submissions, claims, settlements, orders, deaths, verdicts and records; control.Server answers all calls of wire.Control over function fields; lease.Table and lease.Holder are both ends of the lease on the inventory; claim.Keys holds the idempotency keys, in memory for now. Measured: go test ./control passes: racing operators, and a revision in force once the cut-off process's lease ran out.

--- /dev/null
+++ b/control/configuration.go
@@ -0,0 +1,205 @@
+// Revisions of the inventory. A submission names the revision that it expects, so that of two operators
+// with equal numbers exactly one wins; its change id makes a resend harmless. Every change that reached
+// the log keeps its status for ever.
+
+package control
+
+import (
+	"crypto/sha256"
+	"encoding/binary"
+	"strconv"
+
+	"google.golang.org/protobuf/proto"
+
+	"guavahitch.example/guavahitch/claim"
+	"guavahitch.example/guavahitch/wire"
+)
+
+// States of a change.
+const (
+	StateAccepted = "accepted"
+	StateInForce  = "in-force"
+	StateRefused  = "refused"
+	StateUnknown  = "unknown"
+)
+
+// Reasons of refused changes.
+const (
+	// ReasonLost means that another change took the expected revision's place.
+	ReasonLost = "lost"
+	// ReasonFuture means that the expected revision does not exist yet.
+	ReasonFuture = "future"
+	// ReasonReused means that the change id belongs to other content.
+	ReasonReused = "change-id-reused"
+)
+
+type configuration struct {
+	revision  uint64
+	inventory []byte
+	// inForce is the newest revision that every leaseholder holds.
+	inForce uint64
+	changes *changes
+	// recent holds the latest inventories, oldest first, for deltas.
+	recent []revisionText
+}
+
+type revisionText struct {
+	revision  uint64
+	inventory []byte
+}
+
+// recentRevisions is the number of inventories kept for deltas.
+const recentRevisions = 4
+
+func newConfiguration() configuration {
+	return configuration{changes: newChanges(claim.NewStore(0))}
+}
+
+// ContentOf returns the hash that tells a resend from another change under the same id.
+func ContentOf(request *wire.SubmitRequest) []byte {
+	digest := sha256.New()
+	var number [8]byte
+	binary.BigEndian.PutUint64(number[:], request.ExpectedRevision)
+	digest.Write(number[:])
+	digest.Write(request.Inventory)
+	return digest.Sum(nil)
+}
+
+func (s *State) submit(replica string, request *wire.SubmitRequest) *wire.Result {
+	known, failure := s.knownChange(request)
+	if known != nil || failure != nil {
+		return &wire.Result{Change: known, Failure: failure}
+	}
+	status := &wire.ChangeStatus{
+		ChangeId: request.ChangeId, Operator: request.Operator, Term: s.term, Replica: replica, AcceptedMs: s.nowMs,
+	}
+	c := &s.configuration
+	if request.ExpectedRevision == c.revision || s.Switches.SkipExpected {
+		c.revision++
+		c.inventory = request.Inventory
+		c.keepRecent()
+		status.State, status.Revision = StateAccepted, c.revision
+	} else {
+		s.refuseChange(status, request.ExpectedRevision)
+	}
+	s.saveChange(status, ContentOf(request))
+	s.record(replica, &wire.Record{
+		Kind: "configuration", Subject: "revision " + strconv.FormatUint(request.ExpectedRevision+1, 10),
+		Decision: status.State, Cause: request.Reason, Rule: "expected revision must be the newest",
+		ChangeId: request.ChangeId, Alternatives: alternativesOf(status),
+	})
+	s.signal()
+	return &wire.Result{Change: s.withWinner(status)}
+}
+
+func alternativesOf(status *wire.ChangeStatus) []*wire.Alternative {
+	if status.Winner == "" {
+		return nil
+	}
+	return []*wire.Alternative{{Name: "change " + status.Winner + " holds the revision"}}
+}
+
+func (s *State) refuseChange(status *wire.ChangeStatus, expected uint64) {
+	status.State, status.AcceptedMs = StateRefused, 0
+	status.Revision = s.configuration.revision
+	if expected > s.configuration.revision {
+		status.Reason = ReasonFuture
+		return
+	}
+	status.Reason = ReasonLost
+	status.Winner = s.configuration.changes.winner(expected + 1)
+}
+
+// knownChange answers a change id that was seen before: the original answer for the same content, an
+// error for another.
+func (s *State) knownChange(request *wire.SubmitRequest) (*wire.ChangeStatus, *wire.Failure) {
+	if s.Switches.ForgetChanges {
+		return nil, nil
+	}
+	stored, err := s.configuration.changes.get(request.ChangeId)
+	if err != nil {
+		return nil, refusal("submit", "storage", err.Error())
+	}
+	if stored == nil {
+		return nil, nil
+	}
+	if string(stored.Content) != string(ContentOf(request)) {
+		return nil, refusal("submit", ReasonReused, "the change id "+request.ChangeId+" belongs to another content")
+	}
+	return s.withWinner(stored.Status), nil
+}
+
+// withWinner returns the status as it stands now: an accepted change is in force once its revision, or a
+// later one, is.
+func (s *State) withWinner(status *wire.ChangeStatus) *wire.ChangeStatus {
+	if status.State == StateAccepted && status.Revision <= s.configuration.inForce {
+		status = proto.CloneOf(status)
+		status.State = StateInForce
+		status.InForceMs = s.configuration.changes.inForceMs(status.Revision)
+	}
+	return status
+}
+
+func (s *State) saveChange(status *wire.ChangeStatus, content []byte) {
+	s.configuration.changes.put(&wire.StoredChange{Status: status, Content: content}, s.nowMs)
+}
+
+func (c *configuration) keepRecent() {
+	c.recent = append(c.recent, revisionText{c.revision, c.inventory})
+	if len(c.recent) > recentRevisions {
+		c.recent = append([]revisionText(nil), c.recent[1:]...)
+	}
+}
+
+// inForce notes that every process holds a revision, or holds no lease. The evidence counts only in the
+// term whose leader gathered it: another leader may have granted leases since.
+func (s *State) inForce(replica string, declared *wire.InForce) *wire.Result {
+	c := &s.configuration
+	if declared.Term != s.term && !s.Switches.AnyTerm {
+		return &wire.Result{Failure: refusal("in-force", "stale-term", "")}
+	}
+	if declared.Revision <= c.inForce || declared.Revision > c.revision {
+		return &wire.Result{}
+	}
+	c.changes.markInForce(c.inForce+1, declared.Revision, s.nowMs)
+	c.inForce = declared.Revision
+	cause := "every process acknowledged it"
+	if len(declared.Expired) > 0 {
+		cause = "every process acknowledged it or lost its lease"
+	}
+	s.record(replica, &wire.Record{
+		Kind: "configuration", Subject: "revision " + strconv.FormatUint(declared.Revision, 10), Decision: StateInForce,
+		Cause: cause, Rule: "no process may act on an older revision", Revision: declared.Revision,
+		ChangeId: c.changes.winner(declared.Revision),
+	})
+	s.signal()
+	return &wire.Result{Applied: true}
+}
+
+// Change returns the status of a change by its id.
+func (s *State) Change(id string) *wire.ChangeStatus {
+	s.mutex.RLock()
+	defer s.mutex.RUnlock()
+	stored, err := s.configuration.changes.get(id)
+	if err != nil {
+		return &wire.ChangeStatus{ChangeId: id, Failure: refusal("change", "storage", err.Error())}
+	}
+	if stored == nil {
+		return &wire.ChangeStatus{ChangeId: id, State: StateUnknown}
+	}
+	return s.withWinner(stored.Status)
+}
+
+// Revision returns the newest accepted revision and its inventory.
+func (s *State) Revision() (uint64, []byte) {
+	s.mutex.RLock()
+	defer s.mutex.RUnlock()
+	return s.configuration.revision, s.configuration.inventory
+}
+
+// InForce returns the newest revision that is in force everywhere.
+func (s *State) InForce() uint64 {
+	s.mutex.RLock()
+	defer s.mutex.RUnlock()
+	return s.configuration.inForce
+}
--- /dev/null
+++ b/control/state.go
@@ -0,0 +1,173 @@
+// Package control holds the state that the control replicas agree on, and the server of wire.Control over
+// it: membership, the inventory and its revisions, idempotency keys, orders, quarantine and the records
+// of every decision.
+//
+// A command's way: Server builds it, Propose puts it into the replicated log, and State.Apply runs it on
+// every replica in the log's order. Apply depends on the entry alone, so every replica holds the same
+// state. What is renewed often and may be lost with its leader, such as leases and loads, stays in the
+// Server.
+//
+// This file holds the state and the dispatch of commands.
+package control
+
+import (
+	"maps"
+	"slices"
+	"sync"
+
+	"google.golang.org/protobuf/proto"
+
+	"guavahitch.example/guavahitch/claim"
+	"guavahitch.example/guavahitch/wire"
+)
+
+type (
+	// Entry is one committed command with its place in the log and the time of its proposal.
+	Entry struct {
+		Index   uint64
+		Term    uint64
+		TimeMs  int64
+		Command []byte
+	}
+
+	// State is the replicated state. Apply is called by one goroutine; all other methods may be called by
+	// any.
+	State struct {
+		// Switches turn mechanisms off. Tests set them before the first command.
+		Switches Switches
+
+		mutex sync.RWMutex
+		// index, term and nowMs are those of the last entry; nowMs never runs backwards.
+		index, term uint64
+		nowMs       int64
+		changed     chan struct{}
+
+		configuration configuration
+		members       *members
+		keys          *claim.Keys
+		quarantined   map[string]*wire.Quarantine
+		records       *records
+		settled       map[claim.Key]chan struct{}
+	}
+
+	// Switches turn mechanisms of the state off, to show that the tests notice.
+	Switches struct {
+		// SkipExpected accepts a submission whatever its expected revision is.
+		SkipExpected bool
+		// ForgetChanges treats every submission as new.
+		ForgetChanges bool
+		// AnyTerm accepts evidence that a leader of another term gathered.
+		AnyTerm bool
+	}
+)
+
+// NewState returns an empty state in memory.
+func NewState() *State {
+	return &State{
+		changed:       make(chan struct{}),
+		configuration: newConfiguration(),
+		members:       newMembers(),
+		keys:          claim.NewKeys(claim.NewStore(claim.Retention.Milliseconds())),
+		quarantined:   make(map[string]*wire.Quarantine),
+		records:       newRecords(),
+		settled:       make(map[claim.Key]chan struct{}),
+	}
+}
+
+// Apply runs one committed command and returns its result, a marshalled wire.Result.
+func (s *State) Apply(e Entry) []byte {
+	s.mutex.Lock()
+	defer s.mutex.Unlock()
+	s.index, s.term = e.Index, e.Term
+	s.nowMs = max(s.nowMs, e.TimeMs)
+	command := &wire.Command{}
+	result := &wire.Result{}
+	if err := proto.Unmarshal(e.Command, command); err != nil {
+		result.Failure = refusal("apply", "invalid", err.Error())
+	} else {
+		result = s.run(command)
+	}
+	result.Term = e.Term
+	encoded, err := proto.MarshalOptions{Deterministic: true}.Marshal(result)
+	if err != nil {
+		return nil
+	}
+	return encoded
+}
+
+func (s *State) run(command *wire.Command) *wire.Result {
+	switch body := command.Body.(type) {
+	case *wire.Command_Announce:
+		return s.announce(command.Replica, body.Announce)
+	case *wire.Command_Departure:
+		return s.depart(command.Replica, body.Departure)
+	case *wire.Command_Submit:
+		return s.submit(command.Replica, body.Submit)
+	case *wire.Command_InForce:
+		return s.inForce(command.Replica, body.InForce)
+	case *wire.Command_Claim:
+		return s.claim(body.Claim)
+	case *wire.Command_Settle:
+		return s.settle(command.Replica, body.Settle)
+	case *wire.Command_Death:
+		return s.death(command.Replica, body.Death)
+	case *wire.Command_Quarantine:
+		return s.quarantine(command.Replica, body.Quarantine)
+	case *wire.Command_Record:
+		s.record(command.Replica, body.Record)
+		return &wire.Result{Applied: true}
+	case *wire.Command_Order:
+		return s.order(command.Replica, body.Order)
+	case *wire.Command_OrderSettled:
+		return s.orderSettled(command.Replica, body.OrderSettled)
+	default:
+		return &wire.Result{Failure: refusal("apply", "unknown-command", "")}
+	}
+}
+
+// record adds a durable record of a decision.
+func (s *State) record(replica string, r *wire.Record) {
+	next := proto.CloneOf(r)
+	next.Term, next.Replica, next.TimeMs = s.term, replica, s.nowMs
+	if next.Revision == 0 {
+		next.Revision = s.configuration.revision
+	}
+	s.records.add(next)
+}
+
+// signal wakes everyone who waits for a newer view, revision or quarantine.
+func (s *State) signal() {
+	close(s.changed)
+	s.changed = make(chan struct{})
+}
+
+// Changed returns a channel that is closed at the next change of members, inventory or quarantine.
+func (s *State) Changed() <-chan struct{} {
+	s.mutex.RLock()
+	defer s.mutex.RUnlock()
+	return s.changed
+}
+
+// Term returns the term of the last entry.
+func (s *State) Term() uint64 {
+	s.mutex.RLock()
+	defer s.mutex.RUnlock()
+	return s.term
+}
+
+// Quarantined returns the fingerprints under suspicion or proved deadly, in the order of their bytes.
+func (s *State) Quarantined() []*wire.Quarantine {
+	s.mutex.RLock()
+	defer s.mutex.RUnlock()
+	return s.quarantinedLocked()
+}
+
+func (s *State) quarantinedLocked() []*wire.Quarantine {
+	list := make([]*wire.Quarantine, 0, len(s.quarantined))
+	for _, fingerprint := range slices.Sorted(maps.Keys(s.quarantined)) {
+		if q := s.quarantined[fingerprint]; q.ExpiresMs == 0 || q.ExpiresMs > s.nowMs {
+			list = append(list, q)
+		}
+	}
+	return list
+}
--- /dev/null
+++ b/lease/holder.go
@@ -0,0 +1,102 @@
+// The holder's end of a lease: which inventory and members a process acts on, and until when.
+
+package lease
+
+import (
+	"maps"
+	"slices"
+	"time"
+
+	"guavahitch.example/guavahitch/wire"
+)
+
+// Holder is what a process holds of control's state. It is an immutable value: traffic reads it while
+// control replaces it. The zero value holds nothing and refuses work.
+type Holder struct {
+	// AllowOlder takes an older revision over a newer one. Tests set it.
+	AllowOlder bool
+
+	revision    uint64
+	inventory   []byte
+	expires     time.Time
+	view        uint64
+	members     map[string]*wire.Member
+	quarantined []*wire.Quarantine
+}
+
+// Request returns the next WatchRequest of the process.
+func (h Holder) Request(process string, wait time.Duration) *wire.WatchRequest {
+	return &wire.WatchRequest{Process: process, View: h.view, Revision: h.revision, WaitMs: wait.Milliseconds()}
+}
+
+// With returns the holder after a reply to a request that was sent at sent. A reply that failed, or that
+// comes from a replica that is behind, changes nothing and extends no lease.
+func (h Holder) With(reply *wire.WatchReply, sent time.Time) Holder {
+	if reply.Failure != nil || (reply.Revision < h.revision && !h.AllowOlder) {
+		return h
+	}
+	if reply.Revision != h.revision {
+		if len(reply.Inventory) == 0 {
+			return h
+		}
+		h.revision, h.inventory = reply.Revision, reply.Inventory
+	}
+	lease := time.Duration(reply.LeaseMs) * time.Millisecond
+	if expires := HolderExpiry(sent, lease); lease > 0 && expires.After(h.expires) {
+		h.expires = expires
+	}
+	h.quarantined = reply.Quarantined
+	return h.withView(reply)
+}
+
+// withView returns the holder with the members of the reply. An older view changes nothing: replies may
+// cross on their way.
+func (h Holder) withView(reply *wire.WatchReply) Holder {
+	if reply.View < h.view || (reply.View == h.view && !reply.Snapshot) {
+		return h
+	}
+	next := make(map[string]*wire.Member, len(h.members)+len(reply.Members))
+	if !reply.Snapshot {
+		maps.Copy(next, h.members)
+	}
+	for _, name := range reply.Left {
+		delete(next, name)
+	}
+	for _, m := range reply.Members {
+		next[m.Name] = m
+	}
+	h.view, h.members = reply.View, next
+	return h
+}
+
+// Refuses reports whether new work must be refused at now, because a newer inventory may be in force.
+func (h Holder) Refuses(now time.Time) bool {
+	return h.revision == 0 || !now.Before(h.expires)
+}
+
+// Revision returns the revision of the inventory that the process acts on; 0 for none.
+func (h Holder) Revision() uint64 { return h.revision }
+
+// Inventory returns the inventory that the process acts on, as it was accepted.
+func (h Holder) Inventory() []byte { return h.inventory }
+
+// Expires returns the end of the lease on the process's own clock.
+func (h Holder) Expires() time.Time { return h.expires }
+
+// View returns the number of the view of members.
+func (h Holder) View() uint64 { return h.view }
+
+// Member returns the member of a name, or nil.
+func (h Holder) Member(name string) *wire.Member { return h.members[name] }
+
+// Members returns the members by name, sorted.
+func (h Holder) Members() []*wire.Member {
+	members := make([]*wire.Member, 0, len(h.members))
+	for _, name := range slices.Sorted(maps.Keys(h.members)) {
+		members = append(members, h.members[name])
+	}
+	return members
+}
+
+// Quarantined returns the fingerprints under suspicion or proved deadly.
+func (h Holder) Quarantined() []*wire.Quarantine { return h.quarantined }
--- a/wire/event.twirp.go
+++ b/wire/event.twirp.go
@@ -504,7 +504,7 @@
 }
 
 func (s *eventsServer) ServiceDescriptor() ([]byte, int) {
-	return twirpFileDescriptor1, 0
+	return twirpFileDescriptor2, 0
 }
 
 func (s *eventsServer) ProtocGenTwirpVersion() string {
@@ -518,7 +518,7 @@
 	return baseServicePath(s.pathPrefix, "guavahitch.wire", "Events")
 }
 
-var twirpFileDescriptor1 = []byte{
+var twirpFileDescriptor2 = []byte{
 	// 346 bytes of a gzipped FileDescriptorProto
 	0x1f, 0x8b, 0x08, 0x00, 0x00, 0x00, 0x00, 0x00, 0x02, 0xff, 0x74, 0x92, 0xc1, 0x4b, 0xfb, 0x30,
 	0x14, 0xc7, 0xd9, 0xd6, 0x76, 0x5b, 0xca, 0xf8, 0x41, 0xf8, 0x31, 0xc3, 0x10, 0x19, 0xc5, 0xc3,
