--- a/wire/replica.twirp.go
+++ b/wire/replica.twirp.go
@@ -504,7 +504,7 @@
 }
 
 func (s *replicaServer) ServiceDescriptor() ([]byte, int) {
-	return twirpFileDescriptor3, 0
+	return twirpFileDescriptor4, 0
 }
 
 func (s *replicaServer) ProtocGenTwirpVersion() string {
@@ -518,7 +518,7 @@
 	return baseServicePath(s.pathPrefix, "guavahitch.wire", "Replica")
 }
 
-var twirpFileDescriptor3 = []byte{
+var twirpFileDescriptor4 = []byte{
 	// 902 bytes of a gzipped FileDescriptorProto
 	0x1f, 0x8b, 0x08, 0x00, 0x00, 0x00, 0x00, 0x00, 0x02, 0xff, 0x7c, 0x55, 0xcd, 0x6e, 0xdb, 0x46,
 	0x10, 0x2e, 0x45, 0xfd, 0x8e, 0x2c, 0x99, 0xde, 0x34, 0xf6, 0xda, 0xb1, 0x13, 0x81, 0x68, 0x01,
--- a/wire/sidecar.twirp.go
+++ b/wire/sidecar.twirp.go
@@ -1624,7 +1624,7 @@
 }
 
 func (s *sidecarServer) ServiceDescriptor() ([]byte, int) {
-	return twirpFileDescriptor4, 0
+	return twirpFileDescriptor5, 0
 }
 
 func (s *sidecarServer) ProtocGenTwirpVersion() string {
@@ -1638,7 +1638,7 @@
 	return baseServicePath(s.pathPrefix, "guavahitch.wire", "Sidecar")
 }
 
-var twirpFileDescriptor4 = []byte{
+var twirpFileDescriptor5 = []byte{
 	// 879 bytes of a gzipped FileDescriptorProto
 	0x1f, 0x8b, 0x08, 0x00, 0x00, 0x00, 0x00, 0x00, 0x02, 0xff, 0xac, 0x56, 0xcd, 0x8e, 0xe3, 0x44,
 	0x10, 0x96, 0x13, 0x3b, 0xc9, 0x54, 0x9c, 0xdd, 0xa5, 0x05, 0xb3, 0x96, 0x59, 0x96, 0x28, 0xc3,
