fairness: serve an organisation in order and shed the least weighted at arrival

Cause: strict priority of weight within an organisation let light requests wait until their latest start and only then refused them, though that was predictable when a heavier one arrived. Change: an organisation's requests are served in the order of arrival; when a newcomer could not start in time, waiting requests of less weight are given up at once for it, else the newcomer is refused at once.

--- a/fairness/flow.go
+++ b/fairness/flow.go
@@ -1,5 +1,7 @@
 package fairness
 
+import "container/list"
+
 const (
 	readySlot = iota
 	backlogSlot
@@ -14,18 +16,18 @@
 		limits  Limits
 		finish  float64 // virtual time at which the service granted so far ends
 		running int
-		waiting int
 		cost    float64
 		counted float64    // weight that the queue's sum holds for it
-		classes []*class   // by weight, greatest first; few, for kinds of service are few
+		waiting list.List  // tickets in the order of arrival, which is the order of service
+		classes []*class   // the same tickets by weight, least first; few, for kinds of service are few
 		places  [slots]int // place in each heap, -1 when it is not there
 	}
 
-	// class holds the waiting requests of one weight in the order of their arrival.
+	// class holds the waiting requests of one weight in the order of arrival.
 	class struct {
-		weight      float64
-		cost        float64
-		first, last *Ticket
+		weight  float64
+		cost    float64
+		waiting list.List
 	}
 
 	// flowHeap is a heap of organisations. Each flow knows its place in each heap.
@@ -47,22 +49,27 @@
 	return f.limits.Weight
 }
 
+func (f *flow) isWaiting() bool { return f.waiting.Len() > 0 }
+
 // isReady reports whether a request of the organisation may run.
 func (f *flow) isReady() bool {
-	return f.waiting > 0 && (f.limits.Running <= 0 || f.running < f.limits.Running)
+	return f.isWaiting() && (f.limits.Running <= 0 || f.running < f.limits.Running)
 }
 
-// head returns the oldest request of the greatest weight.
-func (f *flow) head() *Ticket { return f.classes[0].first }
+// head returns the oldest request.
+func (f *flow) head() *Ticket { return f.waiting.Front().Value.(*Ticket) }
+
+// tail returns the newest request.
+func (f *flow) tail() *Ticket { return f.waiting.Back().Value.(*Ticket) }
 
-// tail returns the newest request of the least weight.
-func (f *flow) tail() *Ticket { return f.classes[len(f.classes)-1].last }
+// least returns the newest request of the least weight.
+func (f *flow) least() *Ticket { return f.classes[0].waiting.Back().Value.(*Ticket) }
 
-// costFrom returns the cost of the waiting requests of at least the given weight.
-func (f *flow) costFrom(weight float64) float64 {
+// costBelow returns the cost of the waiting requests of less than the given weight.
+func (f *flow) costBelow(weight float64) float64 {
 	cost := 0.0
 	for _, c := range f.classes {
-		if c.weight >= weight {
+		if c.weight < weight {
 			cost += c.cost
 		}
 	}
@@ -71,38 +78,23 @@
 
 func (f *flow) add(t *Ticket) {
 	c := f.classOf(t.weight())
-	t.flow, t.class, t.prev, t.next = f, c, c.last, nil
-	if c.last != nil {
-		c.last.next = t
-	} else {
-		c.first = t
-	}
-	c.last = t
+	t.flow, t.class = f, c
+	t.inFlow = f.waiting.PushBack(t)
+	t.inClass = c.waiting.PushBack(t)
 	c.cost += t.cost()
 	f.cost += t.cost()
-	f.waiting++
 }
 
 func (f *flow) remove(t *Ticket) {
 	c := t.class
-	if t.prev != nil {
-		t.prev.next = t.next
-	} else {
-		c.first = t.next
-	}
-	if t.next != nil {
-		t.next.prev = t.prev
-	} else {
-		c.last = t.prev
-	}
-	t.prev, t.next = nil, nil
+	f.waiting.Remove(t.inFlow)
+	c.waiting.Remove(t.inClass)
 	c.cost -= t.cost()
 	f.cost -= t.cost()
-	f.waiting--
-	if c.first == nil {
+	if c.waiting.Len() == 0 {
 		f.drop(c)
 	}
-	if f.waiting == 0 {
+	if !f.isWaiting() {
 		f.cost = 0
 	}
 }
@@ -110,7 +102,7 @@
 // classOf returns the class of a weight, which it adds in its place when it is new.
 func (f *flow) classOf(weight float64) *class {
 	at := 0
-	for at < len(f.classes) && f.classes[at].weight > weight {
+	for at < len(f.classes) && f.classes[at].weight < weight {
 		at++
 	}
 	if at < len(f.classes) && f.classes[at].weight == weight {
@@ -148,7 +140,7 @@
 	return a.name < b.name
 }
 
-// Len, Less, Swap, Push and Pop implement heap.Interface.
+// Len returns the number of organisations in the heap.
 func (h *flowHeap) Len() int { return len(h.flows) }
 
 // Less applies the order of the heap.
--- a/fairness/gate.go
+++ b/fairness/gate.go
@@ -65,9 +65,6 @@
 	g.mutex.Lock()
 	defer g.mutex.Unlock()
 	now := time.Now()
-	for _, s := range g.queue.Expire(now) {
-		g.end(s.Ticket, s.Refusal)
-	}
 	g.grant(now)
 }
 
@@ -82,16 +79,12 @@
 	g.mutex.Lock()
 	defer g.mutex.Unlock()
 	now := time.Now()
-	shed, refused := g.queue.Push(now, t)
-	if shed != nil {
-		g.end(shed.Ticket, shed.Refusal)
-	}
-	if refused != nil {
-		return refused
+	refused := g.queue.Push(now, t)
+	if refused == nil {
+		g.waits[t] = ended
 	}
-	g.waits[t] = ended
 	g.grant(now)
-	return nil
+	return refused
 }
 
 // abandon gives a request up whose caller has gone. When it was admitted at the same moment it is admitted.
@@ -107,6 +100,9 @@
 
 func (g *Gate) grant(now time.Time) {
 	for {
+		for _, u := range g.queue.GiveUp(now) {
+			g.end(u.Ticket, u.Refusal)
+		}
 		t := g.queue.Head()
 		if t == nil || !g.take(now, t) {
 			return
--- a/fairness/places.go
+++ b/fairness/places.go
@@ -18,7 +18,7 @@
 }
 
 func (q *Queue) add(f *flow, t *Ticket) {
-	if f.waiting == 0 {
+	if !f.isWaiting() {
 		f.finish = max(f.finish, q.virtual)
 	}
 	f.add(t)
@@ -44,9 +44,9 @@
 func (q *Queue) place(f *flow) {
 	wasBacklogged := f.places[backlogSlot] >= 0
 	set(&q.ready, f, f.isReady())
-	set(&q.backlog, f, f.waiting > 0)
-	set(&q.idle, f, f.waiting == 0 && f.running == 0)
-	if isBacklogged := f.waiting > 0; isBacklogged != wasBacklogged {
+	set(&q.backlog, f, f.isWaiting())
+	set(&q.idle, f, !f.isWaiting() && f.running == 0)
+	if isBacklogged := f.isWaiting(); isBacklogged != wasBacklogged {
 		q.sumWeights(f, isBacklogged)
 	}
 }
@@ -93,10 +93,10 @@
 func (q *Queue) victim(f *flow, t *Ticket) *Ticket {
 	most := q.backlog.flows[0]
 	if f == most || (f.cost+t.cost())/f.weight() >= most.cost/most.weight() {
-		if f.waiting == 0 || t.weight() <= f.tail().weight() {
+		if !f.isWaiting() || t.weight() <= f.least().weight() {
 			return t
 		}
-		return f.tail()
+		return f.least()
 	}
-	return most.tail()
+	return most.least()
 }
--- a/fairness/queue.go
+++ b/fairness/queue.go
@@ -7,6 +7,7 @@
 
 import (
 	"fmt"
+	"math"
 	"net/http"
 	"time"
 
@@ -40,36 +41,20 @@
 		LimitsOf func(organisation string) Limits
 		// Limit is the most requests that wait at once; zero stands for DefaultLimit.
 		Limit int
-	}
-
-	// Ticket is one request in a queue. The fields are set before Push and not changed after.
-	Ticket struct {
-		// Organisation is the organisation that asks.
-		Organisation string
-		// Weight is the weight of the request's kind: the least weighted is shed first; zero stands for 1.
-		Weight float64
-		// Cost is the expected service that the request takes, in any unit that all requests share; at least 1.
-		Cost float64
-		// Latest is the time by which the request must start to end in time; the zero time never comes.
-		Latest time.Time
-		// Value is the caller's own.
-		Value any
-
-		flow       *flow
-		class      *class
-		prev, next *Ticket
-		expiry     int // place in the heap of latest starts, -1 when it has none
-		state      ticketState
+		// LongestWait is the predicted wait beyond which a request is refused even if it could still end in time;
+		// zero means no such bound.
+		LongestWait time.Duration
 	}
 
 	// Queue orders waiting requests by weighted fair service. It is not safe for concurrent use.
 	Queue struct {
 		settings Settings
 		flows    map[string]*flow
-		ready    flowHeap // organisations with waiting requests and room, by start tag
+		ready    flowHeap // organisations with waiting requests that may run, by start tag
 		backlog  flowHeap // organisations with waiting requests, the most backlogged first
 		idle     flowHeap // organisations without requests, by the virtual time at which their debt ends
 		expiry   ticketHeap
+		given    []GivenUp
 		virtual  float64
 		waiting  int
 		weights  float64 // sum of the weights of the organisations with waiting requests
@@ -85,6 +70,9 @@
 	if s.Limit <= 0 {
 		s.Limit = DefaultLimit
 	}
+	if s.LongestWait <= 0 {
+		s.LongestWait = math.MaxInt64
+	}
 	return &Queue{
 		settings: s, flows: map[string]*flow{},
 		ready:   flowHeap{less: startsBefore, slot: readySlot},
@@ -100,33 +88,31 @@
 func (q *Queue) Organisations() int { return len(q.flows) }
 
 // Push adds a request. The error, always NotRun, refuses it at once: reason "overloaded" when it could not
-// start in time or weighs least while the queue is full, and "limit" when its organisation is at its limit.
-// A request that was shed to make room is returned with its refusal.
-func (q *Queue) Push(now time.Time, t *Ticket) (shed *Shed, refused *outcome.Error) {
+// start in time or when the queue is full and it weighs least, and "limit" when its organisation is at its limit.
+// Requests of less weight may be given up for it; GiveUp returns them.
+func (q *Queue) Push(now time.Time, t *Ticket) *outcome.Error {
 	q.settle()
 	f := q.flowOf(t.Organisation)
 	defer q.place(f)
-	if f.limits.Queued > 0 && f.waiting >= f.limits.Queued {
-		return nil, q.refuse(http.StatusTooManyRequests, "limit", "too many waiting requests of the organisation", q.wait(f, t))
+	if f.limits.Queued > 0 && f.waiting.Len() >= f.limits.Queued {
+		return q.refuse(http.StatusTooManyRequests, "limit", "too many waiting requests of the organisation", q.wait(f, 0))
 	}
-	wait := q.wait(f, t)
-	if !t.Latest.IsZero() && now.Add(wait).After(t.Latest) {
-		return nil, q.refuse(http.StatusTooManyRequests, "overloaded", "cannot start in time", now.Add(wait).Sub(t.Latest))
+	slack := t.slack(now, q.settings.LongestWait)
+	if late := q.wait(f, 0) - slack; late > 0 {
+		if q.wait(f, f.costBelow(t.weight())) > slack {
+			return q.refuse(http.StatusTooManyRequests, "overloaded", "cannot start in time", late)
+		}
+		q.shed(f, slack)
 	}
 	if q.waiting >= q.settings.Limit {
 		victim := q.victim(f, t)
 		if victim == t {
-			return nil, q.refuse(http.StatusServiceUnavailable, "overloaded", "the queue is full", wait)
-		}
-		q.remove(victim)
-		victim.state = ticketEnded
-		shed = &Shed{
-			Ticket:  victim,
-			Refusal: q.refuse(http.StatusServiceUnavailable, "overloaded", "shed for a request of more weight or a smaller share", wait),
+			return q.refuse(http.StatusServiceUnavailable, "overloaded", "the queue is full", q.wait(f, 0))
 		}
+		q.giveUp(victim, "shed for a request of more weight or of a smaller share")
 	}
 	q.add(f, t)
-	return shed, nil
+	return nil
 }
 
 // Pop removes and returns the request to run next, or nil when none may run. Its organisation's count of
@@ -139,11 +125,12 @@
 	f := t.flow
 	q.virtual = max(q.virtual, f.finish)
 	q.remove(t)
-	q.meter.add(now, t.cost(), q.waiting > 0)
-	f.finish = max(f.finish, q.virtual) + t.cost()/f.weight()
-	f.running++
 	t.state = ticketGranted
+	f.finish = q.virtual + t.cost()/f.weight()
+	f.running++
+	q.meter.add(now, t.cost(), q.waiting > 0)
 	q.place(f)
+	q.review(now, f)
 	return t
 }
 
@@ -155,8 +142,8 @@
 	return q.ready.flows[0].head()
 }
 
-// Release tells that a request that Pop returned has ended. The cost is corrected by what it took: actual
-// replaces the expected cost; zero keeps it.
+// Release tells that a request that Pop returned has ended. The service of its organisation is corrected by
+// what the request took: actual replaces the expected cost; zero keeps it.
 func (q *Queue) Release(t *Ticket, actual float64) {
 	if t.state != ticketGranted {
 		return
@@ -181,23 +168,18 @@
 	return true
 }
 
-// Expire removes and returns the requests that can no longer start in time, each with its refusal.
-func (q *Queue) Expire(now time.Time) []Shed {
-	var expired []Shed
+// GiveUp returns the requests that were given up on since the last call, each with the refusal to send at once.
+// Call it after each Push and Pop and at NextExpiry.
+func (q *Queue) GiveUp(now time.Time) []GivenUp {
 	for q.expiry.Len() > 0 && q.expiry[0].Latest.Before(now) {
-		t := q.expiry[0]
-		wait := q.wait(t.flow, t)
-		q.remove(t)
-		t.state = ticketEnded
-		expired = append(expired, Shed{
-			Ticket:  t,
-			Refusal: q.refuse(http.StatusTooManyRequests, "overloaded", "cannot start in time any more", wait),
-		})
-	}
-	return expired
+		q.giveUp(q.expiry[0], "cannot start in time any more")
+	}
+	given := q.given
+	q.given = nil
+	return given
 }
 
-// NextExpiry returns the time at which Expire next has work to do; zero when no request waits for it.
+// NextExpiry returns the time after which GiveUp next has work to do; zero when no request waits for it.
 func (q *Queue) NextExpiry() time.Time {
 	if q.expiry.Len() == 0 {
 		return time.Time{}
@@ -205,28 +187,54 @@
 	return q.expiry[0].Latest
 }
 
-// Wait predicts how long a request would wait before it starts.
-func (q *Queue) Wait(t *Ticket) time.Duration {
-	f, ok := q.flows[t.Organisation]
+// Wait predicts how long a new request of an organisation would wait.
+func (q *Queue) Wait(organisation string) time.Duration {
+	f, ok := q.flows[organisation]
 	if !ok {
-		f = newFlow(t.Organisation, q.settings.LimitsOf(t.Organisation))
+		f = newFlow(organisation, q.settings.LimitsOf(organisation))
 	}
-	return q.wait(f, t)
+	return q.wait(f, 0)
 }
 
-// wait divides what waits before the request in its organisation by the organisation's share of the rate.
-func (q *Queue) wait(f *flow, t *Ticket) time.Duration {
+// wait divides what waits in the organisation, less the cost left out, by its share of the service rate.
+func (q *Queue) wait(f *flow, leftOut float64) time.Duration {
 	rate := q.meter.rate()
 	if rate <= 0 || q.waiting == 0 {
 		return 0
 	}
 	weights := q.weights
-	if f.waiting == 0 {
+	if !f.isWaiting() {
 		weights += f.weight()
 	}
-	ahead := f.costFrom(t.weight()) + max(0, f.finish-q.virtual)*f.weight()
+	ahead := f.cost - leftOut + max(0, f.finish-q.virtual)*f.weight()
 	share := rate * f.weight() / weights
-	return time.Duration(ahead / share * float64(time.Second))
+	return time.Duration(min(ahead/share, longestRetry.Seconds()*100) * float64(time.Second))
+}
+
+// review gives up on the least weighted requests of an organisation while its newest could not start in time,
+// which a fall of the service rate brings about.
+func (q *Queue) review(now time.Time, f *flow) {
+	if !f.isWaiting() {
+		return
+	}
+	newest := f.tail()
+	if q.wait(f, newest.cost()) > newest.slack(now, q.settings.LongestWait) {
+		q.giveUp(f.least(), "cannot start in time any more")
+	}
+}
+
+// shed gives up on the organisation's least weighted requests until a new one would start within slack.
+func (q *Queue) shed(f *flow, slack time.Duration) {
+	for f.isWaiting() && q.wait(f, 0) > slack {
+		q.giveUp(f.least(), "shed for a request of more weight")
+	}
+}
+
+func (q *Queue) giveUp(t *Ticket, detail string) {
+	wait := q.wait(t.flow, 0)
+	q.remove(t)
+	t.state = ticketEnded
+	q.given = append(q.given, GivenUp{Ticket: t, Refusal: q.refuse(http.StatusTooManyRequests, "overloaded", detail, wait)})
 }
 
 func (q *Queue) refuse(status int, reason, detail string, retryAfter time.Duration) *outcome.Error {
--- a/fairness/ticket.go
+++ b/fairness/ticket.go
@@ -1,6 +1,11 @@
 package fairness
 
-import "guavahitch.example/guavahitch/outcome"
+import (
+	"container/list"
+	"time"
+
+	"guavahitch.example/guavahitch/outcome"
+)
 
 const (
 	ticketNew ticketState = iota
@@ -12,8 +17,29 @@
 type (
 	ticketState int
 
-	// Shed is a request that was taken out of the queue, with the refusal to send at once.
-	Shed struct {
+	// Ticket is one request in a queue. The fields are set before Push and not changed after.
+	Ticket struct {
+		// Organisation is the organisation that asks.
+		Organisation string
+		// Weight is the weight of the request's kind: the least weighted is shed first; zero stands for 1.
+		Weight float64
+		// Cost is the expected service that the request takes, in any unit that all requests share; at least 1.
+		Cost float64
+		// Latest is the time by which the request must start to end in time; the zero time never comes.
+		Latest time.Time
+		// Value is the caller's own.
+		Value any
+
+		flow    *flow
+		class   *class
+		inFlow  *list.Element
+		inClass *list.Element
+		expiry  int // place in the heap of latest starts, -1 when it has none
+		state   ticketState
+	}
+
+	// GivenUp is a request that was taken out of the queue, with the refusal to send at once.
+	GivenUp struct {
 		Ticket  *Ticket
 		Refusal *outcome.Error
 	}
@@ -31,7 +57,15 @@
 
 func (t *Ticket) cost() float64 { return max(t.Cost, 1) }
 
-// Len, Less, Swap, Push and Pop implement heap.Interface.
+// slack returns the time that the request may wait.
+func (t *Ticket) slack(now time.Time, longest time.Duration) time.Duration {
+	if t.Latest.IsZero() {
+		return longest
+	}
+	return min(longest, t.Latest.Sub(now))
+}
+
+// Len returns the number of requests in the heap.
 func (h ticketHeap) Len() int { return len(h) }
 
 // Less orders by the latest start.
--- /dev/null
+++ b/routing/benchmark_test.go
@@ -0,0 +1,87 @@
+package routing_test
+
+import (
+	"fmt"
+	"slices"
+	"testing"
+
+	"guavahitch.example/guavahitch/routing"
+)
+
+// heldOutSeeds are kept apart from the seeds that the policy was tuned on, 1 to 3.
+var heldOutSeeds = []uint64{101, 102, 103}
+
+// result is what one policy did at one load, over all seeds.
+type result struct {
+	p50, p99, floor99, first99, answered, minFair float64
+}
+
+func percentile(values []float64, part float64) float64 {
+	if len(values) == 0 {
+		return 0
+	}
+	slices.Sort(values)
+	return values[int(part*float64(len(values)-1))]
+}
+
+// measure runs a policy at a load over the seeds and pools what they answered.
+func measure(p policy, seeds []uint64, load float64) result {
+	var times, firsts, floors []float64
+	r := result{minFair: 10}
+	for _, seed := range seeds {
+		perSecond := capacity(seed)
+		m := simulate(p, seed, load, perSecond)
+		times = append(times, m.times...)
+		firsts = append(firsts, m.firsts...)
+		floors = append(floors, m.floors...)
+		offered, answered := 0.0, 0.0
+		for n := range demand {
+			offered += m.offered[n]
+			answered += m.answered[n]
+		}
+		room := min(offered, offered/load)
+		r.answered += answered / room / float64(len(seeds))
+		for n, fair := range fairShares(m.offered, room) {
+			r.minFair = min(r.minFair, m.answered[n]/fair)
+		}
+	}
+	r.p50, r.p99 = percentile(times, 0.5), percentile(times, 0.99)
+	r.first99, r.floor99 = percentile(firsts, 0.99), percentile(floors, 0.99)
+	return r
+}
+
+// fairShares divides room among demands of equal weight, max-min fair.
+func fairShares(offered []float64, room float64) []float64 {
+	shares := make([]float64, len(offered))
+	left, open := room, len(offered)
+	order := make([]int, len(offered))
+	for n := range order {
+		order[n] = n
+	}
+	slices.SortFunc(order, func(a, b int) int { return int(offered[a] - offered[b]) })
+	for _, n := range order {
+		shares[n] = min(offered[n], left/float64(open))
+		left -= shares[n]
+		open--
+	}
+	return shares
+}
+
+func BenchmarkRouting(b *testing.B) {
+	for _, load := range []float64{0.5, 0.8, 1.0, 1.5} {
+		policies := append(baselines(), guavahitch("guavahitch", func(*routing.Settings) {}))
+		for _, p := range policies {
+			b.Run(fmt.Sprintf("load=%.1f/policy=%s", load, p.name), func(b *testing.B) {
+				for range b.N {
+					r := measure(p, heldOutSeeds, load)
+					b.ReportMetric(r.p50, "p50-ms")
+					b.ReportMetric(r.p99, "p99-ms")
+					b.ReportMetric(r.first99, "first-p99-ms")
+					b.ReportMetric(r.floor99, "floor-p99-ms")
+					b.ReportMetric(r.answered, "answered-share")
+					b.ReportMetric(r.minFair, "min-fair-share")
+				}
+			})
+		}
+	}
+}
--- /dev/null
+++ b/routing/model_test.go
@@ -0,0 +1,446 @@
+package routing_test
+
+// A small model in virtual time: upstreams with continuous batching and a prefix cache, entries with one picker
+// each, and organisations of unequal demand. It measures policies; nothing of it is used outside tests.
+
+import (
+	"container/heap"
+	"fmt"
+	"math"
+	"math/rand/v2"
+	"time"
+
+	"guavahitch.example/guavahitch/fairness"
+	"guavahitch.example/guavahitch/routing"
+	"guavahitch.example/guavahitch/wire"
+)
+
+const (
+	modelUpstreams = 12
+	modelEntries   = 4
+	modelSlots     = 16
+	stepBase       = 15 * time.Millisecond
+	stepPerRequest = 600 * time.Microsecond
+	prefillToken   = 80 * time.Microsecond
+	prefillChunk   = 512
+	cacheBlocks    = 1500
+	reportEvery    = 100 * time.Millisecond
+	reportLag      = 500 * time.Millisecond
+	network        = time.Millisecond
+	callerPatience = 30 * time.Second
+	slowFactor     = 2.0
+	warmUp         = 20 * time.Second
+	modelLength    = 140 * time.Second
+)
+
+// demand is the share of the offered load of each organisation; all have the same weight.
+var demand = []float64{0.30, 0.20, 0.12, 0.10, 0.08, 0.06, 0.05, 0.04, 0.03, 0.02}
+
+type (
+	event struct {
+		at  time.Duration
+		seq int
+		run func()
+	}
+	eventHeap []event
+
+	call struct {
+		organisation   int
+		weight         float64
+		prompt, output int
+		hashes         []uint64
+		born           time.Duration
+		prefilled      int
+		done           int
+		finished       bool
+		onToken        func()
+		onEnd          func()
+	}
+
+	engine struct {
+		m        *model
+		id       int
+		slow     float64
+		queue    []*call
+		running  []*call
+		stepping bool
+		step     time.Duration
+		cached   map[uint64]int
+		clock    int
+		reports  uint64
+	}
+
+	model struct {
+		now      time.Duration
+		seq      int
+		events   eventHeap
+		random   *rand.Rand
+		engines  []*engine
+		entries  []*entry
+		load     float64
+		times    []float64
+		firsts   []float64
+		floors   []float64 // times of the same calls, each alone on an idle upstream
+		answered []float64
+		offered  []float64
+	}
+
+	// policy is a way to route: start makes an entry ready, arrive takes a call.
+	policy struct {
+		name   string
+		start  func(e *entry)
+		arrive func(e *entry, c *call)
+	}
+
+	entry struct {
+		m        *model
+		id       int
+		policy   policy
+		reported []int
+		picker   *routing.Picker
+		queue    *fairness.Queue
+		settings routing.Settings
+		pumping  bool
+	}
+)
+
+func (h eventHeap) Len() int { return len(h) }
+func (h eventHeap) Less(a, b int) bool {
+	return h[a].at < h[b].at || h[a].at == h[b].at && h[a].seq < h[b].seq
+}
+func (h eventHeap) Swap(a, b int) { h[a], h[b] = h[b], h[a] }
+func (h *eventHeap) Push(x any)   { *h = append(*h, x.(event)) }
+func (h *eventHeap) Pop() any {
+	last := (*h)[len(*h)-1]
+	*h = (*h)[:len(*h)-1]
+	return last
+}
+
+func newModel(seed uint64) *model {
+	m := &model{random: rand.New(rand.NewPCG(seed, 1)), answered: make([]float64, len(demand)), offered: make([]float64, len(demand))}
+	for n := range modelUpstreams {
+		e := &engine{m: m, id: n, slow: 1, cached: map[uint64]int{}}
+		if n == 0 {
+			e.slow = slowFactor
+		}
+		m.engines = append(m.engines, e)
+	}
+	return m
+}
+
+func (m *model) time() time.Time { return start.Add(m.now) }
+
+func (m *model) after(d time.Duration, run func()) {
+	m.seq++
+	heap.Push(&m.events, event{at: m.now + d, seq: m.seq, run: run})
+}
+
+func (m *model) run(until time.Duration) {
+	for len(m.events) > 0 && m.events[0].at <= until {
+		next := heap.Pop(&m.events).(event)
+		m.now = next.at
+		next.run()
+	}
+}
+
+// newCall draws a call: a prompt that opens with one of the organisation's templates, and an answer of
+// log-normal length.
+func (m *model) newCall() *call {
+	c := &call{born: m.now, weight: 1}
+	for u := m.random.Float64(); c.organisation < len(demand)-1 && u >= demand[c.organisation]; c.organisation++ {
+		u -= demand[c.organisation]
+	}
+	if m.random.Float64() < 0.3 {
+		c.weight = 3
+	}
+	template := m.random.IntN(4)
+	shared := 6 + 2*template
+	own := int(math.Exp(m.random.NormFloat64()*0.8+5.3)) + 1
+	c.prompt = shared*routing.BlockTokens + min(own, 2000)
+	c.output = min(int(math.Exp(m.random.NormFloat64()*0.9+4.2))+1, 600)
+	hash := uint64(c.organisation*100+template) << 32
+	for n := range c.prompt / routing.BlockTokens {
+		hash = hash*0x9e3779b97f4a7c15 + uint64(n) + 1
+		if n >= shared {
+			hash ^= m.random.Uint64()
+		}
+		c.hashes = append(c.hashes, hash)
+	}
+	return c
+}
+
+func (g *engine) accept(c *call) {
+	g.queue = append(g.queue, c)
+	if !g.stepping {
+		g.stepping = true
+		g.next()
+	}
+}
+
+// next admits calls to the batch and runs one step.
+func (g *engine) next() {
+	for len(g.running) < modelSlots && len(g.queue) > 0 {
+		c := g.queue[0]
+		g.queue = g.queue[1:]
+		if c.finished {
+			continue
+		}
+		c.prefilled = g.lookup(c)
+		g.running = append(g.running, c)
+	}
+	if len(g.running) == 0 {
+		g.stepping = false
+		return
+	}
+	budget := prefillChunk
+	for _, c := range g.running {
+		chunk := min(budget, c.prompt-c.prefilled)
+		c.prefilled += chunk
+		budget -= chunk
+	}
+	batch := stepBase + stepPerRequest*time.Duration(len(g.running)) + prefillToken*time.Duration(prefillChunk-budget)
+	g.step = time.Duration(float64(batch) * g.slow)
+	g.m.after(g.step, g.finishStep)
+}
+
+func (g *engine) finishStep() {
+	kept := g.running[:0]
+	for _, c := range g.running {
+		if c.finished {
+			continue
+		}
+		if c.prefilled >= c.prompt {
+			c.done++
+			c.onToken()
+		}
+		if c.done >= c.output {
+			c.finished = true
+			g.m.after(network, c.onEnd)
+			continue
+		}
+		kept = append(kept, c)
+	}
+	g.running = kept
+	g.next()
+}
+
+// lookup returns the prompt tokens that the cache holds and stores the prompt's blocks, the oldest going first.
+func (g *engine) lookup(c *call) int {
+	hits, missed := 0, false
+	for _, h := range c.hashes {
+		g.clock++
+		if _, ok := g.cached[h]; ok && !missed {
+			hits++
+		} else {
+			missed = true
+		}
+		g.cached[h] = g.clock
+	}
+	if len(g.cached) > 2*cacheBlocks {
+		for h, used := range g.cached {
+			if used < g.clock-cacheBlocks {
+				delete(g.cached, h)
+			}
+		}
+	}
+	return min(hits*routing.BlockTokens, c.prompt-1)
+}
+
+func (g *engine) report() {
+	g.reports++
+	load := &wire.Load{
+		Running: int32(len(g.running)), Queued: int32(len(g.queue)), Capacity: modelSlots,
+		StepUs: g.step.Microseconds(), Sequence: g.reports,
+	}
+	sampled := g.m.time()
+	g.m.after(reportLag, func() {
+		for _, e := range g.m.entries {
+			e.reported[g.id] = int(load.Running + load.Queued)
+			if e.picker != nil {
+				e.picker.Observe(sampled, upstreamName(g.id), 1, load)
+			}
+		}
+	})
+	g.m.after(reportEvery, g.report)
+}
+
+func upstreamName(id int) string { return fmt.Sprintf("upstream-%02d", id) }
+
+// send dispatches a call to an upstream; a caller that loses patience cancels it.
+func (m *model) send(c *call, to int, onFirst, onToken, onEnd func()) {
+	c.onToken = func() {
+		if c.done == 1 {
+			onFirst()
+			if c.born > warmUp {
+				m.firsts = append(m.firsts, float64(m.now-c.born)/1e6)
+			}
+			return
+		}
+		onToken()
+	}
+	c.onEnd = func() {
+		onEnd()
+		if c.born > warmUp {
+			m.times = append(m.times, float64(m.now-c.born)/1e6)
+			m.floors = append(m.floors, float64(time.Duration(c.output)*(stepBase+stepPerRequest))/1e6)
+			m.answered[c.organisation] += c.weight
+		}
+	}
+	m.after(network, func() { m.engines[to].accept(c) })
+	m.after(c.born+callerPatience-m.now, func() {
+		if !c.finished {
+			c.finished = true
+			onEnd()
+		}
+	})
+}
+
+// offer lets calls arrive at random times at a rate of load times the capacity.
+func (m *model) offer(rate float64) {
+	m.after(time.Duration(m.random.ExpFloat64()/rate*float64(time.Second)), func() {
+		c := m.newCall()
+		if m.now < modelLength {
+			m.offer(rate)
+		}
+		if m.now > warmUp {
+			m.offered[c.organisation] += c.weight
+		}
+		e := m.entries[m.random.IntN(len(m.entries))]
+		e.policy.arrive(e, c)
+	})
+}
+
+// capacity returns the calls a second that the upstreams answer while every batch is kept full.
+func capacity(seed uint64) float64 {
+	m := newModel(seed)
+	answered := 0
+	var refill func(g *engine)
+	refill = func(g *engine) {
+		c := m.newCall()
+		c.onToken = func() {}
+		c.onEnd = func() {
+			if m.now > warmUp {
+				answered++
+			}
+			refill(g)
+		}
+		g.accept(c)
+	}
+	for _, g := range m.engines {
+		for range modelSlots + 2 {
+			refill(g)
+		}
+	}
+	m.run(modelLength)
+	return float64(answered) / (modelLength - warmUp).Seconds()
+}
+
+// simulate runs a policy at a load, relative to the capacity in calls a second.
+func simulate(p policy, seed uint64, load, perSecond float64) *model {
+	m := newModel(seed)
+	for n := range modelEntries {
+		e := &entry{m: m, id: n, policy: p, reported: make([]int, modelUpstreams)}
+		m.entries = append(m.entries, e)
+		p.start(e)
+	}
+	for _, g := range m.engines {
+		g.report()
+	}
+	m.offer(load * perSecond)
+	m.run(modelLength + callerPatience)
+	return m
+}
+
+// immediate is a policy that sends each call at once to the upstream that it chooses.
+func immediate(name string, choose func(e *entry) int) policy {
+	nothing := func() {}
+	return policy{name: name, start: func(*entry) {}, arrive: func(e *entry, c *call) {
+		e.m.send(c, choose(e), nothing, nothing, nothing)
+	}}
+}
+
+func baselines() []policy {
+	return []policy{
+		immediate("random", func(e *entry) int { return e.m.random.IntN(modelUpstreams) }),
+		immediate("least-reported", func(e *entry) int {
+			best := e.m.random.IntN(modelUpstreams)
+			for n := range e.reported {
+				if e.reported[n] < e.reported[best] {
+					best = n
+				}
+			}
+			return best
+		}),
+		immediate("power-of-two", func(e *entry) int {
+			a, b := e.m.random.IntN(modelUpstreams), e.m.random.IntN(modelUpstreams)
+			if e.reported[b] < e.reported[a] {
+				return b
+			}
+			return a
+		}),
+	}
+}
+
+// guavahitch is the policy of this package with fair admission; adjust changes its settings.
+func guavahitch(name string, adjust func(s *routing.Settings)) policy {
+	return policy{
+		name: name,
+		start: func(e *entry) {
+			e.settings = routing.Settings{Entry: fmt.Sprintf("entry-%d", e.id), Seed: uint64(e.id), OnRoom: e.wake}
+			adjust(&e.settings)
+			e.picker = routing.NewPicker(e.settings)
+			e.queue = fairness.NewQueue(fairness.Settings{})
+			table := routing.Table{}
+			for n := range modelUpstreams {
+				table = table.With(routing.Upstream{Name: upstreamName(n), Services: []string{"match"}, Capacity: modelSlots, Epoch: 1})
+			}
+			e.picker.Use(table)
+		},
+		arrive: func(e *entry, c *call) {
+			t := &fairness.Ticket{
+				Organisation: fmt.Sprint(c.organisation), Weight: c.weight, Cost: float64(c.prompt)/10 + meanOutput,
+				Latest: start.Add(c.born + callerPatience - expectedRun), Value: c,
+			}
+			e.queue.Push(e.m.time(), t)
+			e.pump()
+		},
+	}
+}
+
+const (
+	meanOutput  = 100
+	expectedRun = 15 * time.Second
+)
+
+// wake pumps after the current event, for the picker calls it in the midst of its own work.
+func (e *entry) wake() {
+	if !e.pumping {
+		e.pumping = true
+		e.m.after(0, e.pump)
+	}
+}
+
+func (e *entry) pump() {
+	e.pumping = false
+	e.queue.GiveUp(e.m.time())
+	for e.queue.Head() != nil {
+		c := e.queue.Head().Value.(*call)
+		choice, refused := e.picker.Pick(e.m.time(), routing.Request{
+			Service: "match", PromptTokens: c.prompt, OutputTokens: meanOutput, PrefixHashes: c.hashes,
+			Deadline: start.Add(c.born + callerPatience),
+		})
+		if refused != nil {
+			return
+		}
+		t := e.queue.Pop(e.m.time())
+		var to int
+		fmt.Sscanf(choice.Upstream.Name, "upstream-%d", &to)
+		e.m.send(c, to,
+			func() { choice.Attempt.FirstToken(e.m.time()) },
+			func() { choice.Attempt.Tokens(e.m.time(), 1) },
+			func() {
+				e.queue.Release(t, float64(c.prompt)/10+float64(c.done))
+				choice.Attempt.Ended(e.m.time())
+			})
+	}
+}
