--- /dev/null
+++ b/consensus/applier.go
@@ -0,0 +1,127 @@
+package consensus
+
+// The goroutine that drives the state machine: it applies committed entries in their order and answers
+// those who wait for them, lets reads through, and takes and restores snapshots.
+
+import (
+	"sync/atomic"
+
+	"guavahitch.example/guavahitch/wire"
+)
+
+type (
+	applier struct {
+		settings Settings
+		storage  *Storage
+		items    *queue[applyItem]
+		applied  atomic.Uint64
+		taken    chan takenSnapshot
+		failed   chan error
+	}
+
+	// applyItem is one piece of work; exactly one field is set.
+	applyItem struct {
+		committed  []committed
+		read       *readCall
+		isRestore  bool
+		isSnapshot bool
+	}
+
+	// committed is an entry and the proposal that waits for it here, if any.
+	committed struct {
+		entry    *wire.LogEntry
+		proposal *proposal
+	}
+
+	takenSnapshot struct {
+		index uint64
+		state []byte
+	}
+)
+
+func newApplier(settings Settings, storage *Storage) *applier {
+	return &applier{
+		settings: settings, storage: storage, items: newQueue[applyItem](),
+		taken: make(chan takenSnapshot, 1), failed: make(chan error, 1),
+	}
+}
+
+func (a *applier) run(stop <-chan struct{}) {
+	for {
+		select {
+		case <-stop:
+			a.abandon()
+			return
+		case <-a.items.signal:
+		}
+		for _, item := range a.items.takeAll() {
+			if err := a.do(item); err != nil {
+				a.failed <- err
+				<-stop
+				a.abandon()
+				return
+			}
+		}
+	}
+}
+
+func (a *applier) do(item applyItem) error {
+	switch {
+	case item.read != nil:
+		item.read.answer <- nil
+	case item.isRestore:
+		return a.restore()
+	case item.isSnapshot:
+		a.taken <- takenSnapshot{index: a.applied.Load(), state: a.settings.Snapshot()}
+	default:
+		for _, c := range item.committed {
+			a.apply(c)
+		}
+	}
+	return nil
+}
+
+func (a *applier) apply(c committed) {
+	var result []byte
+	if c.entry.Kind == wire.EntryKind_ENTRY_KIND_COMMAND {
+		result = a.settings.Apply(Entry{
+			Index: c.entry.Index, Term: c.entry.Term, Command: c.entry.Data, TimeMs: c.entry.TimeMs,
+		})
+	}
+	a.applied.Store(c.entry.Index)
+	if c.proposal == nil {
+		return
+	}
+	if c.proposal.term != c.entry.Term {
+		c.proposal.fail(refused(c.proposal.step, a.settings.ID, "replaced", "another entry was committed in its place"))
+		return
+	}
+	c.proposal.succeed(result)
+}
+
+// restore loads the stored snapshot into the state machine.
+func (a *applier) restore() error {
+	state, err := a.storage.State()
+	if err != nil {
+		return err
+	}
+	if err := a.settings.Restore(state); err != nil {
+		return err
+	}
+	a.applied.Store(a.storage.info().Index)
+	return nil
+}
+
+// abandon answers those who wait for work that is no longer done.
+func (a *applier) abandon() {
+	for _, item := range a.items.takeAll() {
+		if item.read != nil {
+			item.read.answer <- refused(stepRead, a.settings.ID, "closed", "")
+		}
+		for _, c := range item.committed {
+			if c.proposal != nil {
+				c.proposal.fail(unknown(c.proposal.step, a.settings.ID, "closed"))
+			}
+		}
+	}
+}
--- /dev/null
+++ b/consensus/founding.go
@@ -0,0 +1,141 @@
+package consensus
+
+// Founding a group and joining one. A replica with an empty folder says hello to the founders. The founder
+// with the smallest ID founds the group once it has heard from all others, and all of them are blank: it
+// writes their incarnations into the first entry. A blank replica belongs to the first group that speaks to
+// its incarnation, and a blank one among founded ones waits to be added as a learner.
+
+import (
+	"time"
+
+	"guavahitch.example/guavahitch/wire"
+)
+
+// helloHeartbeats is the time between two hellos, in heartbeats.
+const helloHeartbeats = 4
+
+type (
+	founding struct {
+		helloDue time.Time
+		// seen holds the founders that were heard from, in the order of the settings.
+		seen []Member
+		// isLate tells that a group exists already.
+		isLate bool
+	}
+
+	// joiner is a replica with an empty folder that a leader heard from.
+	joiner struct {
+		member Member
+		heard  time.Time
+	}
+)
+
+func newFounding(c *Core) founding {
+	f := founding{helloDue: c.now}
+	for _, member := range c.settings.Founders {
+		member.Incarnation = 0
+		if member.ID == c.self.ID {
+			member.Incarnation = c.self.Incarnation
+		}
+		f.seen = append(f.seen, member)
+	}
+	return f
+}
+
+func (c *Core) tickFounding() {
+	if c.now.Before(c.founding.helloDue) {
+		return
+	}
+	c.founding.helloDue = c.now.Add(helloHeartbeats * c.settings.Heartbeat)
+	c.tryFound()
+	if c.group != 0 {
+		return
+	}
+	for _, member := range c.settings.Founders {
+		if member.ID != c.self.ID {
+			c.send(&wire.ReplicaMessage{
+				Kind: wire.ReplicaKind_REPLICA_KIND_HELLO, Address: c.settings.Address,
+			}, identity{ID: member.ID}, 0)
+		}
+	}
+}
+
+func (c *Core) handleHello(m *wire.ReplicaMessage) {
+	if m.FromIncarnation == 0 {
+		return
+	}
+	c.send(&wire.ReplicaMessage{
+		Kind: wire.ReplicaKind_REPLICA_KIND_HELLO_REPLY, Address: c.settings.Address,
+	}, sender(m), c.durability.stateGate)
+	if c.role == leader {
+		c.noteJoiner(Member{ID: m.From, Incarnation: m.FromIncarnation, Address: m.Address})
+	}
+}
+
+func (c *Core) handleHelloReply(m *wire.ReplicaMessage) {
+	if c.group != 0 || m.FromIncarnation == 0 {
+		return
+	}
+	if m.Group != 0 {
+		c.founding.isLate = true
+		return
+	}
+	for i, member := range c.founding.seen {
+		if member.ID == m.From {
+			c.founding.seen[i].Incarnation = m.FromIncarnation
+		}
+	}
+	c.tryFound()
+}
+
+// tryFound founds the group when this replica is the one to do so and all founders are known and blank.
+func (c *Core) tryFound() {
+	if c.founding.isLate || len(c.founding.seen) == 0 {
+		return
+	}
+	isMember := false
+	for _, member := range c.founding.seen {
+		if member.ID < c.self.ID || member.Incarnation == 0 {
+			return
+		}
+		isMember = isMember || member.ID == c.self.ID
+	}
+	if isMember {
+		c.found()
+	}
+}
+
+func (c *Core) found() {
+	members := make(membership, 0, len(c.founding.seen))
+	for _, member := range c.founding.seen {
+		member.IsVoter = true
+		members = append(members, member)
+	}
+	for c.group == 0 {
+		c.group = c.random.Uint64()
+	}
+	c.term = 1
+	c.saveState()
+	c.appendEntries([]*wire.LogEntry{{
+		Index: 1, Term: 1, Kind: wire.EntryKind_ENTRY_KIND_MEMBERSHIP, TimeMs: c.now.UnixMilli(),
+		Data: members.encode(),
+	}})
+	c.campaign(false)
+}
+
+// joinGroup takes a blank replica into the group that speaks to its incarnation, and reports whether the
+// message is of the replica's group.
+func (c *Core) joinGroup(m *wire.ReplicaMessage) bool {
+	if m.Group == 0 {
+		return false
+	}
+	if c.group == 0 {
+		if m.ToIncarnation != c.self.Incarnation {
+			return false
+		}
+		c.group = m.Group
+		c.saveState()
+		c.resetElection()
+	}
+	return true
+}
--- /dev/null
+++ b/consensus/read.go
@@ -0,0 +1,78 @@
+package consensus
+
+// Linearizable reads by read index: the leader notes its commit index, has a quorum confirm by a heartbeat
+// that it still leads, and answers once that index is applied. No clock is trusted.
+
+import "time"
+
+// pendingRead waits for a quorum to answer a heartbeat of its round.
+type pendingRead struct {
+	id, index, round uint64
+}
+
+// Read asks from which applied index on a read sees all that was answered before. The result comes with
+// the effects, under the given id.
+func (c *Core) Read(now time.Time, ids ...uint64) {
+	c.setNow(now)
+	switch {
+	case c.role != leader:
+		for _, id := range ids {
+			c.effects.Reads = append(c.effects.Reads, ReadResult{ID: id, IsLost: true})
+		}
+	case c.settings.Without.ReadBarrier:
+		c.answerReads(ids)
+	case !c.isTermCommitted():
+		c.lead.early = append(c.lead.early, ids...)
+	default:
+		c.startReads(ids)
+	}
+}
+
+func (c *Core) answerReads(ids []uint64) {
+	for _, id := range ids {
+		c.effects.Reads = append(c.effects.Reads, ReadResult{ID: id, Index: c.commit})
+	}
+}
+
+func (c *Core) startReads(ids []uint64) {
+	if c.members().quorum() == 1 && c.members().isVoter(c.self) {
+		c.answerReads(ids)
+		return
+	}
+	c.beat()
+	for _, id := range ids {
+		c.lead.reads = append(c.lead.reads, pendingRead{id: id, index: c.commit, round: c.round})
+	}
+}
+
+// startEarlyReads takes up the reads that came before an entry of the term was committed.
+func (c *Core) startEarlyReads() {
+	if len(c.lead.early) == 0 || !c.isTermCommitted() {
+		return
+	}
+	ids := c.lead.early
+	c.lead.early = nil
+	c.startReads(ids)
+}
+
+// confirmReads answers the reads whose round a quorum of voters has answered.
+func (c *Core) confirmReads() {
+	if len(c.lead.reads) == 0 {
+		return
+	}
+	voters := c.members().voters()
+	rounds := make([]uint64, 0, len(voters))
+	for _, voter := range voters {
+		if voter == c.self {
+			rounds = append(rounds, c.round)
+		} else if p := c.lead.find(voter); p != nil {
+			rounds = append(rounds, p.round)
+		}
+	}
+	confirmed := quorumValue(rounds, c.members().quorum())
+	for len(c.lead.reads) > 0 && c.lead.reads[0].round <= confirmed {
+		r := c.lead.reads[0]
+		c.effects.Reads = append(c.effects.Reads, ReadResult{ID: r.id, Index: r.index})
+		c.lead.reads = c.lead.reads[1:]
+	}
+}
--- /dev/null
+++ b/consensus/replacing.go
@@ -0,0 +1,84 @@
+package consensus
+
+// Replacing members that lost their disks, by the leader and without an operator: the new incarnation becomes
+// a learner, catches up and is promoted, and only then the old one is removed. Each step is one change of
+// membership, and a new leader goes on from what the membership shows.
+
+const (
+	// joinerTimeouts is the number of election timeouts after which a silent joiner is forgotten.
+	joinerTimeouts = 10
+	// maxJoiners bounds the joiners that a leader remembers.
+	maxJoiners = 16
+)
+
+func (c *Core) noteJoiner(member Member) {
+	if _, isKnown := c.members().find(member.identity()); isKnown {
+		return
+	}
+	kept := c.lead.joining[:0]
+	for _, j := range c.lead.joining {
+		isFresh := c.now.Before(j.heard.Add(joinerTimeouts * c.settings.ElectionTimeout))
+		if isFresh && j.member.ID != member.ID {
+			kept = append(kept, j)
+		}
+	}
+	c.lead.joining = kept
+	if len(c.lead.joining) < maxJoiners {
+		c.lead.joining = append(c.lead.joining, joiner{member: member, heard: c.now})
+	}
+}
+
+// tickReplacing takes the next step of a replacement, if one is due. A refused step is tried again with a
+// later heartbeat.
+func (c *Core) tickReplacing() {
+	if c.role != leader || !c.settings.IsReplacing {
+		return
+	}
+	for _, member := range c.members() {
+		if pair := c.members().named(member.ID); len(pair) == 2 && pair[0] == member {
+			c.replace(pair[0], pair[1])
+			return
+		}
+	}
+	for _, j := range c.lead.joining {
+		isFresh := c.now.Before(j.heard.Add(joinerTimeouts * c.settings.ElectionTimeout))
+		if isFresh && c.isLost(j.member) {
+			_, _, _ = c.Change(c.now, AddLearner, j.member)
+			return
+		}
+	}
+}
+
+// isLost reports whether the joiner is the new incarnation of one silent member.
+func (c *Core) isLost(joiner Member) bool {
+	old := c.members().named(joiner.ID)
+	if len(old) != 1 || old[0].identity() == c.self {
+		return false
+	}
+	return old[0].identity() != joiner.identity() && !c.isHeard(old[0].identity())
+}
+
+func (c *Core) replace(old, replacement Member) {
+	joiner := c.newerJoiner(replacement)
+	switch {
+	case !replacement.IsVoter && joiner:
+		// The replacement lost its disk as well, before it had a vote.
+		_, _, _ = c.Change(c.now, Remove, replacement)
+	case !replacement.IsVoter && !old.IsVoter:
+		_, _, _ = c.Change(c.now, Remove, old)
+	case !replacement.IsVoter && c.hasCaughtUp(replacement.identity()):
+		_, _, _ = c.Change(c.now, Promote, replacement)
+	case replacement.IsVoter && !c.isHeard(old.identity()):
+		_, _, _ = c.Change(c.now, Remove, old)
+	}
+}
+
+// newerJoiner reports whether a third incarnation asks for the place of the replacement.
+func (c *Core) newerJoiner(replacement Member) bool {
+	for _, j := range c.lead.joining {
+		if j.member.ID == replacement.ID && j.member.Incarnation != replacement.Incarnation {
+			return !c.isHeard(replacement.identity())
+		}
+	}
+	return false
+}
--- a/consensus/settings.go
+++ b/consensus/settings.go
@@ -4,10 +4,13 @@
 // log drives, and the seams through which it reaches the network and the disk.
 
 import (
+	"crypto/rand"
+	"encoding/binary"
 	"time"
 
+	"github.com/rotisserie/eris"
+
 	"guavahitch.example/guavahitch/journal"
-	"guavahitch.example/guavahitch/outcome"
 	"guavahitch.example/guavahitch/wire"
 )
 
@@ -22,6 +25,11 @@
 	DefaultSnapshotBytes = 8 << 20
 	// MaxCommandBytes is the largest command.
 	MaxCommandBytes = 4 << 20
+
+	// minTimeoutHeartbeats is the least election timeout, in heartbeats.
+	minTimeoutHeartbeats = 3
+	// retainedShare is the part of the log, as a divisor, that stays behind a snapshot.
+	retainedShare = 4
 )
 
 type (
@@ -57,8 +65,11 @@
 		// Send hands a message to the transport. It must not block, and may lose, repeat, delay or
 		// reorder messages.
 		Send func(to string, m *wire.ReplicaMessage)
-		// Seed starts the generator of election timeouts and identities; 0 draws one from the system.
+		// Seed starts the generator of election timeouts; 0 draws one from the system.
 		Seed uint64
+		// Incarnation replaces the system's random numbers, from which the incarnation of a new folder is
+		// drawn. No two folders may get the same one.
+		Incarnation func() uint64
 		// Heartbeat, ElectionTimeout, SlowSync and SnapshotBytes replace their defaults, when set.
 		Heartbeat       time.Duration
 		ElectionTimeout time.Duration
@@ -114,8 +125,60 @@
 	return "the leader is " + e.Leader
 }
 
-func notLeader(step, leader string) error {
-	return outcome.Error{
-		Step: step, Outcome: outcome.NotRun, Reason: "not-leader", RetryAfter: retryAfter,
-	}.WithCause(&NotLeaderError{Leader: leader})
+func (s Settings) withDefaults() Settings {
+	if s.Heartbeat == 0 {
+		s.Heartbeat = DefaultHeartbeat
+	}
+	if s.ElectionTimeout == 0 {
+		s.ElectionTimeout = DefaultElectionTimeout
+	}
+	if s.SlowSync == 0 {
+		s.SlowSync = DefaultSlowSync
+	}
+	if s.SnapshotBytes == 0 {
+		s.SnapshotBytes = DefaultSnapshotBytes
+	}
+	if s.Incarnation == nil {
+		s.Incarnation = drawRandom
+	}
+	if s.Seed == 0 {
+		s.Seed = drawRandom()
+	}
+	return s
+}
+
+func (s Settings) check() error {
+	switch {
+	case s.ID == "":
+		return eris.New("consensus settings: ID is empty")
+	case s.Folder == "" && s.Disk == nil:
+		return eris.New("consensus settings: Folder is empty")
+	case s.Apply == nil || s.Snapshot == nil || s.Restore == nil:
+		return eris.New("consensus settings: Apply, Snapshot and Restore are needed")
+	case s.Send == nil && len(s.Members) != 1:
+		return eris.New("consensus settings: Send is needed unless the replica is alone")
+	case s.ElectionTimeout < minTimeoutHeartbeats*s.Heartbeat:
+		return eris.Errorf("consensus settings: ElectionTimeout %v is under %d heartbeats of %v",
+			s.ElectionTimeout, minTimeoutHeartbeats, s.Heartbeat)
+	}
+	return nil
+}
+
+func (s Settings) core() CoreSettings {
+	return CoreSettings{
+		ID: s.ID, Address: s.Address, Founders: s.Members, Seed: s.Seed, Heartbeat: s.Heartbeat,
+		ElectionTimeout: s.ElectionTimeout, RetainedBytes: s.SnapshotBytes / retainedShare,
+		IsReplacing: s.IsReplacing,
+	}
+}
+
+// drawRandom returns a random number other than 0.
+func drawRandom() uint64 {
+	for {
+		var data [8]byte
+		_, _ = rand.Read(data[:])
+		if n := binary.LittleEndian.Uint64(data[:]); n != 0 {
+			return n
+		}
+	}
 }
--- /dev/null
+++ b/consensus/snapshot_file.go
@@ -0,0 +1,78 @@
+package consensus
+
+// Snapshot files: magic, version, length of the description, description, state, and a checksum over all of
+// it. The leader sends a file as it stands, so that follower and leader store the same bytes.
+
+import (
+	"encoding/binary"
+	"fmt"
+	"hash/crc32"
+	"strings"
+
+	"google.golang.org/protobuf/proto"
+
+	"guavahitch.example/guavahitch/wire"
+)
+
+const (
+	// SnapshotVersion is the format of snapshot files that this program reads and writes.
+	SnapshotVersion = 1
+
+	snapshotMagic    = "GUAVASNP"
+	snapshotHead     = 16
+	snapshotTail     = 4
+	snapshotPrefix   = "snapshot-"
+	snapshotDraft    = "temporary-snapshot"
+	snapshotReceived = "temporary-received"
+)
+
+var snapshotTable = crc32.MakeTable(crc32.Castagnoli)
+
+func snapshotName(index, term uint64) string {
+	return fmt.Sprintf("%s%016x-%016x", snapshotPrefix, index, term)
+}
+
+func isSnapshotName(name string) bool { return strings.HasPrefix(name, snapshotPrefix) }
+
+// EncodeSnapshot returns the file of a snapshot.
+func EncodeSnapshot(info SnapshotInfo, state []byte) []byte {
+	meta, _ := proto.MarshalOptions{Deterministic: true}.Marshal(&wire.SnapshotMeta{
+		Index: info.Index, Term: info.Term, TimeMs: info.TimeMs, Membership: info.members.wire(),
+	})
+	data := make([]byte, 0, snapshotHead+len(meta)+len(state)+snapshotTail)
+	data = append(data, snapshotMagic...)
+	data = binary.LittleEndian.AppendUint32(data, SnapshotVersion)
+	data = binary.LittleEndian.AppendUint32(data, uint32(len(meta)))
+	data = append(data, meta...)
+	data = append(data, state...)
+	return binary.LittleEndian.AppendUint32(data, crc32.Checksum(data, snapshotTable))
+}
+
+// DecodeSnapshot returns the description and the state of a snapshot file, or a *FolderError.
+func DecodeSnapshot(name string, data []byte) (SnapshotInfo, []byte, error) {
+	fail := func(detail string) (SnapshotInfo, []byte, error) {
+		return SnapshotInfo{}, nil, &FolderError{File: name, Detail: detail}
+	}
+	if len(data) < snapshotHead+snapshotTail || string(data[:8]) != snapshotMagic {
+		return fail("is not a snapshot")
+	}
+	if version := binary.LittleEndian.Uint32(data[8:]); version != SnapshotVersion {
+		return fail(fmt.Sprintf("has format version %d, this program knows version %d", version, SnapshotVersion))
+	}
+	body, sum := data[:len(data)-snapshotTail], binary.LittleEndian.Uint32(data[len(data)-snapshotTail:])
+	if crc32.Checksum(body, snapshotTable) != sum {
+		return fail("is corrupt: the checksum differs")
+	}
+	length := int(binary.LittleEndian.Uint32(data[12:]))
+	if length > len(body)-snapshotHead {
+		return fail("is corrupt: the description is longer than the file")
+	}
+	meta := &wire.SnapshotMeta{}
+	if err := proto.Unmarshal(body[snapshotHead:snapshotHead+length], meta); err != nil {
+		return fail("is corrupt: " + err.Error())
+	}
+	return SnapshotInfo{
+		Index: meta.Index, Term: meta.Term, TimeMs: meta.TimeMs, Bytes: uint64(len(data)),
+		members: membershipOf(meta.Membership),
+	}, body[snapshotHead+length:], nil
+}
--- /dev/null
+++ b/consensus/storage.go
@@ -0,0 +1,330 @@
+package consensus
+
+// The folder of a replica: its identity, the journal of states and entries, and the newest snapshot. Write
+// and Sync belong to one goroutine; SaveSnapshot and ReadChunk may run beside them.
+
+import (
+	"encoding/binary"
+	"errors"
+	"sync"
+
+	"github.com/rotisserie/eris"
+	"google.golang.org/protobuf/proto"
+
+	"guavahitch.example/guavahitch/journal"
+	"guavahitch.example/guavahitch/wire"
+)
+
+const (
+	recordState = journal.FirstKind + iota
+	recordEntry
+	// recordReset tells that a received snapshot took the place of all entries before it.
+	recordReset
+)
+
+// errBadSnapshot tells that a received snapshot did not pass its check.
+var errBadSnapshot = errors.New("received snapshot is damaged")
+
+// Storage is the open folder of a replica.
+type Storage struct {
+	disk     *journal.Disk
+	journal  *journal.Journal
+	state    *wire.ReplicaState
+	received *journal.File
+
+	mutex    sync.Mutex
+	snapshot SnapshotInfo
+}
+
+// OpenStorage opens a replica's folder, makes it when it is empty, and returns what it holds. The draw
+// gives the incarnation of a new folder.
+func OpenStorage(disk *journal.Disk, id string, draw func() uint64) (*Storage, Recovered, error) {
+	stored, isThere, err := readIdentity(disk)
+	if err != nil {
+		return nil, Recovered{}, err
+	}
+	if isThere && stored.ID != id {
+		return nil, Recovered{}, &FolderError{File: identityName, Detail: "belongs to replica " + stored.ID + ", not " + id}
+	}
+	s := &Storage{disk: disk, state: &wire.ReplicaState{}}
+	if err := s.loadSnapshot(); err != nil {
+		return nil, Recovered{}, err
+	}
+	entries, err := s.openJournal(isThere)
+	if err != nil {
+		return nil, Recovered{}, err
+	}
+	if !isThere {
+		if len(entries) > 0 || s.snapshot.Index > 0 {
+			s.Close()
+			return nil, Recovered{}, &FolderError{File: identityName, Detail: "is missing from a folder that was in use"}
+		}
+		stored = identityFile{Format: FolderFormat, ID: id, Incarnation: draw()}
+		if err := writeIdentity(disk, stored); err != nil {
+			s.Close()
+			return nil, Recovered{}, err
+		}
+	}
+	return s, Recovered{
+		Incarnation: stored.Incarnation, State: s.state, Snapshot: s.snapshot, Entries: entries,
+	}, nil
+}
+
+func (s *Storage) openJournal(isUsed bool) ([]*wire.LogEntry, error) {
+	if isUsed {
+		names, err := s.disk.List()
+		if err != nil {
+			return nil, eris.Wrap(err, "list folder")
+		}
+		if !hasSegment(names) {
+			return nil, &FolderError{File: identityName, Detail: "has no journal beside it"}
+		}
+	}
+	r := &replay{storage: s, base: s.snapshot.Index, baseTerm: s.snapshot.Term}
+	opened, err := journal.Open(s.disk, journal.Settings{Replay: r.take})
+	if err != nil {
+		return nil, err
+	}
+	s.journal = opened
+	entries, isReplaced, err := r.finish()
+	if err == nil && isReplaced {
+		err = s.appendReset(s.snapshot)
+	}
+	if err != nil {
+		s.Close()
+	}
+	return entries, err
+}
+
+// appendReset notes that the snapshot takes the place of all entries before.
+func (s *Storage) appendReset(info SnapshotInfo) error {
+	payload := binary.LittleEndian.AppendUint64(nil, info.Index)
+	payload = binary.LittleEndian.AppendUint64(payload, info.Term)
+	return s.journal.Append(recordReset, info.Index, payload)
+}
+
+func hasSegment(names []string) bool {
+	for _, n := range names {
+		if journal.IsSegment(n) {
+			return true
+		}
+	}
+	return false
+}
+
+// loadSnapshot finds the newest snapshot, checks it, and removes what older runs left behind.
+func (s *Storage) loadSnapshot() error {
+	names, err := s.disk.List()
+	if err != nil {
+		return eris.Wrap(err, "list folder")
+	}
+	newest := ""
+	for _, n := range names {
+		if isSnapshotName(n) {
+			newest = n
+		}
+	}
+	if newest == "" {
+		return nil
+	}
+	data, _, err := readFile(s.disk, newest)
+	if err != nil {
+		return err
+	}
+	info, _, err := DecodeSnapshot(newest, data)
+	if err != nil {
+		return err
+	}
+	s.snapshot = info
+	return s.dropSnapshots(newest)
+}
+
+// dropSnapshots removes all snapshots but the named one.
+func (s *Storage) dropSnapshots(kept string) error {
+	names, err := s.disk.List()
+	if err != nil {
+		return eris.Wrap(err, "list folder")
+	}
+	for _, n := range names {
+		if isSnapshotName(n) && n < kept {
+			if err := s.disk.Remove(n); err != nil {
+				return eris.Wrapf(err, "remove %s", n)
+			}
+		}
+	}
+	return nil
+}
+
+// State returns the state of the newest snapshot, nil when there is none.
+func (s *Storage) State() ([]byte, error) {
+	info := s.info()
+	if info.Index == 0 {
+		return nil, nil
+	}
+	name := snapshotName(info.Index, info.Term)
+	data, _, err := readFile(s.disk, name)
+	if err != nil {
+		return nil, err
+	}
+	_, state, err := DecodeSnapshot(name, data)
+	return state, err
+}
+
+func (s *Storage) info() SnapshotInfo {
+	s.mutex.Lock()
+	defer s.mutex.Unlock()
+	return s.snapshot
+}
+
+// Write hands a write to the journal. It is safe from a loss of power after the next Sync. A received
+// snapshot that fails its check gives an error for which IsBadSnapshot holds; the rest of the write stands.
+func (s *Storage) Write(w *Write) error {
+	if w.State != nil {
+		s.state = w.State
+		if err := s.append(recordState, 0, w.State); err != nil {
+			return err
+		}
+	}
+	for _, e := range w.Entries {
+		if err := s.append(recordEntry, e.Index, e); err != nil {
+			return err
+		}
+	}
+	if w.Compact > 0 {
+		if err := s.journal.Drop(w.Compact); err != nil {
+			return err
+		}
+	}
+	for _, chunk := range w.Chunks {
+		if err := s.writeChunk(chunk); err != nil {
+			return err
+		}
+	}
+	return nil
+}
+
+func (s *Storage) append(kind uint32, mark uint64, message proto.Message) error {
+	payload, err := proto.Marshal(message)
+	if err != nil {
+		return eris.Wrap(err, "encode record")
+	}
+	return s.journal.Append(kind, mark, payload)
+}
+
+// Sync returns when all writes would survive a loss of power.
+func (s *Storage) Sync() error {
+	if err := s.journal.Sync(); err != nil {
+		return err
+	}
+	if !s.journal.IsFull() {
+		return nil
+	}
+	if err := s.journal.Rotate(); err != nil {
+		return err
+	}
+	// Each segment starts with the state, so that older ones can be dropped.
+	if err := s.append(recordState, 0, s.state); err != nil {
+		return err
+	}
+	return s.journal.Sync()
+}
+
+// Mark notes in an idle moment that everything written is synced.
+func (s *Storage) Mark() error { return s.journal.Mark() }
+
+// SaveSnapshot stores a snapshot in the place of the last one and returns the length of its file in bytes.
+func (s *Storage) SaveSnapshot(info SnapshotInfo, state []byte) (uint64, error) {
+	data := EncodeSnapshot(info, state)
+	info.Bytes = uint64(len(data))
+	if err := writeFile(s.disk, snapshotDraft, snapshotName(info.Index, info.Term), data); err != nil {
+		return 0, err
+	}
+	return info.Bytes, s.adopt(info)
+}
+
+func (s *Storage) adopt(info SnapshotInfo) error {
+	s.mutex.Lock()
+	defer s.mutex.Unlock()
+	if info.Index <= s.snapshot.Index {
+		return nil
+	}
+	s.snapshot = info
+	return s.dropSnapshots(snapshotName(info.Index, info.Term))
+}
+
+// ReadChunk returns a piece of the snapshot of the index and term, and false when it is no longer stored.
+func (s *Storage) ReadChunk(index, term, offset uint64) ([]byte, bool, error) {
+	info := s.info()
+	if info.Index != index || info.Term != term || offset >= info.Bytes {
+		return nil, false, nil
+	}
+	f, err := s.disk.Open(snapshotName(index, term))
+	if err != nil {
+		return nil, false, eris.Wrap(err, "open snapshot")
+	}
+	defer f.Close()
+	data := make([]byte, min(ChunkBytes, info.Bytes-offset))
+	if _, err := f.ReadAt(data, int64(offset)); err != nil {
+		return nil, false, eris.Wrap(err, "read snapshot")
+	}
+	return data, true, nil
+}
+
+func (s *Storage) writeChunk(chunk ChunkWrite) error {
+	if s.received == nil {
+		f, err := s.disk.Open(snapshotReceived)
+		if err != nil {
+			return eris.Wrap(err, "make received snapshot")
+		}
+		s.received = f
+	}
+	if chunk.Offset == 0 {
+		if err := s.received.Truncate(0); err != nil {
+			return eris.Wrap(err, "truncate received snapshot")
+		}
+	}
+	if _, err := s.received.WriteAt(chunk.Data, int64(chunk.Offset)); err != nil {
+		return eris.Wrap(err, "write received snapshot")
+	}
+	if !chunk.IsLast {
+		return nil
+	}
+	return s.install(chunk)
+}
+
+// install checks the received snapshot and puts it in the place of the last one and of the journal.
+func (s *Storage) install(chunk ChunkWrite) error {
+	data, _, err := readFile(s.disk, snapshotReceived)
+	if err != nil {
+		return err
+	}
+	info, _, err := DecodeSnapshot(snapshotReceived, data)
+	if err != nil || info.Index != chunk.Index || info.Term != chunk.Term {
+		return errBadSnapshot
+	}
+	if err := s.received.Sync(); err != nil {
+		return eris.Wrap(err, "sync received snapshot")
+	}
+	_ = s.received.Close()
+	s.received = nil
+	if err := publish(s.disk, snapshotReceived, snapshotName(info.Index, info.Term)); err != nil {
+		return err
+	}
+	if err := s.adopt(info); err != nil {
+		return err
+	}
+	return s.appendReset(info)
+}
+
+// IsBadSnapshot reports whether a write failed only because a received snapshot is damaged.
+func IsBadSnapshot(err error) bool { return errors.Is(err, errBadSnapshot) }
+
+// Close closes the files without a sync.
+func (s *Storage) Close() {
+	if s.received != nil {
+		_ = s.received.Close()
+	}
+	if s.journal != nil {
+		s.journal.Close()
+	}
+}
--- /dev/null
+++ b/journal/lock_unix.go
@@ -0,0 +1,25 @@
+//go:build unix
+
+package journal
+
+import (
+	"os"
+	"path/filepath"
+	"syscall"
+
+	"github.com/rotisserie/eris"
+)
+
+// Lock keeps other processes out of a folder until the returned function is called.
+func Lock(folder string) (unlock func(), err error) {
+	path := filepath.Join(folder, "lock")
+	f, err := os.OpenFile(path, os.O_RDWR|os.O_CREATE, fileMode)
+	if err != nil {
+		return nil, eris.Wrapf(err, "open %s", path)
+	}
+	if err := syscall.Flock(int(f.Fd()), syscall.LOCK_EX|syscall.LOCK_NB); err != nil {
+		_ = f.Close()
+		return nil, eris.Wrapf(err, "folder %s is in use by another process", folder)
+	}
+	return func() { _ = f.Close() }, nil
+}
