balance: level only the experts around a move

Cause: 77% of a plan's time went into levelling all experts after each move (profile of BenchmarkPlan). Change: ripple levels outwards from the two experts of a move until no noticeable load moves; closed form for two replicas.

--- a/balance/layer.go
+++ b/balance/layer.go
@@ -8,6 +8,8 @@
 	maxTime = 1e300
 	// rounding is the error that sums of times may have.
 	rounding = 1e-12
+	// noticeable is the least change of a rank's time that counts, relative to the mean.
+	noticeable = 2e-4
 )
 
 // layer is the working state of one layer while a plan is searched: the replicas, how the load of each
@@ -15,10 +17,14 @@
 // layer.
 type layer struct {
 	slots int
-	// load is the load of each expert; time and cost are the time of each rank and its time per unit of load.
-	load []float64
-	time []float64
-	cost []float64
+	// load is the load of each expert; time is that of each rank, cost its time for a unit of load, speed the
+	// inverse of cost.
+	load  []float64
+	time  []float64
+	cost  []float64
+	speed []float64
+	// notice is the least change of a rank's time that counts as a change.
+	notice float64
 	// held and part are the expert in each slot and the load that its replica takes.
 	held []int16
 	part []float64
@@ -26,6 +32,9 @@
 	first []int32
 	next  []int32
 	count []int16
+	// queue and queued are the experts that ripple has yet to level.
+	queue  []int16
+	queued []bool
 }
 
 // newLayer returns the state for one layer of a shape.
@@ -34,11 +43,15 @@
 		slots: shape.Slots,
 		time:  make([]float64, shape.Ranks),
 		cost:  make([]float64, shape.Ranks),
+		speed: speeds,
 		held:  make([]int16, shape.LayerSize()),
 		part:  make([]float64, shape.LayerSize()),
 		first: make([]int32, shape.Experts),
 		next:  make([]int32, shape.LayerSize()),
 		count: make([]int16, shape.Experts),
+		queue: make([]int16, 0, 2*shape.Experts),
+
+		queued: make([]bool, shape.Experts),
 	}
 	for r, speed := range speeds {
 		if speed > 0 {
@@ -52,6 +65,7 @@
 // the loads; nil shares divide them evenly.
 func (l *layer) reset(placed []int16, shares, load []float64) {
 	l.load = load
+	l.notice = sum(load) * noticeable / float64(len(l.time))
 	clear(l.time)
 	for e := range l.first {
 		l.first[e], l.count[e] = none, 0
@@ -116,55 +130,104 @@
 	l.part[n] = part
 }
 
-// level divides the load of an expert so that the ranks of its replicas end as equally late as they can.
-func (l *layer) level(e int) {
-	if l.count[e] < 2 {
-		l.levelOne(e)
-		return
+// level divides the load of an expert so that the ranks of its replicas end as equally late as they can. It
+// reports whether a noticeable part of the load moved.
+func (l *layer) level(e int) bool {
+	switch l.count[e] {
+	case 0:
+		return false
+	case 1:
+		l.setPart(int(l.first[e]), l.load[e])
+		return false
+	case 2:
+		return l.levelTwo(e)
+	}
+	common, bound := l.commonTime(e)
+	moved := false
+	for n := l.first[e]; n != none; n = l.next[n] {
+		r := int(n) / l.slots
+		part := 0.0
+		if rest := l.time[r] - l.part[n]*l.cost[r]; rest < bound && rest < common {
+			part = (common - rest) * l.speed[r]
+		}
+		moved = l.shift(int(n), part) || moved
 	}
-	// A rank that is later than the common time without this expert takes none of it; dropping it lowers
-	// the common time, so the set of ranks that share only shrinks.
-	bound := maxTime
+	return moved
+}
+
+// levelTwo is level for an expert with two replicas.
+func (l *layer) levelTwo(e int) bool {
+	a := l.first[e]
+	b := l.next[a]
+	ra, rb := int(a)/l.slots, int(b)/l.slots
+	restA := l.time[ra] - l.part[a]*l.cost[ra]
+	restB := l.time[rb] - l.part[b]*l.cost[rb]
+	common := (l.load[e] + restA*l.speed[ra] + restB*l.speed[rb]) / (l.speed[ra] + l.speed[rb])
+	partA := min(max((common-restA)*l.speed[ra], 0), l.load[e])
+	l.setPart(int(b), l.load[e]-partA)
+	return l.shift(int(a), partA)
+}
+
+// commonTime returns the time that the ranks of an expert's replicas can share, and the bound from which on
+// a rank is too late without the expert to take any of it. Dropping a rank lowers the common time, so the
+// set of ranks that share only shrinks.
+func (l *layer) commonTime(e int) (common, bound float64) {
+	bound = maxTime
 	for {
-		load, speed, dropped := l.load[e], 0.0, false
+		load, speed, latest := l.load[e], 0.0, 0.0
 		for n := l.first[e]; n != none; n = l.next[n] {
 			r := int(n) / l.slots
 			if rest := l.time[r] - l.part[n]*l.cost[r]; rest < bound {
-				load += rest / l.cost[r]
-				speed += 1 / l.cost[r]
+				load += rest * l.speed[r]
+				speed += l.speed[r]
+				latest = max(latest, rest)
 			}
 		}
-		common := load / speed
-		for n := l.first[e]; n != none; n = l.next[n] {
-			r := int(n) / l.slots
-			rest := l.time[r] - l.part[n]*l.cost[r]
-			dropped = dropped || rest < bound && rest > common+rounding
-		}
-		if !dropped {
-			l.assign(e, common, bound)
-			return
+		common = load / speed
+		if latest <= common+rounding {
+			return common, bound
 		}
-		bound = common
+		bound = latest
 	}
 }
 
-// levelOne gives a single replica the whole load.
-func (l *layer) levelOne(e int) {
-	if n := l.first[e]; n != none {
-		l.setPart(int(n), l.load[e])
+// shift changes the load that a replica takes and reports whether the change is noticeable.
+func (l *layer) shift(n int, part float64) bool {
+	change := (part - l.part[n]) * l.cost[n/l.slots]
+	l.setPart(n, part)
+	return change > l.notice || -change > l.notice
+}
+
+// ripple levels the experts around the given ones, outwards, until no noticeable load moves or the number
+// of levelled experts reaches a limit.
+func (l *layer) ripple(limit int, from ...int) {
+	l.queue = l.queue[:0]
+	for _, e := range from {
+		l.enqueueAround(e)
+	}
+	for at := 0; at < len(l.queue) && at < limit; at++ {
+		e := int(l.queue[at])
+		l.queued[e] = false
+		if l.level(e) {
+			l.enqueueAround(e)
+		}
+	}
+	for _, e := range l.queue {
+		l.queued[e] = false
 	}
 }
 
-// assign raises each rank below the bound to the common time.
-func (l *layer) assign(e int, common, bound float64) {
+// enqueueAround puts all experts with several replicas that share a rank with an expert into the queue.
+func (l *layer) enqueueAround(e int) {
 	for n := l.first[e]; n != none; n = l.next[n] {
-		r := int(n) / l.slots
-		rest := l.time[r] - l.part[n]*l.cost[r]
-		part := 0.0
-		if rest < bound && rest < common {
-			part = (common - rest) / l.cost[r]
+		start := int(n) / l.slots * l.slots
+		for _, other := range l.held[start : start+l.slots] {
+			if other == expertmap.Empty || l.count[other] < 2 || l.queued[other] {
+				continue
+			}
+			l.queued[other] = true
+			l.queue = append(l.queue, other)
 		}
-		l.setPart(int(n), part)
 	}
 }
 
--- a/balance/search.go
+++ b/balance/search.go
@@ -3,9 +3,10 @@
 import "guavahitch.example/guavahitch/expertmap"
 
 const (
-	// startRounds settle the division of loads in a placement; moveRounds do so after one move.
+	// startRounds settle the division of loads in a placement.
 	startRounds = 24
-	moveRounds  = 3
+	// rippleLimit bounds the experts that are levelled after one move.
+	rippleLimit = 96
 	// candidates is the number of slots tried for one move.
 	candidates = 4
 	// minImprovement is the least relative fall of the unevenness that keeps a move.
@@ -139,15 +140,25 @@
 	if s.state.held[bestSlot] == expertmap.Empty {
 		s.free[bestSlot/s.slots]--
 	}
+	old := s.state.held[bestSlot]
 	s.place(bestSlot, e)
 	if !s.even {
-		s.state.sweep(moveRounds)
+		s.spread(e, old)
 	}
 	latest := s.state.time[s.state.latest()]
 	*steps = append(*steps, step{slot: int32(bestSlot), expert: e, latest: latest})
 	return true
 }
 
+// spread levels the experts around a new replica and around the one that gave way to it.
+func (s *search) spread(e, old int16) {
+	if old == expertmap.Empty {
+		s.state.ripple(rippleLimit, int(e))
+		return
+	}
+	s.state.ripple(rippleLimit, int(e), int(old))
+}
+
 // place puts a replica into a slot in place of the one there and levels the two experts.
 func (s *search) place(n int, e int16) {
 	l := s.state
