--- /dev/null
+++ b/balance/decider.go
@@ -0,0 +1,251 @@
+package balance
+
+import (
+	"fmt"
+	"sort"
+	"time"
+
+	"github.com/cespare/xxhash/v2"
+
+	"guavahitch.example/guavahitch/expertmap"
+)
+
+type (
+	// Decider decides about one group. It is a value: Decide returns the next one, and the caller keeps it
+	// once the decision is durable.
+	Decider struct {
+		Rule    Rule
+		Planner Planner
+
+		group   string
+		quietTo time.Time
+		// switched is the end of the last switch.
+		switched time.Time
+		// current and ahead learn how fast the slowdown comes back: under the present loads, which changed
+		// weights can answer, and under the loads ahead with the best weights, which only moves can.
+		current regrowth
+		ahead   regrowth
+	}
+
+	// Situation is what a decision looks at.
+	Situation struct {
+		Now      time.Time
+		Present  expertmap.Map
+		Estimate Estimate
+		Group    Group
+		// Failing is true from a failure in the group until it is over: a stalled, lost or joining rank.
+		Failing bool
+		// Switching is true while a switch of the group is under way.
+		Switching bool
+		// StoreRate is the rate that the weight store would give the group now, in bytes a second; 0 for none.
+		StoreRate float64
+	}
+)
+
+const (
+	// weightsOnly is the name of the option that moves nothing.
+	weightsOnly = "change weights"
+	// alternativesKept is the number of options that a decision names.
+	alternativesKept = 4
+)
+
+// NewDecider returns the decider of a group after control started. Groups look at their maps for the first
+// time at moments that are spread by a hash of their names, so that a start causes no storm of switches.
+func NewDecider(group string, rule Rule, planner Planner, started time.Time) Decider {
+	d := Decider{Rule: rule, Planner: planner, group: group}
+	d.quietTo = started.Add(rule.Settle + d.offset())
+	return d
+}
+
+// offset returns the group's place in the spread of all groups.
+func (d Decider) offset() time.Duration {
+	if d.Rule.Spread <= 0 {
+		return 0
+	}
+	return time.Duration(xxhash.Sum64String(d.group) % uint64(d.Rule.Spread))
+}
+
+// WithSwitch returns the decider after a switch ended, whether by its own decision or not.
+func (d Decider) WithSwitch(at time.Time) Decider {
+	d.switched = at
+	d.current, d.ahead = d.current.withoutLast(), d.ahead.withoutLast()
+	return d
+}
+
+// WithFailureOver returns the decider after a failure of the group ended.
+func (d Decider) WithFailureOver(at time.Time) Decider {
+	d.quietTo = at.Add(d.Rule.Settle)
+	return d
+}
+
+// Decide looks at a group and returns what to do and the decider for the next look.
+func (d Decider) Decide(s Situation) (Decision, Decider) {
+	decision := Decision{Group: d.group, At: s.Now, Rule: d.Rule}
+	decision = decision.
+		withFigure("counts age", s.Now.Sub(s.Estimate.At).Seconds(), "s").
+		withFigure("layers covered", s.Estimate.Covered, "part")
+	forced := holdsOnLostRank(s.Present, s.Group)
+	if reason := d.barred(s, forced); reason != "" {
+		decision.Reason = reason
+		return decision, d
+	}
+	present := Measure(s.Present, s.Estimate.Current, s.Group)
+	d.current = d.current.withSlowdown(s.Now, present.Slowdown)
+	decision = decision.
+		withFigure("skew", present.Skew, "max over mean").
+		withFigure("slowdown", present.Slowdown, "times the ideal step").
+		withFigure("suspected burst", s.Estimate.Burst, "part of the load").
+		withFigure("weight of the latest level", s.Estimate.LevelWeight, "part")
+	if !forced && !d.couldPay(present.Slowdown) {
+		decision.Reason = ReasonEven
+		return decision, d
+	}
+	return d.weigh(decision, s, present, forced)
+}
+
+// barred returns the reason for which the group is left alone now, or nothing.
+func (d Decider) barred(s Situation, forced bool) Reason {
+	switch {
+	case s.Failing:
+		return ReasonFailing
+	case s.Switching:
+		return ReasonSwitching
+	case s.Now.Before(d.quietTo):
+		return ReasonSettling
+	case s.Estimate.At.IsZero() || s.Now.Sub(s.Estimate.At) > d.Rule.MaxAge || s.Estimate.Covered < d.Rule.MinCovered:
+		return ReasonStale
+	case forced:
+		return ""
+	case s.Now.Sub(d.switched) < d.Rule.MinInterval:
+		return ReasonInterval
+	}
+	return ""
+}
+
+// holdsOnLostRank reports whether the map has experts on a lost rank.
+func holdsOnLostRank(m expertmap.Map, group Group) bool {
+	shape := m.Shape()
+	for r, speed := range group.Speeds {
+		if speed > 0 {
+			continue
+		}
+		for number := range shape.Layers {
+			for slot := range shape.Slots {
+				if m.Expert(number, r, slot) != expertmap.Empty {
+					return true
+				}
+			}
+		}
+	}
+	return false
+}
+
+// couldPay reports whether perfectly even ranks would be worth a switch without any move. It saves most
+// looks the search for a plan.
+func (d Decider) couldPay(slowdown float64) bool {
+	gain := slowdown - 1
+	life := max(d.current.life(gain, d.Rule), d.ahead.life(gain, d.Rule))
+	return d.Rule.worth(gain, life) > d.Rule.Margin*d.Rule.RebalanceCostWeight*d.Planner.Costs.Pause.Seconds()
+}
+
+// weigh makes a plan and chooses the option whose gain exceeds its cost most.
+func (d Decider) weigh(decision Decision, s Situation, present Figures, forced bool) (Decision, Decider) {
+	d.Planner.Costs.StoreRate = max(s.StoreRate, 1)
+	plan, err := d.Planner.Plan(s.Present, s.Estimate.Ahead, s.Group)
+	if err != nil {
+		decision.Reason = ReasonNoPlan
+		decision.Alternatives = []Alternative{{Name: err.Error()}}
+		return decision, d
+	}
+	reweighed, err := d.Planner.Reweigh(s.Present, s.Estimate.Current, s.Group)
+	if err != nil && !forced {
+		decision.Reason = ReasonNoPlan
+		return decision, d
+	}
+	weightsGain := 0.0
+	if err == nil {
+		weightsGain = present.Slowdown - Measure(reweighed, s.Estimate.Current, s.Group).Slowdown
+	}
+	floor := plan.Options[0].Slowdown
+	d.ahead = d.ahead.withSlowdown(s.Now, floor)
+	decision = decision.
+		withFigure("gain of weights", weightsGain, "slowdown").
+		withFigure("slowdown ahead with the best weights", floor, "times the ideal step").
+		withFigure("regrowth with moves", d.ahead.rate*3600, "slowdown an hour")
+	best, alternatives := d.choose(plan, weightsGain, s.StoreRate > 0 || forced)
+	decision.Alternatives = alternatives
+	if forced {
+		decision.Reason = ReasonLostRank
+	} else if best.Gain <= d.Rule.Margin*best.Cost {
+		decision.Reason = ReasonCost
+		return decision, d
+	} else {
+		decision.Reason = ReasonGain
+	}
+	return d.build(decision, plan, best.option, s)
+}
+
+// weighed is an option with its gain and cost.
+type weighed struct {
+	Alternative
+	option int
+}
+
+// choose returns the best option of a plan and the alternatives in the order of their merit.
+func (d Decider) choose(plan *Plan, weightsGain float64, mayLoad bool) (weighed, []Alternative) {
+	floor := plan.Options[0].Slowdown
+	worthOfWeights := d.Rule.worth(weightsGain, d.current.life(weightsGain, d.Rule))
+	options := make([]weighed, 0, len(plan.Options))
+	for n, o := range plan.Options {
+		if n > 0 && !mayLoad {
+			break
+		}
+		gain := floor - o.Slowdown
+		worth := worthOfWeights + d.Rule.worth(gain, d.ahead.life(gain, d.Rule)-o.Load)
+		options = append(options, weighed{
+			Alternative: Alternative{Name: optionName(o), Gain: worth, Cost: d.Rule.cost(o)}, option: n,
+		})
+	}
+	sort.SliceStable(options, func(i, j int) bool { return d.merit(options[i]) > d.merit(options[j]) })
+	alternatives := []Alternative{options[0].Alternative, {Name: "keep the map"}}
+	for _, o := range options[1:] {
+		if len(alternatives) == alternativesKept {
+			break
+		}
+		if o.option == 0 || o.option == len(plan.Options)-1 {
+			alternatives = append(alternatives, o.Alternative)
+		}
+	}
+	return options[0], alternatives
+}
+
+// merit is the gain of an option beyond its cost with the margin.
+func (d Decider) merit(o weighed) float64 {
+	return o.Gain - d.Rule.Margin*o.Cost
+}
+
+// optionName names an option as records show it.
+func optionName(o Option) string {
+	if o.Moves == 0 {
+		return weightsOnly
+	}
+	return fmt.Sprintf("move %d replicas (%.1f GB)", o.Moves, float64(o.Bytes)/1e9)
+}
+
+// build makes the map of an option with weights for the present loads.
+func (d Decider) build(decision Decision, plan *Plan, option int, s Situation) (Decision, Decider) {
+	built, err := plan.Build(option)
+	if err == nil {
+		built, err = d.Planner.Reweigh(built, s.Estimate.Current, s.Group)
+	}
+	if err != nil {
+		decision.Reason = ReasonNoPlan
+		return decision, d
+	}
+	decision.Switch = true
+	decision.Map = built.WithVersion(s.Present.Version() + 1)
+	decision.Chosen = plan.Options[option]
+	after := Measure(decision.Map, s.Estimate.Current, s.Group)
+	decision = decision.withFigure("skew expected", after.Skew, "max over mean")
+	return decision, d
+}
--- a/balance/planner.go
+++ b/balance/planner.go
@@ -247,3 +247,13 @@
 	}
 	return total
 }
+
+// Reweigh returns the map with the weights of the replicas changed for the given loads and nothing moved.
+func (p Planner) Reweigh(m expertmap.Map, load []float64, group Group) (expertmap.Map, error) {
+	p.MovesPerLayer = 0
+	plan, err := p.Plan(m, load, group)
+	if err != nil {
+		return expertmap.Map{}, err
+	}
+	return plan.Build(0)
+}
--- /dev/null
+++ b/balance/policies_test.go
@@ -0,0 +1,176 @@
+package balance_test
+
+import (
+	"time"
+
+	"guavahitch.example/guavahitch/balance"
+	"guavahitch.example/guavahitch/expertmap"
+)
+
+// never keeps the first map.
+type never struct{}
+
+func (never) report(balance.Report, *day) {}
+
+func (never) step(time.Time, int, *day) (expertmap.Map, balance.Option, bool) {
+	return expertmap.Map{}, balance.Option{}, false
+}
+
+// repack packs a map anew from the counts since the last time, every so often or at a threshold of skew.
+type repack struct {
+	every     int
+	threshold float64
+	sum       []float64
+	skew      float64
+	last      int
+}
+
+func (p *repack) report(r balance.Report, d *day) {
+	if p.sum == nil {
+		p.sum = make([]float64, len(r.Tokens))
+	}
+	for n, v := range r.Tokens {
+		p.sum[n] += v
+	}
+	p.skew = d.meter.Measure(r.Tokens).Skew
+}
+
+func (p *repack) step(_ time.Time, minute int, d *day) (expertmap.Map, balance.Option, bool) {
+	if minute-p.last < p.every || p.skew < p.threshold || !d.pending.IsZero() {
+		return expertmap.Map{}, balance.Option{}, false
+	}
+	m, err := balance.Pack(d.present, p.sum, d.group)
+	if err != nil {
+		panic(err)
+	}
+	p.last = minute
+	clear(p.sum)
+	return m, optionFor(d.present, m), true
+}
+
+// optionFor returns the costs of a switch between two maps.
+func optionFor(from, to expertmap.Map) balance.Option {
+	moves, err := expertmap.Moves(from, to)
+	if err != nil {
+		panic(err)
+	}
+	loads := make([]int, from.Shape().Ranks)
+	busiest := 0
+	for _, m := range moves {
+		loads[m.Rank]++
+		busiest = max(busiest, loads[m.Rank])
+	}
+	size := int64(len(moves)) * costs.ExpertBytes
+	return balance.Option{
+		Moves: len(moves), Bytes: size,
+		Load:  time.Duration(float64(size) / costs.StoreRate * float64(time.Second)),
+		Pause: costs.Pause + time.Duration(busiest)*costs.PausePerMove,
+	}
+}
+
+// decided is the real thing: estimator, planner and decider.
+type decided struct {
+	estimator *balance.Estimator
+	decider   balance.Decider
+	reasons   map[balance.Reason]int
+	switching bool
+}
+
+func newDecided(shape expertmap.Shape, rule balance.Rule) *decided {
+	return &decided{
+		estimator: balance.NewEstimator(shape),
+		decider:   balance.NewDecider("g", rule, balance.NewPlanner(costs), midnight),
+		reasons:   map[balance.Reason]int{},
+	}
+}
+
+func (p *decided) report(r balance.Report, _ *day) {
+	if _, err := p.estimator.Add(r); err != nil {
+		panic(err)
+	}
+}
+
+func (p *decided) step(now time.Time, _ int, d *day) (expertmap.Map, balance.Option, bool) {
+	if p.switching && d.pending.IsZero() {
+		p.switching = false
+		p.decider = p.decider.WithSwitch(now)
+	}
+	estimate := p.estimator.Estimate()
+	var decision balance.Decision
+	decision, p.decider = p.decider.Decide(balance.Situation{
+		Now: now, Present: d.present, Estimate: estimate, Group: d.group.WithSpeeds(estimate.Speeds),
+		Switching: p.switching, StoreRate: costs.StoreRate,
+	})
+	p.reasons[decision.Reason]++
+	p.switching = p.switching || decision.Switch
+	return decision.Map, decision.Chosen, decision.Switch
+}
+
+// oracle knows the loads to come. It changes weights and, more seldom, moves replicas for the true mean load
+// until its next look, as long as a move gains more than a price.
+type oracle struct {
+	loads  [][]float64
+	speeds [][]float64
+	weigh  int
+	move   int
+	price  float64
+}
+
+func newOracle(t *trace, weigh, move int, price float64) *oracle {
+	o := &oracle{weigh: weigh, move: move, price: price}
+	for minute := range minutesADay {
+		load := make([]float64, t.shape.Layers*t.shape.Experts)
+		speeds := make([]float64, t.shape.Ranks)
+		t.next(minute, load, speeds)
+		o.loads, o.speeds = append(o.loads, load), append(o.speeds, speeds)
+	}
+	return o
+}
+
+func (o *oracle) report(balance.Report, *day) {}
+
+func (o *oracle) step(_ time.Time, minute int, d *day) (expertmap.Map, balance.Option, bool) {
+	next := minute + 1
+	if !d.pending.IsZero() || next >= minutesADay || next%o.weigh != 0 && minute != 0 {
+		return expertmap.Map{}, balance.Option{}, false
+	}
+	group := d.group.WithSpeeds(o.speeds[next])
+	planner := balance.NewPlanner(costs)
+	m, option := d.present, costsOfWeights()
+	if next%o.move == 0 || minute == 0 {
+		plan, err := planner.Plan(d.present, o.ahead(next, o.move), group)
+		if err != nil {
+			panic(err)
+		}
+		at := 0
+		for n := 1; n < len(plan.Options); n++ {
+			a, b := plan.Options[n-1], plan.Options[n]
+			if (a.Slowdown-b.Slowdown)*float64(o.move) > o.price*float64(b.Moves-a.Moves) {
+				at = n
+			}
+		}
+		if m, err = plan.Build(at); err != nil {
+			panic(err)
+		}
+		option = plan.Options[at]
+		option.Load = 0
+	}
+	m, err := planner.Reweigh(m, o.ahead(next, o.weigh), group)
+	if err != nil {
+		panic(err)
+	}
+	return m, option, true
+}
+
+// ahead returns the mean load of the minutes from one on.
+func (o *oracle) ahead(from, minutes int) []float64 {
+	mean := make([]float64, len(o.loads[0]))
+	for _, load := range o.loads[from:min(from+minutes, minutesADay)] {
+		for n, v := range load {
+			mean[n] += v
+		}
+	}
+	return mean
+}
+
+func costsOfWeights() balance.Option { return balance.Option{Pause: costs.Pause} }
--- /dev/null
+++ b/balance/rebalance_test.go
@@ -0,0 +1,154 @@
+package balance_test
+
+import (
+	"flag"
+	"fmt"
+	"runtime"
+	"sync"
+	"testing"
+
+	"guavahitch.example/guavahitch/balance"
+	"guavahitch.example/guavahitch/expertmap"
+)
+
+// seedSet chooses the days of BenchmarkRebalance: those that rules were tuned on, or those kept apart.
+var seedSet = flag.String("seeds", "held-out", "days of BenchmarkRebalance: tuned or held-out")
+
+var (
+	seeds  = map[string][]uint64{"tuned": {1, 2, 3}, "held-out": {1001, 1002, 1003}}
+	shapes = []struct {
+		name  string
+		shape expertmap.Shape
+		seeds int
+	}{
+		{"8x32", expertmap.Shape{Ranks: 8, Experts: 32, Layers: 58, Slots: 5}, 3},
+		{"32x64", expertmap.Shape{Ranks: 32, Experts: 64, Layers: 58, Slots: 3}, 2},
+		{"128x128", expertmap.Shape{Ranks: 128, Experts: 128, Layers: 58, Slots: 2}, 1},
+	}
+	tuulai      = balance.DefaultRule().WithWeights(4, 1)
+	laurentides = balance.DefaultRule().WithWeights(1, 4)
+	policyNames = []string{"never", "every-15-min", "threshold", "guavahitch-tuulai", "guavahitch-laurentides", "oracle"}
+)
+
+// policyFor returns a policy by its name, but for the oracle.
+func policyFor(name string, shape expertmap.Shape) policy {
+	switch name {
+	case "every-15-min":
+		return &repack{every: 15}
+	case "threshold":
+		return &repack{every: 5, threshold: 1.25}
+	case "guavahitch-tuulai":
+		return newDecided(shape, tuulai)
+	case "guavahitch-laurentides":
+		return newDecided(shape, laurentides)
+	default:
+		return never{}
+	}
+}
+
+// dayResults replays one day under all policies, as many at a time as there are processors.
+func dayResults(kind string, shape expertmap.Shape, seed uint64) map[string]result {
+	results := map[string]result{}
+	var mutex sync.Mutex
+	var jobs []func()
+	for _, name := range policyNames[:len(policyNames)-1] {
+		jobs = append(jobs, func() {
+			r := replay(newTrace(kind, shape, seed), policyFor(name, shape))
+			mutex.Lock()
+			results[name] = r
+			mutex.Unlock()
+		})
+	}
+	inParallel(jobs)
+	results["oracle"] = bestOracle(kind, shape, seed, results["guavahitch-tuulai"])
+	return results
+}
+
+// bestOracle returns the best of several schedules with perfect foresight that cost no more than a result.
+func bestOracle(kind string, shape expertmap.Shape, seed uint64, budget result) result {
+	weigh := 2
+	for float64(minutesADay/weigh)*costs.Pause.Seconds() > 0.9*budget.pauses.Seconds() && weigh < 60 {
+		weigh++
+	}
+	type schedule struct {
+		move  int
+		price float64
+	}
+	var schedules []schedule
+	for _, move := range []int{12, 48} {
+		for _, price := range []float64{3e-4, 1e-3, 3e-3, 1e-2, 1e9} {
+			schedules = append(schedules, schedule{(move + weigh - 1) / weigh * weigh, price})
+		}
+	}
+	found := make([]result, len(schedules))
+	var jobs []func()
+	for n, s := range schedules {
+		jobs = append(jobs, func() {
+			found[n] = replay(newTrace(kind, shape, seed), newOracle(newTrace(kind, shape, seed), weigh, s.move, s.price))
+		})
+	}
+	inParallel(jobs)
+	best := found[len(found)-1]
+	for _, r := range found {
+		if r.bytes <= budget.bytes && r.pauses <= budget.pauses && r.mean() < best.mean() {
+			best = r
+		}
+	}
+	return best
+}
+
+// inParallel runs jobs, as many at a time as there are processors.
+func inParallel(jobs []func()) {
+	var group sync.WaitGroup
+	slots := make(chan struct{}, runtime.GOMAXPROCS(0))
+	for _, job := range jobs {
+		group.Add(1)
+		slots <- struct{}{}
+		go func() {
+			defer group.Done()
+			job()
+			<-slots
+		}()
+	}
+	group.Wait()
+}
+
+// BenchmarkRebalance replays days of drifting load under each policy. A day has one sample a minute, and
+// each stands for the steps of that minute.
+func BenchmarkRebalance(b *testing.B) {
+	for _, kind := range traceKinds {
+		for _, s := range shapes {
+			var days []map[string]result
+			for _, name := range policyNames {
+				b.Run(fmt.Sprintf("trace=%s/size=%s/policy=%s", kind, s.name, name), func(b *testing.B) {
+					for days == nil {
+						for _, seed := range seeds[*seedSet][:s.seeds] {
+							days = append(days, dayResults(kind, s.shape, seed))
+						}
+					}
+					report(b, days, name)
+				})
+			}
+		}
+	}
+}
+
+// report gives the means over the days of one policy.
+func report(b *testing.B, days []map[string]result, name string) {
+	var mean, p99, bytes, pauses, lost float64
+	for _, d := range days {
+		r := d[name]
+		mean += r.mean()
+		p99 += r.p99()
+		bytes += float64(r.bytes) / 1e9
+		pauses += r.pauses.Seconds()
+		lost += r.lost / r.asked
+	}
+	n := float64(len(days))
+	b.ReportMetric(mean/n, "skew-mean")
+	b.ReportMetric(p99/n, "skew-p99")
+	b.ReportMetric(bytes/n, "moved-GB")
+	b.ReportMetric(pauses/n, "pause-s")
+	b.ReportMetric(lost/n, "lost-share")
+	b.ReportMetric(0, "ns/op")
+}
--- a/expertmap/move.go
+++ b/expertmap/move.go
@@ -1,6 +1,10 @@
 package expertmap
 
-import "github.com/rotisserie/eris"
+import (
+	"slices"
+
+	"github.com/rotisserie/eris"
+)
 
 // Move is one replica that a rank must load before it can use a new map.
 type Move struct {
@@ -23,7 +27,7 @@
 	for start := 0; start < len(to.placed); start += slots {
 		before, after := from.placed[start:start+slots], to.placed[start:start+slots]
 		for slot, e := range after {
-			if e == Empty || contains(before, e) || contains(after[:slot], e) {
+			if e == Empty || slices.Contains(before, e) || slices.Contains(after[:slot], e) {
 				continue
 			}
 			row := start / slots
@@ -35,13 +39,3 @@
 	}
 	return moves, nil
 }
-
-// contains reports whether an expert is among those of a rank; ranks have few slots.
-func contains(held []int16, expert int16) bool {
-	for _, e := range held {
-		if e == expert {
-			return true
-		}
-	}
-	return false
-}
