--- a/claim/key.go
+++ b/claim/key.go
@@ -34,3 +34,10 @@
 	copy(key[:], digest.Sum(nil))
 	return key
 }
+
+// KeyOfNumber returns the key of a number; keys are ordered as their numbers.
+func KeyOfNumber(number uint64) Key {
+	var key Key
+	binary.BigEndian.PutUint64(key[:8], number)
+	return key
+}
--- a/claim/keys.go
+++ b/claim/keys.go
@@ -165,7 +165,8 @@
 	if err != nil {
 		return err
 	}
-	return k.store.Put(key, value, nowMs)
+	k.store.Put(key, value, nowMs)
+	return nil
 }
 
 func replyOf(stored *wire.StoredClaim) *wire.ClaimReply {
@@ -189,3 +190,11 @@
 	}
 	return barred
 }
+
+// Reopen replaces the keys that are running or unknown, after the store was restored.
+func (k *Keys) Reopen(open []*wire.StoredClaim) {
+	k.open = make(map[Key]*wire.StoredClaim, len(open))
+	for _, stored := range open {
+		k.open[KeyOf(stored.Organisation, stored.Key)] = stored
+	}
+}
--- /dev/null
+++ b/claim/store_snapshot.go
@@ -0,0 +1,111 @@
+// Snapshots of a store. A snapshot names the sealed segments and holds only the values that are not sealed
+// yet, so its size does not grow with the keys kept. A replica that lacks a segment fetches it from a peer.
+
+package claim
+
+import (
+	"slices"
+	"time"
+
+	"github.com/rotisserie/eris"
+
+	"guavahitch.example/guavahitch/wire"
+)
+
+// Snapshot waits for the segments to be on disk and returns the store's state.
+func (s *Store) Snapshot() (*wire.StoreSnapshot, error) {
+	if err := s.Sync(); err != nil {
+		return nil, err
+	}
+	s.mutex.Lock()
+	defer s.mutex.Unlock()
+	s.collect()
+	snapshot := &wire.StoreSnapshot{Sequence: s.sequence, RetentionMs: s.settings.Retention.Milliseconds()}
+	for _, sealed := range s.segments {
+		snapshot.Segments = append(snapshot.Segments, sealed.name)
+	}
+	scanValues(s.active, Key{}, func(key Key, data []byte) bool {
+		stored := &wire.StoredValue{Key: slices.Clone(key[:]), Data: data, TimeMs: s.active[key].timeMs}
+		snapshot.Active = append(snapshot.Active, stored)
+		return true
+	})
+	return snapshot, nil
+}
+
+// collect removes the files that were dropped before the last snapshot but one: a restart may begin at the
+// last. The caller holds the mutex.
+func (s *Store) collect() {
+	for _, name := range s.garbage[1] {
+		s.files.remove(name)
+	}
+	s.garbage[1], s.garbage[0] = s.garbage[0], nil
+}
+
+// Restore replaces the store's state by the snapshot's, fetching the segments that are missing.
+func (s *Store) Restore(snapshot *wire.StoreSnapshot) error {
+	s.sealed.Wait()
+	names := make(map[string]bool)
+	var segments []*segment
+	for _, name := range snapshot.Segments {
+		names[name] = true
+		sealed, err := s.openOrFetch(name)
+		if err != nil {
+			return err
+		}
+		segments = append(segments, sealed)
+	}
+	s.mutex.Lock()
+	defer s.mutex.Unlock()
+	for _, sealed := range s.segments {
+		s.files.close(sealed)
+	}
+	s.segments, s.sealing, s.failed, s.garbage = segments, nil, nil, [2][]string{}
+	s.sequence, s.active, s.activeBytes = snapshot.Sequence, make(map[Key]value), 0
+	s.settings.Retention = time.Duration(snapshot.RetentionMs) * time.Millisecond
+	for _, stored := range snapshot.Active {
+		if len(stored.Key) != KeySize {
+			return eris.New("restore: a key of the wrong length")
+		}
+		s.active[Key(stored.Key)] = value{data: stored.Data, timeMs: stored.TimeMs}
+		s.activeBytes += len(stored.Data)
+	}
+	return s.files.keepOnly(names)
+}
+
+func (s *Store) openOrFetch(name string) (*segment, error) {
+	sealed, err := s.files.open(name)
+	if err == nil {
+		return sealed, nil
+	}
+	if s.settings.Fetch == nil {
+		return nil, eris.Wrap(err, "restore")
+	}
+	encoded, err := s.fetch(name)
+	if err != nil {
+		return nil, eris.Wrapf(err, "fetch %s", name)
+	}
+	if err := s.files.save(name, encoded); err != nil {
+		return nil, err
+	}
+	return s.files.open(name)
+}
+
+func (s *Store) fetch(name string) ([]byte, error) {
+	var encoded []byte
+	for {
+		part, err := s.settings.Fetch(name, int64(len(encoded)))
+		if err != nil {
+			return nil, err
+		}
+		if len(part) == 0 {
+			break
+		}
+		encoded = append(encoded, part...)
+	}
+	return encoded, VerifySegment(name, encoded)
+}
+
+// Part returns a part of a segment's file for a peer that lacks it; empty at the end.
+func (s *Store) Part(name string, offset int64) ([]byte, error) {
+	return s.files.part(name, offset)
+}
--- a/control/claims.go
+++ b/control/claims.go
@@ -10,7 +10,7 @@
 func (s *State) claim(request *wire.ClaimRequest) *wire.Result {
 	reply, err := s.keys.Claim(request, s.nowMs)
 	if err != nil {
-		return &wire.Result{Failure: refusal("claim", "storage", err.Error())}
+		return &wire.Result{Failure: s.fail("claim", err)}
 	}
 	return &wire.Result{Claim: reply}
 }
@@ -18,7 +18,7 @@
 func (s *State) settle(replica string, request *wire.SettleRequest) *wire.Result {
 	reply, err := s.keys.Settle(request, s.nowMs)
 	if err != nil {
-		return &wire.Result{Failure: refusal("settle", "storage", err.Error())}
+		return &wire.Result{Failure: s.fail("settle", err)}
 	}
 	if reply.State == claim.StateUnknown || reply.State == claim.StateStale {
 		s.record(replica, &wire.Record{
--- a/control/configuration.go
+++ b/control/configuration.go
@@ -8,10 +8,10 @@
 	"crypto/sha256"
 	"encoding/binary"
 	"strconv"
+	"time"
 
 	"google.golang.org/protobuf/proto"
 
-	"guavahitch.example/guavahitch/claim"
 	"guavahitch.example/guavahitch/wire"
 )
 
@@ -51,10 +51,6 @@
 // recentRevisions is the number of inventories kept for deltas.
 const recentRevisions = 4
 
-func newConfiguration() configuration {
-	return configuration{changes: newChanges(claim.NewStore(0))}
-}
-
 // ContentOf returns the hash that tells a resend from another change under the same id.
 func ContentOf(request *wire.SubmitRequest) []byte {
 	digest := sha256.New()
@@ -65,7 +61,7 @@
 	return digest.Sum(nil)
 }
 
-func (s *State) submit(replica string, request *wire.SubmitRequest) *wire.Result {
+func (s *State) submit(replica string, request *wire.SubmitRequest, retentionMs int64) *wire.Result {
 	known, failure := s.knownChange(request)
 	if known != nil || failure != nil {
 		return &wire.Result{Change: known, Failure: failure}
@@ -78,6 +74,9 @@
 		c.revision++
 		c.inventory = request.Inventory
 		c.keepRecent()
+		if retentionMs > 0 {
+			s.claims.SetRetention(time.Duration(retentionMs) * time.Millisecond)
+		}
 		status.State, status.Revision = StateAccepted, c.revision
 	} else {
 		s.refuseChange(status, request.ExpectedRevision)
@@ -118,7 +117,7 @@
 	}
 	stored, err := s.configuration.changes.get(request.ChangeId)
 	if err != nil {
-		return nil, refusal("submit", "storage", err.Error())
+		return nil, s.fail("submit", err)
 	}
 	if stored == nil {
 		return nil, nil
@@ -182,7 +181,7 @@
 	defer s.mutex.RUnlock()
 	stored, err := s.configuration.changes.get(id)
 	if err != nil {
-		return &wire.ChangeStatus{ChangeId: id, Failure: refusal("change", "storage", err.Error())}
+		return &wire.ChangeStatus{ChangeId: id, Failure: storageFailure("change", err)}
 	}
 	if stored == nil {
 		return &wire.ChangeStatus{ChangeId: id, State: StateUnknown}
--- a/control/failure.go
+++ b/control/failure.go
@@ -19,6 +19,8 @@
 	ReasonOversized = "oversized"
 	// ReasonStaleEpoch means that a newer epoch of the process has announced itself.
 	ReasonStaleEpoch = "stale-epoch"
+	// ReasonStorage means that the replica cannot read its disk.
+	ReasonStorage = "storage"
 	// ReasonUnsettled means that the proposal may or may not take effect: ask for its status.
 	ReasonUnsettled = "unsettled"
 )
@@ -32,6 +34,12 @@
 	return e.Failure()
 }
 
+// storageFailure returns the failure of a replica that cannot read its disk.
+func storageFailure(step string, err error) *wire.Failure {
+	e := outcome.Error{Step: step, Peer: "control", Outcome: outcome.Unknown, Reason: ReasonStorage, RetryAfter: leaderRetry}
+	return e.WithCause(err).Failure()
+}
+
 // notLeader returns the refusal of a replica that cannot answer.
 func notLeader(step string) *wire.Failure {
 	failure := refusal(step, ReasonNotLeader, "ask the leader")
--- a/control/members.go
+++ b/control/members.go
@@ -5,7 +5,6 @@
 
 import (
 	"fmt"
-	"maps"
 	"slices"
 
 	"google.golang.org/protobuf/proto"
@@ -13,9 +12,14 @@
 	"guavahitch.example/guavahitch/wire"
 )
 
-// departedMs is how long a departed process is remembered as a possible leaseholder, in milliseconds. It
-// exceeds the longest lease by far.
-const departedMs = 60_000
+const (
+	// departedMs is how long a departed process counts as a possible leaseholder, in milliseconds. It
+	// exceeds the longest lease by far.
+	departedMs = 60_000
+	// forgottenMs is how long the epoch and the fencing token of a departed process are remembered, in
+	// milliseconds. Later ones start above all that were forgotten.
+	forgottenMs = 7 * 24 * 3600 * 1000
+)
 
 type members struct {
 	view *View
@@ -30,6 +34,8 @@
 	departed map[string]int64
 	// fences holds the fencing tokens and open orders by upstream.
 	fences map[string]*fence
+	// floor is the highest fencing token of an upstream that was forgotten.
+	floor uint64
 }
 
 func newMembers() *members {
@@ -123,15 +129,21 @@
 	s.signal()
 }
 
-// forgetDeparted drops processes that went so long ago that no lease of theirs can last.
+// forgetDeparted drops what is known of processes that went long ago.
 func (s *State) forgetDeparted() {
-	for _, name := range slices.Sorted(maps.Keys(s.members.departed)) {
-		if s.nowMs-s.members.departed[name] > departedMs {
-			delete(s.members.departed, name)
-			if s.members.epochs[name] == 0 {
-				delete(s.members.incarnations, name)
-			}
+	ms := s.members
+	for name, departed := range ms.departed {
+		if s.nowMs-departed <= forgottenMs {
+			continue
 		}
+		if f := ms.fences[name]; f != nil {
+			ms.floor = max(ms.floor, f.token)
+		}
+		delete(ms.fences, name)
+		delete(ms.departed, name)
+		delete(ms.incarnations, name)
+		delete(ms.epochs, name)
+		delete(ms.left, name)
 	}
 }
 
@@ -154,8 +166,10 @@
 	s.mutex.RLock()
 	defer s.mutex.RUnlock()
 	names := s.members.view.Names()
-	for name := range s.members.departed {
-		names = append(names, name)
+	for name, departed := range s.members.departed {
+		if s.nowMs-departed <= departedMs {
+			names = append(names, name)
+		}
 	}
 	slices.Sort(names)
 	return names
--- a/control/orders.go
+++ b/control/orders.go
@@ -36,7 +36,7 @@
 func (s *State) order(replica string, command *wire.OrderCommand) *wire.Result {
 	f := s.members.fences[command.Upstream]
 	if f == nil {
-		f = &fence{settled: make(map[string]uint64)}
+		f = &fence{token: s.members.floor, settled: make(map[string]uint64)}
 		s.members.fences[command.Upstream] = f
 	}
 	for _, open := range f.open {
--- a/control/records.go
+++ b/control/records.go
@@ -3,35 +3,44 @@
 package control
 
 import (
+	"time"
+
+	"google.golang.org/protobuf/proto"
+
+	"guavahitch.example/guavahitch/claim"
 	"guavahitch.example/guavahitch/wire"
 )
 
 const (
-	// recordsInMemory is the number of records that are kept.
-	recordsInMemory = 16384
+	// recordRetention is how long a record is kept at least.
+	recordRetention = 400 * 24 * time.Hour
 	// recordsPage is the most records that one call returns.
 	recordsPage = 500
+	// recordsScanned is the most records that one call looks at.
+	recordsScanned = 20_000
 )
 
 type records struct {
-	next uint64
-	held []*wire.Record
+	next  uint64
+	store *claim.Store
 }
 
-func newRecords() *records {
-	return &records{next: 1}
+func newRecords(store *claim.Store) *records {
+	return &records{next: 1, store: store}
 }
 
-func (r *records) add(record *wire.Record) {
+func (r *records) add(record *wire.Record, nowMs int64) {
 	record.Index = r.next
 	r.next++
-	r.held = append(r.held, record)
-	if len(r.held) > 2*recordsInMemory {
-		r.held = append([]*wire.Record(nil), r.held[len(r.held)-recordsInMemory:]...)
+	encoded, err := proto.MarshalOptions{Deterministic: true}.Marshal(record)
+	if err != nil {
+		return
 	}
+	r.store.Put(claim.KeyOfNumber(record.Index), encoded, nowMs)
 }
 
-// Records returns the records after an index that match the request, oldest first, one page at a time.
+// Records returns the records after an index that match the request, oldest first, one page at a time. A
+// page that ends early for the number of records looked at names the last of them in After.
 func (s *State) Records(request *wire.RecordsRequest) *wire.RecordsReply {
 	s.mutex.RLock()
 	defer s.mutex.RUnlock()
@@ -39,15 +48,24 @@
 	if limit <= 0 || limit > recordsPage {
 		limit = recordsPage
 	}
-	reply := &wire.RecordsReply{}
-	for _, record := range s.records.held {
-		if len(reply.Records) == limit {
-			break
+	reply := &wire.RecordsReply{After: request.After}
+	scanned := 0
+	err := s.records.store.Scan(claim.KeyOfNumber(request.After+1), func(_ claim.Key, data []byte) bool {
+		record := &wire.Record{}
+		if err := proto.Unmarshal(data, record); err != nil {
+			return true
 		}
-		if record.Index > request.After && matches(record, request) {
+		scanned++
+		reply.After = record.Index
+		if matches(record, request) {
 			reply.Records = append(reply.Records, record)
 		}
+		return len(reply.Records) < limit && scanned < recordsScanned
+	})
+	if err != nil {
+		reply.Failure = storageFailure("records", err)
 	}
+	reply.More = reply.After+1 < s.records.next
 	return reply
 }
 
--- a/control/server.go
+++ b/control/server.go
@@ -45,6 +45,8 @@
 		Leader func() (name, address string)
 		// Check returns the problems of an inventory, or nil.
 		Check func(inventory []byte) error
+		// Retention returns how long answers are kept under an inventory; nil leaves it as it is.
+		Retention func(inventory []byte) time.Duration
 	}
 
 	// Server serves wire.Control.
@@ -102,7 +104,11 @@
 	if failure := s.checkSubmit(request); failure != nil {
 		return &wire.ChangeStatus{ChangeId: request.ChangeId, State: StateRefused, Reason: failure.Reason, Failure: failure}, nil
 	}
-	result, err := s.propose(ctx, &wire.Command{Body: &wire.Command_Submit{Submit: request}})
+	command := &wire.Command{Body: &wire.Command_Submit{Submit: request}}
+	if s.settings.Retention != nil {
+		command.RetentionMs = s.settings.Retention(request.Inventory).Milliseconds()
+	}
+	result, err := s.propose(ctx, command)
 	if err != nil {
 		return &wire.ChangeStatus{ChangeId: request.ChangeId, State: StateUnknown, Failure: unsettled("submit", err)}, nil
 	}
--- a/control/state.go
+++ b/control/state.go
@@ -12,8 +12,10 @@
 
 import (
 	"maps"
+	"path/filepath"
 	"slices"
 	"sync"
+	"time"
 
 	"google.golang.org/protobuf/proto"
 
@@ -21,6 +23,9 @@
 	"guavahitch.example/guavahitch/wire"
 )
 
+// sealFew is the number of changes or records that are sealed together.
+const sealFew = 8192
+
 type (
 	// Entry is one committed command with its place in the log and the time of its proposal.
 	Entry struct {
@@ -30,6 +35,15 @@
 		Command []byte
 	}
 
+	// StateSettings say where a state keeps what is too much for memory.
+	StateSettings struct {
+		// Directory is the folder for answers, changes and records; empty keeps them in memory.
+		Directory string
+		// Fetch returns a part of a sealed file from a peer, for a snapshot that names it. An empty part
+		// is the end.
+		Fetch func(name string, offset int64) ([]byte, error)
+	}
+
 	// State is the replicated state. Apply is called by one goroutine; all other methods may be called by
 	// any.
 	State struct {
@@ -44,10 +58,13 @@
 
 		configuration configuration
 		members       *members
+		claims        *claim.Store
 		keys          *claim.Keys
 		quarantined   map[string]*wire.Quarantine
 		records       *records
 		settled       map[claim.Key]chan struct{}
+		// broken is why the stores cannot be read; the replica must stop.
+		broken error
 	}
 
 	// Switches turn mechanisms of the state off, to show that the tests notice.
@@ -63,15 +80,54 @@
 
 // NewState returns an empty state in memory.
 func NewState() *State {
-	return &State{
-		changed:       make(chan struct{}),
-		configuration: newConfiguration(),
-		members:       newMembers(),
-		keys:          claim.NewKeys(claim.NewStore(claim.Retention.Milliseconds())),
-		quarantined:   make(map[string]*wire.Quarantine),
-		records:       newRecords(),
-		settled:       make(map[claim.Key]chan struct{}),
+	s, err := OpenState(StateSettings{})
+	if err != nil {
+		panic(err)
+	}
+	return s
+}
+
+// OpenState returns an empty state over a data folder. What the folder holds comes back by Restore and by
+// the entries after it.
+func OpenState(settings StateSettings) (*State, error) {
+	s := &State{changed: make(chan struct{}), settled: make(map[claim.Key]chan struct{})}
+	changes, err := settings.open("changes", 0, sealFew)
+	if err != nil {
+		return nil, err
+	}
+	records, err := settings.open("records", recordRetention, sealFew)
+	if err != nil {
+		return nil, err
+	}
+	s.claims, err = settings.open("claims", claim.Retention, claim.DefaultSealKeys)
+	if err != nil {
+		return nil, err
+	}
+	s.configuration = configuration{changes: newChanges(changes)}
+	s.records = newRecords(records)
+	s.reset()
+	return s, nil
+}
+
+// reset empties what is not in a store.
+func (s *State) reset() {
+	s.members = newMembers()
+	s.keys = claim.NewKeys(s.claims)
+	s.quarantined = make(map[string]*wire.Quarantine)
+}
+
+// open returns the store of a name.
+func (s StateSettings) open(name string, retention time.Duration, sealKeys int) (*claim.Store, error) {
+	settings := claim.Settings{Retention: retention, SealKeys: sealKeys}
+	if s.Directory != "" {
+		settings.Directory = filepath.Join(s.Directory, name)
+	}
+	if s.Fetch != nil {
+		settings.Fetch = func(segment string, offset int64) ([]byte, error) {
+			return s.Fetch(name+"/"+segment, offset)
+		}
 	}
+	return claim.NewStore(settings)
 }
 
 // Apply runs one committed command and returns its result, a marshalled wire.Result.
@@ -82,8 +138,10 @@
 	s.nowMs = max(s.nowMs, e.TimeMs)
 	command := &wire.Command{}
 	result := &wire.Result{}
-	if err := proto.Unmarshal(e.Command, command); err != nil {
-		result.Failure = refusal("apply", "invalid", err.Error())
+	if s.broken != nil {
+		result.Failure = storageFailure("apply", s.broken)
+	} else if err := proto.Unmarshal(e.Command, command); err != nil {
+		result.Failure = refusal("apply", ReasonInvalid, err.Error())
 	} else {
 		result = s.run(command)
 	}
@@ -102,7 +160,7 @@
 	case *wire.Command_Departure:
 		return s.depart(command.Replica, body.Departure)
 	case *wire.Command_Submit:
-		return s.submit(command.Replica, body.Submit)
+		return s.submit(command.Replica, body.Submit, command.RetentionMs)
 	case *wire.Command_InForce:
 		return s.inForce(command.Replica, body.InForce)
 	case *wire.Command_Claim:
@@ -132,7 +190,7 @@
 	if next.Revision == 0 {
 		next.Revision = s.configuration.revision
 	}
-	s.records.add(next)
+	s.records.add(next, s.nowMs)
 }
 
 // signal wakes everyone who waits for a newer view, revision or quarantine.
@@ -141,6 +199,45 @@
 	s.changed = make(chan struct{})
 }
 
+// fail notes that a store cannot be read. Going on would answer otherwise than the other replicas do.
+func (s *State) fail(step string, err error) *wire.Failure {
+	s.broken = err
+	return storageFailure(step, err)
+}
+
+// Err returns why the replica must stop, or nil. A disk that cannot be written is reported before it does
+// harm: what could not be sealed stays in memory.
+func (s *State) Err() error {
+	s.mutex.RLock()
+	defer s.mutex.RUnlock()
+	if s.broken != nil {
+		return s.broken
+	}
+	for _, store := range s.stores() {
+		if err := store.Err(); err != nil {
+			return err
+		}
+	}
+	return nil
+}
+
+func (s *State) stores() []*claim.Store {
+	return []*claim.Store{s.configuration.changes.store, s.records.store, s.claims}
+}
+
+// Close closes the files.
+func (s *State) Close() error {
+	s.mutex.Lock()
+	defer s.mutex.Unlock()
+	var failed error
+	for _, store := range s.stores() {
+		if err := store.Close(); err != nil {
+			failed = err
+		}
+	}
+	return failed
+}
+
 // Changed returns a channel that is closed at the next change of members, inventory or quarantine.
 func (s *State) Changed() <-chan struct{} {
 	s.mutex.RLock()
