Claims: the footer of a segment is checked too

Cause: the fuzzer found that a damaged time of the newest value in the footer was not noticed; the segment could have been dropped before its retention, and its keys granted again.

--- a/claim/segment.go
+++ b/claim/segment.go
@@ -24,7 +24,7 @@
 	blockEntries = 64
 	entrySize    = KeySize + 8 + 4 + 4 + 8
 	checksumSize = 4
-	footerSize   = 7 * 8
+	footerSize   = 8 * 8
 )
 
 var (
@@ -123,9 +123,11 @@
 }
 
 func appendFooter(file []byte, f footer) []byte {
+	start := len(file)
 	for _, number := range []uint64{f.indexOffset, f.filterOffset, f.count, f.newestMs, f.tail, f.whole} {
 		file = binary.BigEndian.AppendUint64(file, number)
 	}
+	file = binary.BigEndian.AppendUint64(file, xxhash.Sum64(file[start:]))
 	return append(file, segmentMagic...)
 }
 
@@ -153,6 +155,10 @@
 	if magic != segmentMagic {
 		return eris.Wrapf(ErrUnknownFormat, "%s: version %d, known is %d", s.name, magic[7], segmentMagic[7])
 	}
+	numbersEnd := footerSize - 16
+	if xxhash.Sum64(encoded[:numbersEnd]) != binary.BigEndian.Uint64(encoded[numbersEnd:]) {
+		return eris.Wrapf(ErrCorrupt, "%s: footer", s.name)
+	}
 	numbers := []*uint64{
 		&s.footer.indexOffset, &s.footer.filterOffset, &s.footer.count, &s.footer.newestMs, &s.footer.tail, &s.footer.whole,
 	}
--- a/claim/store.go
+++ b/claim/store.go
@@ -16,9 +16,9 @@
 const (
 	// Retention is how long a settled key and its answer are kept at least.
 	Retention = 24 * time.Hour
-	// DefaultSealKeys and DefaultSealBytes are the number of keys and the bytes of values at which the
-	// values in memory are sealed.
-	DefaultSealKeys  = 1 << 16
+	// DefaultSealKeys is the number of keys at which the values in memory are sealed.
+	DefaultSealKeys = 1 << 16
+	// DefaultSealBytes is the size of all values at which the values in memory are sealed.
 	DefaultSealBytes = 16 << 20
 )
 
--- a/claim/store_test.go
+++ b/claim/store_test.go
@@ -152,7 +152,7 @@
 		damaged := append([]byte(nil), whole...)
 		damaged[place] ^= 0x10
 		require.NoError(t, os.WriteFile(path, damaged, 0o600))
-		store, err := claim.NewStore(claim.Settings{Directory: directory, SealKeys: 100})
+		store, err := claim.NewStore(claim.Settings{Directory: directory, Retention: time.Hour, SealKeys: 100})
 		require.NoError(t, err)
 		if store.Restore(snapshot) != nil {
 			continue
