--- /dev/null
+++ b/sidecar/server.go
@@ -0,0 +1,271 @@
+// Package sidecar is the protocol between entries and the small process beside each upstream: its server,
+// which runs in that process, and its client, which runs in entries.
+package sidecar
+
+import (
+	"context"
+	"sync"
+	"time"
+
+	"github.com/uber-go/tally/v4"
+
+	"guavahitch.example/guavahitch/admission"
+	"guavahitch.example/guavahitch/engine"
+	"guavahitch.example/guavahitch/event"
+	"guavahitch.example/guavahitch/outcome"
+	"guavahitch.example/guavahitch/wire"
+)
+
+const (
+	// WaitLimit is the longest time that a Start or Fetch waits for data. It is the heartbeat of a call:
+	// an answer comes at least this often.
+	WaitLimit = 300 * time.Millisecond
+	// watchInterval is the time between two looks at the engine's life and load.
+	watchInterval = 200 * time.Millisecond
+)
+
+type (
+	// ServerSettings describes the server of one upstream.
+	ServerSettings struct {
+		// Name is the name of the upstream.
+		Name   string
+		Limits admission.Limits
+		Epoch  uint64
+		// IsModel tells a model engine, which reports load, from a plain service.
+		IsModel bool
+		Engine  *engine.Client
+		Events  *event.Ring
+		Scope   tally.Scope
+		// ReportDeath is told which attempts the engine was running when it died.
+		ReportDeath func(running []*wire.Suspect)
+		// Execute carries out an order of control; nil refuses every order.
+		Execute func(context.Context, *wire.OrderRequest) (*wire.OrderReply, error)
+	}
+
+	// Server implements wire.Sidecar.
+	Server struct {
+		settings ServerSettings
+		mutex    sync.Mutex
+		gate     *admission.Gate
+		requests map[admission.ID]*wire.StartRequest
+		stops    map[admission.ID]context.CancelFunc
+		load     *wire.Load
+		sequence uint64
+		alive    bool
+		base     context.Context
+		running  sync.WaitGroup
+	}
+)
+
+// NewServer returns a server whose runs end when the context ends.
+func NewServer(ctx context.Context, settings ServerSettings) *Server {
+	return &Server{
+		settings: settings, gate: admission.NewGate(settings.Name, settings.Epoch, settings.Limits),
+		requests: map[admission.ID]*wire.StartRequest{}, stops: map[admission.ID]context.CancelFunc{},
+		alive: true, base: ctx,
+	}
+}
+
+// Epoch returns the admission epoch in force.
+func (s *Server) Epoch() uint64 {
+	s.mutex.Lock()
+	defer s.mutex.Unlock()
+	return s.gate.Epoch()
+}
+
+// Start admits a request and waits for the first piece of its answer.
+func (s *Server) Start(ctx context.Context, request *wire.StartRequest) (*wire.Piece, error) {
+	s.mutex.Lock()
+	call, refusal := s.admit(request)
+	s.mutex.Unlock()
+	if refusal != nil {
+		s.settings.Scope.Tagged(map[string]string{"reason": refusal.Reason}).Counter("refused").Inc(1)
+		return &wire.Piece{Id: request.Id, Epoch: s.Epoch(), Failure: refusal.Failure(), Load: s.Load()}, nil
+	}
+	return s.read(ctx, request.Id, call, 0, request.WaitMs), nil
+}
+
+func (s *Server) admit(request *wire.StartRequest) (*admission.Call, *outcome.Error) {
+	now := time.Now()
+	if !s.alive {
+		return nil, &outcome.Error{
+			Step: "admit", Peer: s.settings.Name, Outcome: outcome.NotRun, Reason: "engine-down", RetryAfter: time.Second,
+		}
+	}
+	ticket := ticketOf(now, request)
+	known := s.gate.Call(ticket.ID) != nil
+	call, refusal := s.gate.Start(now, ticket)
+	if refusal != nil || known {
+		return call, refusal
+	}
+	s.requests[ticket.ID] = request
+	s.settings.Scope.Counter("admitted").Inc(1)
+	s.settings.Events.Add(&wire.Event{
+		Kind: "admit", Request: request.Id.Request, Peer: request.Entry, Detail: request.Path,
+	})
+	s.release(now)
+	return call, nil
+}
+
+func ticketOf(now time.Time, request *wire.StartRequest) admission.Ticket {
+	return admission.Ticket{
+		ID: idOf(request.Id), Epoch: request.Epoch, Entry: request.Entry, Sequence: request.Sequence,
+		Organisation: request.Organisation, Fingerprint: string(request.Fingerprint), Priority: request.Priority,
+		Deadline:   now.Add(time.Duration(request.DeadlineMs) * time.Millisecond),
+		Repeatable: request.Repeatable, Alone: request.Alone,
+	}
+}
+
+func idOf(id *wire.AttemptID) admission.ID {
+	return admission.ID{Request: id.GetRequest(), Attempt: id.GetAttempt()}
+}
+
+// release hands waiting attempts to the engine while there is room. The mutex is held.
+func (s *Server) release(now time.Time) {
+	for {
+		call, expired := s.gate.Next(now)
+		for _, late := range expired {
+			delete(s.requests, late.Ticket.ID)
+			late.Answer.Finish(&outcome.Error{
+				Step: "queue", Peer: s.settings.Name, Outcome: outcome.NotRun, Reason: "deadline",
+			})
+		}
+		if call == nil {
+			return
+		}
+		ctx, cancel := context.WithCancel(s.base)
+		s.stops[call.Ticket.ID] = cancel
+		s.running.Add(1)
+		go s.run(ctx, call, s.requests[call.Ticket.ID])
+	}
+}
+
+func (s *Server) run(ctx context.Context, call *admission.Call, request *wire.StartRequest) {
+	defer s.running.Done()
+	failure := s.settings.Engine.Run(ctx, engineCall(request), call.Answer)
+	if failure != nil {
+		failure = failure.WithPeer(s.settings.Name)
+		s.settings.Events.Add(&wire.Event{
+			Kind: "run-failed", Request: request.Id.Request, Detail: failure.Error(), Outcome: failure.Outcome.String(),
+		})
+		s.look()
+	}
+	s.mutex.Lock()
+	defer s.mutex.Unlock()
+	s.gate.End(time.Now(), call.Ticket.ID)
+	s.stops[call.Ticket.ID]()
+	delete(s.stops, call.Ticket.ID)
+	delete(s.requests, call.Ticket.ID)
+	call.Answer.Finish(failure)
+	s.release(time.Now())
+}
+
+func engineCall(request *wire.StartRequest) engine.Call {
+	call := engine.Call{
+		RequestID: request.Id.Request, Method: request.Method, Path: request.Path, Body: request.Body,
+		ResumeText: request.ResumeText, Repeatable: request.Repeatable,
+	}
+	for _, h := range request.Headers {
+		call.Headers = append(call.Headers, admission.Header{Name: h.Name, Value: h.Value})
+	}
+	return call
+}
+
+// Fetch waits for the piece of an answer at an offset.
+func (s *Server) Fetch(ctx context.Context, request *wire.FetchRequest) (*wire.Piece, error) {
+	id := idOf(request.Id)
+	s.mutex.Lock()
+	call := s.gate.Call(id)
+	if call != nil {
+		call.Touched = time.Now()
+		if request.Done && call.Ticket.Repeatable {
+			s.gate.Forget(id)
+		}
+	}
+	s.mutex.Unlock()
+	if call == nil {
+		failure := outcome.Error{Step: "fetch", Peer: s.settings.Name, Outcome: outcome.Unknown, Reason: "unknown-attempt"}
+		return &wire.Piece{Id: request.Id, Epoch: s.Epoch(), Failure: failure.Failure()}, nil
+	}
+	if request.Done {
+		return &wire.Piece{Id: request.Id, Epoch: s.Epoch(), Load: s.Load()}, nil
+	}
+	return s.read(ctx, request.Id, call, request.Offset, request.WaitMs), nil
+}
+
+func (s *Server) read(ctx context.Context, id *wire.AttemptID, call *admission.Call, offset, waitMs int64) *wire.Piece {
+	wait := min(time.Duration(waitMs)*time.Millisecond, WaitLimit)
+	piece, refusal := call.Answer.Read(ctx, offset, wait)
+	if refusal != nil {
+		refusal = refusal.WithPeer(s.settings.Name)
+		return &wire.Piece{Id: id, Epoch: s.Epoch(), Offset: offset, Failure: refusal.Failure()}
+	}
+	return s.pieceOf(id, piece)
+}
+
+func (s *Server) pieceOf(id *wire.AttemptID, piece admission.Piece) *wire.Piece {
+	sent := &wire.Piece{
+		Id: id, Epoch: s.Epoch(), Status: int32(piece.Head.Status), Offset: piece.Offset, Data: piece.Data,
+		End: piece.End, Length: piece.Length, Checksum: piece.Checksum, Load: s.Load(),
+	}
+	if piece.Failure != nil {
+		sent.Failure = piece.Failure.Failure()
+	}
+	for _, h := range piece.Head.Headers {
+		sent.Headers = append(sent.Headers, &wire.Header{Name: h.Name, Value: h.Value})
+	}
+	return sent
+}
+
+// Cancel bars an attempt that has not started. A running repeatable one is stopped; a running
+// non-repeatable one goes on, so that its outcome can be learned.
+func (s *Server) Cancel(_ context.Context, request *wire.CancelRequest) (*wire.CancelReply, error) {
+	id := idOf(request.Id)
+	s.mutex.Lock()
+	defer s.mutex.Unlock()
+	call := s.gate.Call(id)
+	known := s.gate.Cancel(time.Now(), request.Epoch, id, request.Entry, request.Sequence)
+	if known == outcome.NotRun {
+		delete(s.requests, id)
+		if call != nil {
+			call.Answer.Finish(&outcome.Error{Step: "cancel", Peer: s.settings.Name, Outcome: outcome.NotRun, Reason: "cancelled"})
+		}
+	}
+	if call != nil && call.State == admission.Running && call.Ticket.Repeatable {
+		s.stops[id]()
+	}
+	s.settings.Events.Add(&wire.Event{Kind: "cancel", Request: id.Request, Outcome: known.String()})
+	return &wire.CancelReply{Outcome: wire.Outcome(known), Epoch: s.gate.Epoch()}, nil
+}
+
+// Ping answers the heartbeat of a connection.
+func (s *Server) Ping(context.Context, *wire.PingRequest) (*wire.PingReply, error) {
+	s.mutex.Lock()
+	draining := s.gate.IsDraining()
+	s.mutex.Unlock()
+	return &wire.PingReply{Epoch: s.Epoch(), Draining: draining, Load: s.Load()}, nil
+}
+
+// Execute carries out an order of control.
+func (s *Server) Execute(ctx context.Context, order *wire.OrderRequest) (*wire.OrderReply, error) {
+	if s.settings.Execute == nil {
+		refusal := outcome.Error{Step: "order", Peer: s.settings.Name, Outcome: outcome.NotRun, Reason: "no-orders"}
+		return &wire.OrderReply{Failure: refusal.Failure()}, nil
+	}
+	return s.settings.Execute(ctx, order)
+}
+
+// Load returns the load of the upstream: the gate's own counts and the engine's last report.
+func (s *Server) Load() *wire.Load {
+	s.mutex.Lock()
+	defer s.mutex.Unlock()
+	running, queued := s.gate.Counts()
+	s.sequence++
+	load := &wire.Load{
+		Running: int32(running), Queued: int32(queued), Capacity: int32(s.settings.Limits.Running), Sequence: s.sequence,
+	}
+	if s.load != nil {
+		load.RunningTokens, load.StepUs = s.load.RunningTokens, s.load.StepUs
+	}
+	return load
+}
--- /dev/null
+++ b/sidecar/watch.go
@@ -0,0 +1,119 @@
+package sidecar
+
+import (
+	"context"
+	"time"
+
+	"guavahitch.example/guavahitch/admission"
+	"guavahitch.example/guavahitch/outcome"
+	"guavahitch.example/guavahitch/wire"
+)
+
+// watch.go looks after the engine: its life, its load, calls that no entry asks for, and the planned stop.
+
+// Watch looks at the engine until the context ends.
+func (s *Server) Watch(ctx context.Context) {
+	ticker := time.NewTicker(watchInterval)
+	defer ticker.Stop()
+	for {
+		select {
+		case <-ctx.Done():
+			return
+		case <-ticker.C:
+			s.look()
+			s.readLoad(ctx)
+			s.expire()
+		}
+	}
+}
+
+// look notes whether the engine is alive, and reports its death once with the attempts that it was running.
+func (s *Server) look() {
+	alive := s.settings.Engine.IsAlive(s.base)
+	s.mutex.Lock()
+	died := s.alive && !alive && s.base.Err() == nil
+	changed := s.alive != alive
+	s.alive = alive
+	var suspects []*wire.Suspect
+	if died {
+		suspects = suspectsOf(s.gate.Running())
+	}
+	s.mutex.Unlock()
+	if changed {
+		s.settings.Events.Add(&wire.Event{Kind: "engine", Detail: lifeWord(alive)})
+	}
+	if died {
+		s.settings.Scope.Counter("engine_deaths").Inc(1)
+		s.settings.ReportDeath(suspects)
+	}
+}
+
+func lifeWord(alive bool) string {
+	if alive {
+		return "alive"
+	}
+	return "dead"
+}
+
+func suspectsOf(running []*admission.Call) []*wire.Suspect {
+	var suspects []*wire.Suspect
+	for _, call := range running {
+		suspects = append(suspects, &wire.Suspect{
+			Fingerprint: []byte(call.Ticket.Fingerprint), Organisation: call.Ticket.Organisation,
+			Repeatable: call.Ticket.Repeatable, Alone: call.Ticket.Alone,
+		})
+	}
+	return suspects
+}
+
+func (s *Server) readLoad(ctx context.Context) {
+	if !s.settings.IsModel {
+		return
+	}
+	load, err := s.settings.Engine.Load(ctx)
+	if err != nil || load == nil {
+		return
+	}
+	s.mutex.Lock()
+	s.load = load
+	s.mutex.Unlock()
+}
+
+func (s *Server) expire() {
+	s.mutex.Lock()
+	defer s.mutex.Unlock()
+	for _, call := range s.gate.Expire(time.Now()) {
+		s.stops[call.Ticket.ID]()
+	}
+}
+
+// Drain refuses new attempts and waits until every admitted one has ended and its answer has been fetched,
+// or until the context ends.
+func (s *Server) Drain(ctx context.Context) error {
+	s.mutex.Lock()
+	s.gate.Drain()
+	s.mutex.Unlock()
+	s.settings.Events.Add(&wire.Event{Kind: "drain"})
+	ticker := time.NewTicker(watchInterval / 10)
+	defer ticker.Stop()
+	for {
+		s.mutex.Lock()
+		idle := s.gate.IsIdle()
+		s.mutex.Unlock()
+		if idle {
+			return nil
+		}
+		select {
+		case <-ticker.C:
+		case <-ctx.Done():
+			return outcome.Error{Step: "drain", Peer: s.settings.Name, Outcome: outcome.Unknown, Reason: "timeout"}.WithCause(ctx.Err())
+		}
+	}
+}
+
+// IsDraining reports whether the server refuses new attempts.
+func (s *Server) IsDraining() bool {
+	s.mutex.Lock()
+	defer s.mutex.Unlock()
+	return s.gate.IsDraining()
+}
