--- a/sidecar/attempt.go
+++ b/sidecar/attempt.go
@@ -42,12 +42,12 @@
 
 // NewAttempt returns an attempt that has not been sent. The request's sequence number is set here.
 func NewAttempt(link *Link, peer string, request *wire.StartRequest) *Attempt {
-	request.Sequence = link.NextSequence()
+	request.Id.Sequence = link.NextSequence()
 	return &Attempt{link: link, request: request, peer: peer, digest: xxhash.New()}
 }
 
-// Sequence returns the sequence number that the attempt is sent with.
-func (a *Attempt) Sequence() uint64 { return a.request.Sequence }
+// ID returns the name of the attempt.
+func (a *Attempt) ID() *wire.AttemptID { return a.request.Id }
 
 // Next returns the next piece with data, head or end. After an error the attempt is over, and the error
 // tells what is known of the run.
@@ -163,21 +163,7 @@
 func (a *Attempt) Cancel(ctx context.Context) outcome.Outcome {
 	ctx, cancel := context.WithTimeout(context.WithoutCancel(ctx), settleFor)
 	defer cancel()
-	request := &wire.CancelRequest{
-		Id: a.request.Id, Epoch: a.request.Epoch, Entry: a.request.Entry, Sequence: a.request.Sequence,
-	}
-	for ctx.Err() == nil {
-		var reply *wire.CancelReply
-		err := a.link.call(ctx, 0, func(ctx context.Context, g *generation) (err error) {
-			reply, err = g.client.Cancel(ctx, request)
-			return err
-		})
-		if err == nil {
-			return outcome.Outcome(reply.Outcome)
-		}
-		time.Sleep(askAgainPause)
-	}
-	return outcome.Unknown
+	return a.link.Cancel(ctx, &wire.CancelRequest{Id: a.request.Id, Epoch: a.request.Epoch})
 }
 
 // Done tells the sidecar that the whole answer is held and may be dropped.
--- a/sidecar/server.go
+++ b/sidecar/server.go
@@ -101,7 +101,7 @@
 	s.requests[ticket.ID] = request
 	s.settings.Scope.Counter("admitted").Inc(1)
 	s.settings.Events.Add(&wire.Event{
-		Kind: "admit", Request: request.Id.Request, Peer: request.Entry, Detail: request.Path,
+		Kind: "admit", Request: request.Id.Request, Peer: request.Id.Entry, Detail: request.Path,
 	})
 	s.release(now)
 	return call, nil
@@ -109,7 +109,7 @@
 
 func ticketOf(now time.Time, request *wire.StartRequest) admission.Ticket {
 	return admission.Ticket{
-		ID: idOf(request.Id), Epoch: request.Epoch, Entry: request.Entry, Sequence: request.Sequence,
+		ID: idOf(request.Id), Epoch: request.Epoch, Entry: request.Id.GetEntry(), Sequence: request.Id.GetSequence(),
 		Organisation: request.Organisation, Fingerprint: string(request.Fingerprint), Priority: request.Priority,
 		Deadline:   now.Add(time.Duration(request.DeadlineMs) * time.Millisecond),
 		Repeatable: request.Repeatable, Alone: request.Alone,
@@ -219,23 +219,49 @@
 
 // Cancel bars an attempt that has not started. A running repeatable one is stopped; a running
 // non-repeatable one goes on, so that its outcome can be learned.
-func (s *Server) Cancel(_ context.Context, request *wire.CancelRequest) (*wire.CancelReply, error) {
+func (s *Server) Cancel(ctx context.Context, request *wire.CancelRequest) (*wire.CancelReply, error) {
+	known := s.cancel(request)
+	if known == outcome.Unknown && request.Reference != "" && !s.holds(request.Id) {
+		known = s.askEngine(ctx, request.Reference)
+	}
+	s.settings.Events.Add(&wire.Event{Kind: "cancel", Request: request.Id.GetRequest(), Outcome: known.String()})
+	return &wire.CancelReply{Outcome: wire.Outcome(known), Epoch: s.Epoch()}, nil
+}
+
+func (s *Server) cancel(request *wire.CancelRequest) outcome.Outcome {
 	id := idOf(request.Id)
 	s.mutex.Lock()
 	defer s.mutex.Unlock()
 	call := s.gate.Call(id)
-	known := s.gate.Cancel(time.Now(), request.Epoch, id, request.Entry, request.Sequence)
+	known := s.gate.Cancel(time.Now(), request.Epoch, id, request.Id.GetEntry(), request.Id.GetSequence())
 	if known == outcome.NotRun {
 		delete(s.requests, id)
 		if call != nil {
-			call.Answer.Finish(&outcome.Error{Step: "cancel", Peer: s.settings.Name, Outcome: outcome.NotRun, Reason: "cancelled"})
+			call.Answer.Finish(&outcome.Error{Step: "cancel", Peer: s.settings.Name, Outcome: known, Reason: "cancelled"})
 		}
 	}
 	if call != nil && call.State == admission.Running && call.Ticket.Repeatable {
 		s.stops[id]()
 	}
-	s.settings.Events.Add(&wire.Event{Kind: "cancel", Request: id.Request, Outcome: known.String()})
-	return &wire.CancelReply{Outcome: wire.Outcome(known), Epoch: s.gate.Epoch()}, nil
+	return known
+}
+
+func (s *Server) holds(id *wire.AttemptID) bool {
+	s.mutex.Lock()
+	defer s.mutex.Unlock()
+	return s.gate.Call(idOf(id)) != nil
+}
+
+// askEngine asks a plain service by reference whether a call ran. That it has not run yet proves nothing:
+// the call may be on its way.
+func (s *Server) askEngine(ctx context.Context, reference string) outcome.Outcome {
+	if s.settings.IsModel {
+		return outcome.Unknown
+	}
+	if ran, known := s.settings.Engine.HasRun(ctx, reference); known && ran {
+		return outcome.Ran
+	}
+	return outcome.Unknown
 }
 
 // Ping answers the heartbeat of a connection.
