--- /dev/null
+++ b/caller/refusal.go
@@ -0,0 +1,38 @@
+package caller
+
+import (
+	"encoding/json"
+	"fmt"
+	"math"
+	"net/http"
+	"time"
+
+	"github.com/labstack/echo/v5"
+
+	"guavahitch.example/guavahitch/dispatch"
+	"guavahitch.example/guavahitch/outcome"
+)
+
+// writeRefusal answers with the JSON error of a refusal, and with Retry-After in seconds where a retry helps.
+func writeRefusal(c *echo.Context, failure *outcome.Error) error {
+	w := c.Response()
+	_ = http.NewResponseController(w).SetWriteDeadline(deadlineOfWrite())
+	if failure.RetryAfter > 0 {
+		w.Header().Set("Retry-After", itoa(int(math.Ceil(failure.RetryAfter.Seconds()))))
+	}
+	return c.JSON(dispatch.StatusOf(failure), dispatch.NewRefusal(failure))
+}
+
+// writeErrorEvent ends a stream with an event that holds the JSON error.
+func writeErrorEvent(w http.ResponseWriter, failure *outcome.Error) {
+	text, err := json.Marshal(dispatch.NewRefusal(failure))
+	if err != nil {
+		return
+	}
+	control := http.NewResponseController(w)
+	_ = control.SetWriteDeadline(deadlineOfWrite())
+	fmt.Fprintf(w, "event: error\ndata: %s\n\n", text)
+	_ = control.Flush()
+}
+
+func deadlineOfWrite() time.Time { return time.Now().Add(writeTimeout) }
--- /dev/null
+++ b/dispatch/dispatcher.go
@@ -0,0 +1,208 @@
+package dispatch
+
+import (
+	"context"
+	"net/http"
+	"sync"
+	"sync/atomic"
+	"time"
+
+	"github.com/uber-go/tally/v4"
+
+	"guavahitch.example/guavahitch/event"
+	"guavahitch.example/guavahitch/fairness"
+	"guavahitch.example/guavahitch/inventory"
+	"guavahitch.example/guavahitch/leader"
+	"guavahitch.example/guavahitch/lease"
+	"guavahitch.example/guavahitch/outcome"
+	"guavahitch.example/guavahitch/quarantine"
+	"guavahitch.example/guavahitch/retry"
+	"guavahitch.example/guavahitch/routing"
+	"guavahitch.example/guavahitch/sidecar"
+	"guavahitch.example/guavahitch/wire"
+)
+
+const (
+	// retryRatio, retryFloor and retryBurst bound the retries of one service: a share of its requests, a
+	// rate a second, and what is saved up.
+	retryRatio = 0.1
+	retryFloor = 5
+	retryBurst = 100
+	// queueLimit is the number of requests of one service that wait at an entry.
+	queueLimit = 4096
+)
+
+type (
+	// Settings describes a dispatcher.
+	Settings struct {
+		// Entry is the name of the entry, and Incarnation tells this process from earlier ones.
+		Entry         string
+		Incarnation   string
+		FailureDomain string
+		Region        string
+		// Subset is the number of upstreams of one service that the entry uses; 0 for the default.
+		Subset    int
+		Leader    *leader.Client
+		Transport sidecar.Transport
+		Events    *event.Ring
+		Scope     tally.Scope
+	}
+
+	// Dispatcher runs requests. Traffic goroutines call Do; one control goroutine calls Use.
+	Dispatcher struct {
+		settings  Settings
+		picker    *routing.Picker
+		verdicts  quarantine.View
+		inventory atomic.Pointer[inventory.Inventory]
+		holder    atomic.Pointer[lease.Holder]
+		mutex     sync.Mutex
+		links     map[string]*sidecar.Link
+		gates     map[string]*fairness.Gate
+		budgets   map[string]*retry.Budget
+		inFlight  sync.WaitGroup
+		draining  atomic.Bool
+	}
+
+	// waiting is a request in the fair queue with the place that it was given.
+	waiting struct {
+		request routing.Request
+		choice  routing.Choice
+		refusal *outcome.Error
+	}
+)
+
+// NewDispatcher returns a dispatcher that knows no upstreams and refuses all work.
+func NewDispatcher(settings Settings) *Dispatcher {
+	d := &Dispatcher{
+		settings: settings, links: map[string]*sidecar.Link{}, gates: map[string]*fairness.Gate{},
+		budgets: map[string]*retry.Budget{},
+	}
+	d.picker = routing.NewPicker(routing.Settings{
+		Entry: settings.Entry, FailureDomain: settings.FailureDomain, Subset: settings.Subset, OnRoom: d.onRoom,
+	})
+	d.inventory.Store(&inventory.Inventory{})
+	d.holder.Store(&lease.Holder{})
+	return d
+}
+
+// Inventory returns the inventory in force at this entry.
+func (d *Dispatcher) Inventory() *inventory.Inventory { return d.inventory.Load() }
+
+// Holder returns what the entry holds of control's state.
+func (d *Dispatcher) Holder() lease.Holder { return *d.holder.Load() }
+
+// Picker returns the picker, for reports of load.
+func (d *Dispatcher) Picker() *routing.Picker { return d.picker }
+
+// Do runs the request and hands its answer to the sink. The error tells what is known of the run.
+func (d *Dispatcher) Do(ctx context.Context, request *Request, sink Sink) *outcome.Error {
+	if d.draining.Load() {
+		return &outcome.Error{
+			Step: "admit", Peer: d.settings.Entry, Outcome: outcome.NotRun, Reason: "draining", RetryAfter: time.Second,
+			Status: http.StatusServiceUnavailable,
+		}
+	}
+	d.inFlight.Add(1)
+	defer d.inFlight.Done()
+	now := time.Now()
+	treatment, refusal := d.verdicts.Check(now, request.Organisation, request.fingerprint(), request.Repeatable)
+	if refusal != nil {
+		d.note("refused", request, "", refusal)
+		return refusal
+	}
+	ctx, cancel := context.WithDeadline(ctx, request.Deadline)
+	defer cancel()
+	job := &job{d: d, request: request, sink: sink, alone: treatment == quarantine.Alone}
+	if request.Key != "" && !request.Repeatable {
+		return job.runClaimed(ctx)
+	}
+	return job.run(ctx)
+}
+
+// Drain refuses new requests and waits until all in flight have ended or the context ends.
+func (d *Dispatcher) Drain(ctx context.Context) error {
+	d.draining.Store(true)
+	done := make(chan struct{})
+	go func() {
+		d.inFlight.Wait()
+		close(done)
+	}()
+	select {
+	case <-done:
+		return nil
+	case <-ctx.Done():
+		return outcome.Error{Step: "drain", Peer: d.settings.Entry, Outcome: outcome.Unknown, Reason: "timeout"}.WithCause(ctx.Err())
+	}
+}
+
+// IsDraining reports whether new requests are refused.
+func (d *Dispatcher) IsDraining() bool { return d.draining.Load() }
+
+func (d *Dispatcher) note(kind string, request *Request, peer string, failure *outcome.Error) {
+	e := &wire.Event{Kind: kind, Request: request.ID, Peer: peer}
+	if failure != nil {
+		e.Outcome, e.Detail = failure.Outcome.String(), failure.Error()
+		d.settings.Scope.Tagged(map[string]string{"reason": failure.Reason}).Counter(kind).Inc(1)
+	}
+	d.settings.Events.Add(e)
+}
+
+// link returns the connections to a sidecar.
+func (d *Dispatcher) link(address string) *sidecar.Link {
+	d.mutex.Lock()
+	defer d.mutex.Unlock()
+	if d.links[address] == nil {
+		d.links[address] = sidecar.NewLink(address, d.settings.Transport)
+	}
+	return d.links[address]
+}
+
+func (d *Dispatcher) budget(service string) *retry.Budget {
+	d.mutex.Lock()
+	defer d.mutex.Unlock()
+	if d.budgets[service] == nil {
+		d.budgets[service] = retry.NewBudget(retryRatio, retryFloor, retryBurst)
+	}
+	return d.budgets[service]
+}
+
+// gate returns the fair queue of a service.
+func (d *Dispatcher) gate(service string) *fairness.Gate {
+	d.mutex.Lock()
+	defer d.mutex.Unlock()
+	if d.gates[service] == nil {
+		d.gates[service] = fairness.NewGate(fairness.Settings{LimitsOf: d.limitsOf, Limit: queueLimit}, d.take)
+	}
+	return d.gates[service]
+}
+
+func (d *Dispatcher) limitsOf(organisation string) fairness.Limits {
+	known, ok := d.inventory.Load().Organisation(organisation)
+	if !ok {
+		return fairness.Limits{Weight: 1}
+	}
+	return fairness.Limits{Weight: known.Weight, Running: known.Limits.Concurrent}
+}
+
+// take gives the request that is next in the queue a place at an upstream, and reports whether there was
+// one. A refusal for another reason than want of room ends the wait too.
+func (d *Dispatcher) take(now time.Time, t *fairness.Ticket) bool {
+	w := t.Value.(*waiting)
+	w.choice, w.refusal = d.picker.Pick(now, w.request)
+	return w.refusal == nil || w.refusal.Reason != "no-room"
+}
+
+// onRoom lets waiting requests go when a place at an upstream came free.
+func (d *Dispatcher) onRoom() {
+	d.mutex.Lock()
+	gates := make([]*fairness.Gate, 0, len(d.gates))
+	for _, g := range d.gates {
+		gates = append(gates, g)
+	}
+	d.mutex.Unlock()
+	for _, g := range gates {
+		if g.Len() > 0 {
+			go g.Wake()
+		}
+	}
+}
--- /dev/null
+++ b/dispatch/job.go
@@ -0,0 +1,225 @@
+package dispatch
+
+import (
+	"context"
+	"net/http"
+	"time"
+
+	"guavahitch.example/guavahitch/admission"
+	"guavahitch.example/guavahitch/fairness"
+	"guavahitch.example/guavahitch/outcome"
+	"guavahitch.example/guavahitch/retry"
+	"guavahitch.example/guavahitch/routing"
+	"guavahitch.example/guavahitch/sidecar"
+	"guavahitch.example/guavahitch/wire"
+)
+
+// job.go runs one request: the fair queue, then attempts until one brings the whole answer or no further one
+// is of use.
+
+// expectedAttempt is the shortest time that a further attempt is worth, until the request's own first
+// prediction is known.
+const expectedAttempt = 5 * time.Millisecond
+
+type job struct {
+	d       *Dispatcher
+	request *Request
+	sink    Sink
+	alone   bool
+	// number counts the attempts from 1.
+	number int
+	// exclude names upstreams that failed this request.
+	exclude []string
+	ticket  *fairness.Ticket
+	// ran is the strongest doubt of all attempts so far: NotRun until one may have run.
+	ran outcome.Outcome
+	out *output
+}
+
+func (j *job) routingRequest() routing.Request {
+	r := j.request
+	return routing.Request{
+		Service: r.Service, Organisation: r.Organisation, PromptTokens: r.PromptTokens, OutputTokens: r.OutputTokens,
+		PrefixHashes: r.PrefixHashes, Deadline: r.Deadline, Exclude: j.exclude, Alone: j.alone, Admitted: j.number > 1,
+	}
+}
+
+// admit waits in the fair queue for the first place, and takes a further place at once.
+func (j *job) admit(ctx context.Context) (routing.Choice, *outcome.Error) {
+	j.number++
+	if j.number > 1 {
+		return j.d.picker.Pick(time.Now(), j.routingRequest())
+	}
+	w := &waiting{request: j.routingRequest()}
+	j.ticket = &fairness.Ticket{
+		Organisation: j.request.Organisation, Weight: j.request.Weight,
+		Cost: float64(j.request.PromptTokens + j.request.OutputTokens), Latest: j.request.Deadline, Value: w,
+	}
+	if refusal := j.d.gate(j.request.Service).Acquire(ctx, j.ticket); refusal != nil {
+		j.ticket = nil
+		return routing.Choice{}, refusal
+	}
+	return w.choice, w.refusal
+}
+
+func (j *job) release() {
+	if j.ticket != nil {
+		j.d.gate(j.request.Service).Release(j.ticket, 0)
+		j.ticket = nil
+	}
+}
+
+// run makes attempts until one succeeds.
+func (j *job) run(ctx context.Context) *outcome.Error {
+	defer j.release()
+	j.ran = outcome.NotRun
+	j.out = newOutput(j.request, j.sink)
+	j.d.budget(j.request.Service).Attempted(time.Now())
+	for {
+		choice, refusal := j.admit(ctx)
+		if refusal != nil {
+			return j.final(refusal)
+		}
+		failure := j.attempt(ctx, choice, j.newAttempt(choice))
+		if failure == nil {
+			return nil
+		}
+		j.doubt(failure)
+		j.exclude = append(j.exclude, choice.Upstream.Name)
+		if !j.again(ctx, failure) {
+			return j.final(failure)
+		}
+	}
+}
+
+// doubt remembers the strongest doubt: once an attempt may have run, no later one proves the contrary.
+func (j *job) doubt(failure *outcome.Error) {
+	if j.ran == outcome.NotRun || failure.Outcome == outcome.Ran {
+		j.ran = failure.Outcome
+	}
+}
+
+// final returns the answer to a request that is given up on: at once, with what is known of all attempts.
+func (j *job) final(failure *outcome.Error) *outcome.Error {
+	j.doubt(failure)
+	if j.ran != failure.Outcome {
+		failure = failure.WithOutcome(j.ran)
+	}
+	j.d.note("failed", j.request, failure.Peer, failure)
+	return failure
+}
+
+// again decides whether to try again and waits the time before it.
+func (j *job) again(ctx context.Context, failure *outcome.Error) bool {
+	if ctx.Err() != nil || !j.out.canContinue() {
+		return false
+	}
+	decision := retry.Decide(time.Now(), retry.Attempt{
+		Number: j.number, Repeatable: j.request.Repeatable, Deadline: j.request.Deadline, Expected: expectedAttempt,
+		Failure: failure,
+	}, j.d.budget(j.request.Service))
+	if !decision.Again {
+		return false
+	}
+	timer := time.NewTimer(decision.Wait)
+	defer timer.Stop()
+	select {
+	case <-timer.C:
+		return true
+	case <-ctx.Done():
+		return false
+	}
+}
+
+// newAttempt returns the attempt at the chosen upstream, not sent yet.
+func (j *job) newAttempt(choice routing.Choice) *sidecar.Attempt {
+	r := j.request
+	left, _ := retry.Pass(time.Now(), r.Deadline)
+	fingerprint := r.fingerprint()
+	start := &wire.StartRequest{
+		Id: &wire.AttemptID{
+			Request: r.ID, Attempt: int32(j.number), Entry: j.d.settings.Entry + "/" + j.d.settings.Incarnation,
+		},
+		Epoch: choice.Upstream.Epoch, Organisation: r.Organisation, Service: r.Service, Method: r.Method, Path: r.Path,
+		Body: r.Body, DeadlineMs: left.Milliseconds(), Priority: r.Priority, Repeatable: r.Repeatable,
+		Fingerprint: fingerprint.Bytes(), Alone: j.alone, Rank: int32(choice.Rank), Revision: j.d.Holder().Revision(),
+		WaitMs: sidecar.WaitLimit.Milliseconds(),
+	}
+	if j.out != nil {
+		start.ResumeText = j.out.resumeText()
+	}
+	for _, h := range r.Headers {
+		start.Headers = append(start.Headers, &wire.Header{Name: h.Name, Value: h.Value})
+	}
+	return sidecar.NewAttempt(j.d.link(choice.Upstream.Address), choice.Upstream.Name, start)
+}
+
+// attempt runs one attempt to its end and feeds its pieces to the output.
+func (j *job) attempt(ctx context.Context, choice routing.Choice, attempt *sidecar.Attempt) *outcome.Error {
+	up := choice.Upstream
+	attempt.OnLoad = func(load *wire.Load) { j.d.picker.Observe(time.Now(), up.Name, up.Epoch, load) }
+	j.d.note("dispatch", j.request, up.Name, nil)
+	first := true
+	for {
+		piece, failure := attempt.Next(ctx)
+		now := time.Now()
+		if failure != nil {
+			j.reportFailure(choice, failure, now)
+			return failure
+		}
+		if first && len(piece.Data) > 0 {
+			choice.Attempt.FirstToken(now)
+			first = false
+		}
+		if err := j.out.add(headOf(piece), piece.Data, piece.End); err != nil {
+			choice.Attempt.Ended(now)
+			known := attempt.Cancel(ctx)
+			return outcome.Error{
+				Step: "deliver", Outcome: known, Reason: "caller-gone", Status: statusClientClosed,
+			}.WithCause(err)
+		}
+		if piece.End {
+			choice.Attempt.Ended(now)
+			go attempt.Done(ctx)
+			j.d.note("answered", j.request, up.Name, nil)
+			return nil
+		}
+	}
+}
+
+// statusClientClosed is noted for a caller that has gone; it is never sent.
+const statusClientClosed = 499
+
+// reportFailure tells the picker whether the upstream is to blame.
+func (j *job) reportFailure(choice routing.Choice, failure *outcome.Error, now time.Time) {
+	j.d.note("attempt-failed", j.request, choice.Upstream.Name, failure)
+	if failure.Outcome == outcome.NotRun && failure.Reason != "unreachable" && failure.Reason != "engine-down" {
+		choice.Attempt.Ended(now)
+		return
+	}
+	choice.Attempt.Failed(now)
+}
+
+func headOf(piece *wire.Piece) admission.Head {
+	head := admission.Head{Status: int(piece.Status)}
+	for _, h := range piece.Headers {
+		head.Headers = append(head.Headers, admission.Header{Name: h.Name, Value: h.Value})
+	}
+	return head
+}
+
+// StatusOf returns the HTTP status of a failure towards the caller.
+func StatusOf(failure *outcome.Error) int {
+	switch {
+	case failure.Status != 0:
+		return failure.Status
+	case failure.Reason == "deadline" || failure.Reason == "cancelled" || failure.Reason == "too-late":
+		return http.StatusGatewayTimeout
+	case failure.Reason == "limit":
+		return http.StatusTooManyRequests
+	case failure.Outcome == outcome.NotRun:
+		return http.StatusServiceUnavailable
+	default:
+		return http.StatusBadGateway
+	}
+}
--- /dev/null
+++ b/dispatch/view.go
@@ -0,0 +1,98 @@
+package dispatch
+
+import (
+	"context"
+	"strconv"
+	"time"
+
+	"guavahitch.example/guavahitch/inventory"
+	"guavahitch.example/guavahitch/lease"
+	"guavahitch.example/guavahitch/routing"
+	"guavahitch.example/guavahitch/wire"
+)
+
+// view.go keeps the entry's copy of control's state: members, inventory, verdicts and the lease on them.
+
+const (
+	// watchPause is the pause after a failed watch.
+	watchPause = 100 * time.Millisecond
+	// roleSidecar is the role of members that front an upstream.
+	roleSidecar = "sidecar"
+)
+
+// Follow watches control until the context ends. It is the one writer of the entry's view.
+func (d *Dispatcher) Follow(ctx context.Context) error {
+	for ctx.Err() == nil {
+		sent := time.Now()
+		request := d.Holder().Request(d.settings.Entry, lease.RenewInterval)
+		reply, failure := d.settings.Leader.Watch(ctx, request)
+		if failure != nil {
+			time.Sleep(watchPause)
+			continue
+		}
+		d.Use(d.Holder().With(reply, sent))
+		if reply.Failure != nil {
+			time.Sleep(watchPause)
+		}
+	}
+	return ctx.Err()
+}
+
+// Use replaces the view of the entry.
+func (d *Dispatcher) Use(holder lease.Holder) {
+	before := d.Holder()
+	if holder.Revision() != before.Revision() {
+		d.useInventory(holder)
+	}
+	d.verdicts.Use(holder.Quarantined())
+	if holder.View() != before.View() || holder.Revision() != before.Revision() {
+		d.picker.Use(d.tableOf(holder))
+		d.dropLinks(holder)
+	} else {
+		d.picker.Use(d.picker.Table().WithLease(holder.Expires()))
+	}
+	d.holder.Store(&holder)
+	d.onRoom()
+}
+
+func (d *Dispatcher) useInventory(holder lease.Holder) {
+	accepted, err := inventory.Parse("inventory", holder.Inventory())
+	if err != nil {
+		d.settings.Events.Add(&wire.Event{Kind: "inventory-unreadable", Detail: err.Error()})
+		return
+	}
+	d.inventory.Store(accepted)
+	d.settings.Scope.Gauge("inventory_revision").Update(float64(holder.Revision()))
+	d.settings.Events.Add(&wire.Event{Kind: "inventory-in-force", Detail: "revision " + strconv.FormatUint(holder.Revision(), 10)})
+}
+
+func (d *Dispatcher) tableOf(holder lease.Holder) routing.Table {
+	var upstreams []routing.Upstream
+	owned := d.inventory.Load()
+	for _, member := range holder.Members() {
+		if member.Role != roleSidecar {
+			continue
+		}
+		if _, listed := owned.Upstream(member.Name); !listed && !owned.Rules.AdmitUnlisted {
+			continue
+		}
+		upstreams = append(upstreams, routing.UpstreamOf(member))
+	}
+	return routing.Table{}.WithLease(holder.Expires()).With(upstreams...)
+}
+
+// dropLinks closes the connections to sidecars that have left.
+func (d *Dispatcher) dropLinks(holder lease.Holder) {
+	present := map[string]bool{}
+	for _, member := range holder.Members() {
+		present[member.Address] = true
+	}
+	d.mutex.Lock()
+	defer d.mutex.Unlock()
+	for address, link := range d.links {
+		if !present[address] {
+			link.Close()
+			delete(d.links, address)
+		}
+	}
+}
