The whole path, thin: callers to upstreams and back

Cause: no request could be served. Conclusion: every seam is in place; the parts can now be made real one by one.

--- a/command/command.go
+++ b/command/command.go
@@ -2,6 +2,7 @@
 package command
 
 import (
+	"context"
 	"fmt"
 	"io"
 
@@ -19,6 +20,7 @@
 
 // verbs lists the verbs in the order of the help text.
 var verbs = []func() *cobra.Command{
+	newDev,
 	newVersion,
 }
 
@@ -36,7 +38,7 @@
 	for _, newVerb := range verbs {
 		root.AddCommand(newVerb())
 	}
-	if err := root.Execute(); err != nil {
+	if err := root.ExecuteContext(context.Background()); err != nil {
 		fmt.Fprintf(stderr, "guavahitch: %v\n", err)
 		return ExitFailed
 	}
--- /dev/null
+++ b/command/dev.go
@@ -0,0 +1,39 @@
+package command
+
+import (
+	"os/signal"
+	"syscall"
+
+	"github.com/spf13/cobra"
+
+	"guavahitch.example/guavahitch/dev"
+)
+
+func newDev() *cobra.Command {
+	var path string
+	c := &cobra.Command{
+		Use:   "dev",
+		Short: "Run all roles and fake upstreams in one process on loopback",
+		Long: `Run all roles and fake upstreams in one process on loopback.
+
+Prints "ready http://ADDRESS" when a request would be answered, and a request to try.
+SIGINT and SIGTERM stop it when every request in flight has ended.`,
+		Example: "  guavahitch dev\n  guavahitch dev --settings dev.json",
+		Args:    cobra.NoArgs,
+		RunE: func(c *cobra.Command, _ []string) error {
+			s, err := dev.ReadSettings(path)
+			if err != nil {
+				return err
+			}
+			d, err := dev.New(s, newLog(s.Log.Level, c.ErrOrStderr()))
+			if err != nil {
+				return err
+			}
+			ctx, stop := signal.NotifyContext(c.Context(), syscall.SIGINT, syscall.SIGTERM)
+			defer stop()
+			return d.Run(ctx, c.OutOrStdout())
+		},
+	}
+	c.Flags().StringVar(&path, "settings", "", "settings file; Listen, Inventory, Folder and Log may stand in it")
+	return c
+}
--- /dev/null
+++ b/daemon/entry.go
@@ -0,0 +1,76 @@
+package daemon
+
+import (
+	"context"
+	"errors"
+	"net"
+
+	"guavahitch.example/guavahitch/caller"
+	"guavahitch.example/guavahitch/dispatch"
+	"guavahitch.example/guavahitch/outcome"
+	"guavahitch.example/guavahitch/wire"
+)
+
+type entryRole struct {
+	process    *Process
+	dispatcher *dispatch.Dispatcher
+	server     *caller.Server
+	listener   net.Listener
+}
+
+func (p *Process) addEntry() error {
+	e := p.settings.Entry
+	listener, err := net.Listen("tcp", e.Listen)
+	if err != nil {
+		return outcome.Error{Step: "listen", Peer: e.Listen, Outcome: outcome.NotRun, Reason: "address"}.WithCause(err)
+	}
+	r := &entryRole{process: p, listener: listener}
+	r.dispatcher = dispatch.NewDispatcher(dispatch.Settings{
+		Entry: p.settings.Name, Incarnation: p.incarnation, FailureDomain: p.settings.FailureDomain,
+		Region: p.settings.Region, Subset: e.Subset, Leader: p.leader, Transport: p.transport, Events: p.events,
+		Scope: p.scope.SubScope("entry"),
+	})
+	r.server = caller.NewServer(caller.Settings{
+		Dispatcher: r.dispatcher, Metrics: p.metrics, Connections: e.Connections, BodyBytes: e.BodyBytes, Ready: r.ready,
+	})
+	p.entry = r
+	p.add(r.dispatcher.Follow)
+	p.add(func(ctx context.Context) error { return p.announce(ctx, r.member, nil) })
+	p.group.Add(func() error { return r.server.Serve(listener) }, func(error) { _ = listener.Close() })
+	return nil
+}
+
+func (r *entryRole) member() *wire.Member {
+	s := r.process.settings
+	return &wire.Member{
+		Name: s.Name, Role: "entry", Address: r.process.inner.address(), FailureDomain: s.FailureDomain, Region: s.Region,
+		Draining: r.dispatcher.IsDraining(),
+	}
+}
+
+// ready reports whether the platform's balancer should send callers here.
+func (r *entryRole) ready() error {
+	if r.dispatcher.IsDraining() {
+		return errors.New("draining")
+	}
+	holder := r.dispatcher.Holder()
+	if holder.Revision() == 0 {
+		return errors.New("no inventory in force")
+	}
+	return nil
+}
+
+// drain lets every request end, then leaves.
+func (r *entryRole) drain(ctx context.Context) {
+	if err := r.dispatcher.Drain(ctx); err != nil {
+		r.process.log.WithError(err).Error("drain")
+	}
+	_ = r.server.Shutdown(ctx)
+	r.process.leave(ctx, r.member())
+}
+
+// CallerAddress returns the address that the entry serves callers on.
+func (p *Process) CallerAddress() string { return p.entry.listener.Addr().String() }
+
+// Dispatcher returns the entry's dispatcher.
+func (p *Process) Dispatcher() *dispatch.Dispatcher { return p.entry.dispatcher }
--- /dev/null
+++ b/daemon/process.go
@@ -0,0 +1,143 @@
+package daemon
+
+import (
+	"context"
+	"io"
+	"time"
+
+	"github.com/google/uuid"
+	"github.com/oklog/run"
+	"github.com/rotisserie/eris"
+	"github.com/sirupsen/logrus"
+	"github.com/uber-go/tally/v4"
+
+	"guavahitch.example/guavahitch/event"
+	"guavahitch.example/guavahitch/leader"
+	"guavahitch.example/guavahitch/lease"
+	"guavahitch.example/guavahitch/metric"
+	"guavahitch.example/guavahitch/settings"
+	"guavahitch.example/guavahitch/sidecar"
+	"guavahitch.example/guavahitch/wire"
+)
+
+// Process is one process with the roles of its settings.
+type Process struct {
+	settings    *settings.Settings
+	incarnation string
+	log         *logrus.Entry
+	events      *event.Ring
+	scope       tally.Scope
+	metrics     *metric.Reporter
+	closer      io.Closer
+	inner       *inner
+	leader      *leader.Client
+	transport   sidecar.Transport
+	group       run.Group
+	entry       *entryRole
+	control     *controlRole
+	sidecar     *sidecarRole
+}
+
+// NewProcess binds the addresses of the settings and assembles the roles. Nothing runs before Run.
+func NewProcess(s *settings.Settings, log *logrus.Logger) (*Process, error) {
+	p := &Process{settings: s, incarnation: uuid.NewString()[:8], log: log.WithField("process", s.Name)}
+	p.scope, p.metrics, p.closer = metric.NewScope(s.Name)
+	p.events = event.NewRing(s.Name, &event.Clock{})
+	p.transport = sidecar.PlainTransport
+	p.leader = leader.NewClient("http", s.ReplicaAddresses(), nil)
+	in, err := newInner(s.Listen)
+	if err != nil {
+		return nil, eris.Wrapf(err, "process %s", s.Name)
+	}
+	p.inner = in
+	p.inner.add(wire.NewEventsServer(p.events))
+	if err := p.addRoles(); err != nil {
+		_ = p.inner.listener.Close()
+		return nil, eris.Wrapf(err, "process %s", s.Name)
+	}
+	p.group.Add(p.inner.serve, func(error) { p.inner.close() })
+	return p, nil
+}
+
+func (p *Process) addRoles() error {
+	if p.settings.Control != nil {
+		if err := p.addControl(); err != nil {
+			return err
+		}
+	}
+	if p.settings.Sidecar != nil {
+		p.addSidecar()
+	}
+	if p.settings.Entry != nil {
+		return p.addEntry()
+	}
+	return nil
+}
+
+// Run runs the process until the context ends, then stops it as planned: nothing in flight is cut off.
+func (p *Process) Run(ctx context.Context) error {
+	p.log.WithField("listen", p.inner.address()).Info("started")
+	p.events.Add(&wire.Event{Kind: "started", Detail: p.inner.address()})
+	p.add(func(inner context.Context) error {
+		select {
+		case <-ctx.Done():
+			p.drain()
+		case <-inner.Done():
+		}
+		return nil
+	})
+	err := p.group.Run()
+	_ = p.closer.Close()
+	p.log.Info("stopped")
+	return err
+}
+
+// add runs a function in the group with a context that ends when the process stops.
+func (p *Process) add(run func(context.Context) error) {
+	ctx, cancel := context.WithCancel(context.Background())
+	p.group.Add(func() error { return run(ctx) }, func(error) { cancel() })
+}
+
+// drain stops the roles in the order in which requests flow: first the entry, then the sidecar.
+func (p *Process) drain() {
+	p.log.Info("draining")
+	ctx, cancel := context.WithTimeout(context.Background(), p.settings.DrainTimeout)
+	defer cancel()
+	if p.entry != nil {
+		p.entry.drain(ctx)
+	}
+	if p.sidecar != nil {
+		p.sidecar.drain(ctx)
+	}
+}
+
+// announce renews a membership until the context ends.
+func (p *Process) announce(ctx context.Context, member func() *wire.Member, onReply func(*wire.AnnounceReply)) error {
+	ticker := time.NewTicker(lease.RenewInterval)
+	defer ticker.Stop()
+	for {
+		bounded, cancel := context.WithTimeout(ctx, lease.Duration)
+		reply, failure := p.leader.Announce(bounded, &wire.AnnounceRequest{Member: member()})
+		cancel()
+		if failure == nil && onReply != nil {
+			onReply(reply)
+		}
+		select {
+		case <-ctx.Done():
+			return nil
+		case <-ticker.C:
+		}
+	}
+}
+
+// leave ends a membership.
+func (p *Process) leave(ctx context.Context, member *wire.Member) {
+	bounded, cancel := context.WithTimeout(ctx, lease.Duration)
+	defer cancel()
+	if _, failure := p.leader.Announce(bounded, &wire.AnnounceRequest{Member: member, Leaving: true}); failure != nil {
+		p.log.WithError(failure).Warn("control did not hear of the departure; its lease runs out")
+	}
+}
+
+// Events returns the events of the process.
+func (p *Process) Events() *event.Ring { return p.events }
--- /dev/null
+++ b/daemon/sidecar.go
@@ -0,0 +1,102 @@
+package daemon
+
+import (
+	"context"
+	"crypto/rand"
+	"encoding/binary"
+	"time"
+
+	"github.com/google/uuid"
+
+	"guavahitch.example/guavahitch/admission"
+	"guavahitch.example/guavahitch/engine"
+	"guavahitch.example/guavahitch/lease"
+	"guavahitch.example/guavahitch/sidecar"
+	"guavahitch.example/guavahitch/wire"
+)
+
+const (
+	// barredKept is the number of barred attempts that a gate remembers by name.
+	barredKept = 65536
+	// entriesKept is the number of entry incarnations that a gate remembers.
+	entriesKept = 4096
+	// answerKept is how long an answer that nobody fetches is kept.
+	answerKept = 10 * time.Minute
+	// epochRandomBits are the low bits of an epoch, which tell apart starts of the same millisecond.
+	epochRandomBits = 20
+)
+
+type sidecarRole struct {
+	process *Process
+	server  *sidecar.Server
+	engine  *engine.Client
+}
+
+func (p *Process) addSidecar() {
+	s := p.settings.Sidecar
+	r := &sidecarRole{process: p, engine: engine.NewClient(s.Engine)}
+	base, cancel := context.WithCancel(context.Background())
+	r.server = sidecar.NewServer(base, sidecar.ServerSettings{
+		Name: p.settings.Name,
+		Limits: admission.Limits{
+			Running: s.Running, Queued: s.Queued, Barred: barredKept, Entries: entriesKept, Keep: answerKept,
+		},
+		Epoch: newEpoch(time.Now()), IsModel: s.Kind == "model", Engine: r.engine, Events: p.events,
+		Scope: p.scope.SubScope("sidecar"), ReportDeath: r.reportDeath,
+	})
+	p.sidecar = r
+	p.inner.add(wire.NewSidecarServer(r.server))
+	p.add(func(ctx context.Context) error {
+		defer cancel()
+		r.server.Watch(ctx)
+		return nil
+	})
+	p.add(func(ctx context.Context) error { return p.announce(ctx, r.member, nil) })
+}
+
+// newEpoch returns an admission epoch that is later than those of earlier starts of the sidecar.
+func newEpoch(now time.Time) uint64 {
+	var random [8]byte
+	_, _ = rand.Read(random[:])
+	low := binary.LittleEndian.Uint64(random[:]) & (1<<epochRandomBits - 1)
+	return uint64(now.UnixMilli())<<epochRandomBits | low
+}
+
+func (r *sidecarRole) member() *wire.Member {
+	s := r.process.settings
+	return &wire.Member{
+		Name: s.Name, Role: "sidecar", Address: r.process.inner.address(), FailureDomain: s.FailureDomain, Region: s.Region,
+		Epoch: r.server.Epoch(), Services: s.Sidecar.Services, Group: s.Sidecar.Group, Ranks: int32(s.Sidecar.Ranks),
+		Draining: r.server.IsDraining(), Load: r.server.Load(), ChecksFencing: s.Sidecar.ChecksFencing,
+	}
+}
+
+func (r *sidecarRole) reportDeath(running []*wire.Suspect) {
+	r.process.log.WithField("running", len(running)).Warn("the engine died")
+	report := &wire.DeathReport{
+		Upstream: r.process.settings.Name, Epoch: r.server.Epoch(), Running: running, CrashId: uuid.NewString(),
+	}
+	go func() {
+		ctx, cancel := context.WithTimeout(context.Background(), 10*lease.Duration)
+		defer cancel()
+		if _, failure := r.process.leader.ReportDeath(ctx, report); failure != nil {
+			r.process.log.WithError(failure).Error("control did not take the death report")
+		}
+	}()
+}
+
+// drain refuses new work at once, tells control, and lets everything admitted end.
+func (r *sidecarRole) drain(ctx context.Context) {
+	done := make(chan error, 1)
+	go func() { done <- r.server.Drain(ctx) }()
+	announced, cancel := context.WithTimeout(ctx, lease.Duration)
+	_, _ = r.process.leader.Announce(announced, &wire.AnnounceRequest{Member: r.member()})
+	cancel()
+	if err := <-done; err != nil {
+		r.process.log.WithError(err).Error("drain")
+	}
+	r.process.leave(ctx, r.member())
+}
+
+// SidecarServer returns the server of the sidecar role.
+func (p *Process) SidecarServer() *sidecar.Server { return p.sidecar.server }
--- /dev/null
+++ b/dev/dev.go
@@ -0,0 +1,309 @@
+// Package dev runs all roles of guavahitch and small fake upstreams in one process on loopback, for trying
+// it out and for tests of the whole path.
+package dev
+
+import (
+	"context"
+	_ "embed"
+	"fmt"
+	"io"
+	"net"
+	"os"
+	"time"
+
+	"github.com/google/uuid"
+	"github.com/rotisserie/eris"
+	"github.com/sirupsen/logrus"
+
+	"guavahitch.example/guavahitch/daemon"
+	"guavahitch.example/guavahitch/document"
+	"guavahitch.example/guavahitch/fake"
+	"guavahitch.example/guavahitch/inventory"
+	"guavahitch.example/guavahitch/settings"
+	"guavahitch.example/guavahitch/wire"
+)
+
+const (
+	// DefaultListen is where callers are served unless the settings say otherwise.
+	DefaultListen = "127.0.0.1:8600"
+	// loopback lets the system choose the port.
+	loopback = "127.0.0.1:0"
+	// readyTimeout bounds the start.
+	readyTimeout = 20 * time.Second
+	// readyPause is the pause between two looks at whether a request would be answered.
+	readyPause = 5 * time.Millisecond
+	// stepTime and stepPerRequest are the decode steps of the fake engines.
+	stepTime       = 10 * time.Millisecond
+	stepPerRequest = time.Millisecond
+	// slots is the number of requests that a fake upstream runs at once.
+	slots = 16
+	// queued is the number of requests that wait at a fake upstream.
+	queued = 16
+	// ledgerDelay is the time that a call of the fake ledger takes.
+	ledgerDelay = 5 * time.Millisecond
+	// deadlyWord in a prompt kills a fake engine.
+	deadlyWord = "crash-the-engine"
+	// engineRestart is how long a dead fake engine stays down.
+	engineRestart = 500 * time.Millisecond
+)
+
+//go:embed sample_inventory.json
+var sampleInventory []byte
+
+type (
+	// Settings are the settings of the dev verb.
+	Settings struct {
+		// Listen is the IP address and port for callers.
+		Listen string
+		// Inventory is the path of an inventory; empty for the sample.
+		Inventory string
+		// Folder holds the control replica's files; empty for a folder that is removed at the end.
+		Folder string
+		Log    settings.Log
+	}
+
+	// Dev is a whole small system in one process.
+	Dev struct {
+		settings  Settings
+		log       *logrus.Logger
+		owned     *inventory.Inventory
+		text      []byte
+		folder    string
+		control   *daemon.Process
+		entry     *daemon.Process
+		sidecars  []*daemon.Process
+		engines   []*fake.Engine
+		services  []*fake.Service
+		processes []*daemon.Process
+	}
+)
+
+// ReadSettings reads the settings file of the dev verb; an empty path gives the defaults.
+func ReadSettings(path string) (Settings, error) {
+	s := Settings{Listen: DefaultListen}
+	if path == "" {
+		return s, nil
+	}
+	data, err := os.ReadFile(path)
+	if err != nil {
+		return s, eris.Wrapf(err, "settings %s", path)
+	}
+	return s, document.Decode(path, data, &s).Err()
+}
+
+// New assembles the system. Nothing runs before Run.
+func New(s Settings, log *logrus.Logger) (*Dev, error) {
+	d := &Dev{settings: s, log: log, text: sampleInventory}
+	name := "sample_inventory.json"
+	if s.Inventory != "" {
+		text, err := os.ReadFile(s.Inventory)
+		if err != nil {
+			return nil, eris.Wrapf(err, "inventory %s", s.Inventory)
+		}
+		d.text, name = text, s.Inventory
+	}
+	owned, err := inventory.Parse(name, d.text)
+	if err != nil {
+		return nil, err
+	}
+	d.owned = owned
+	return d, d.assemble()
+}
+
+func (d *Dev) assemble() error {
+	d.folder = d.settings.Folder
+	if d.folder == "" {
+		folder, err := os.MkdirTemp("", "guavahitch-dev-")
+		if err != nil {
+			return eris.Wrap(err, "folder of the control replica")
+		}
+		d.folder = folder
+	}
+	address, err := freeAddress()
+	if err != nil {
+		return err
+	}
+	replicas := []settings.Replica{{Name: "control-1", Address: address}}
+	if d.control, err = d.process(&settings.Settings{
+		Name: "control-1", Listen: address, Replicas: replicas, Control: &settings.Control{Folder: d.folder},
+	}); err != nil {
+		return err
+	}
+	if err := d.addUpstreams(replicas); err != nil {
+		return err
+	}
+	d.entry, err = d.process(&settings.Settings{
+		Name: "entry-1", Listen: loopback, FailureDomain: "levis", Replicas: replicas,
+		Entry: &settings.Entry{
+			Listen: d.settings.Listen, Connections: settings.DefaultConnections, BodyBytes: settings.DefaultBodyBytes,
+		},
+	})
+	return err
+}
+
+func (d *Dev) process(s *settings.Settings) (*daemon.Process, error) {
+	s.DrainTimeout = settings.DefaultDrainTimeout
+	p, err := daemon.NewProcess(s, d.log)
+	if err == nil {
+		d.processes = append(d.processes, p)
+	}
+	return p, err
+}
+
+func (d *Dev) addUpstreams(replicas []settings.Replica) error {
+	for _, up := range d.owned.Upstreams {
+		kind, address, err := d.startFake(up)
+		if err != nil {
+			return err
+		}
+		p, err := d.process(&settings.Settings{
+			Name: up.Name, Listen: loopback, FailureDomain: up.FailureDomain, Replicas: replicas,
+			Sidecar: &settings.Sidecar{
+				Engine: address, Kind: kind, Services: up.Services, Group: up.Group, ChecksFencing: up.ChecksFencing,
+				Running: slots, Queued: queued,
+			},
+		})
+		if err != nil {
+			return err
+		}
+		d.sidecars = append(d.sidecars, p)
+	}
+	return nil
+}
+
+// startFake starts the fake upstream behind a sidecar.
+func (d *Dev) startFake(up inventory.Upstream) (kind, address string, err error) {
+	for _, service := range up.Services {
+		if _, isModel := d.owned.Model(service); isModel {
+			e := fake.NewEngine(fake.EngineSettings{
+				Name: up.Name, Model: service, Slots: slots, Step: stepTime, PerRequest: stepPerRequest, DeadlyWord: deadlyWord,
+			})
+			d.engines = append(d.engines, e)
+			err := e.Start(loopback)
+			return "model", e.Address(), eris.Wrapf(err, "fake engine %s", up.Name)
+		}
+	}
+	s := fake.NewService(fake.ServiceSettings{Name: up.Name, Delay: ledgerDelay})
+	d.services = append(d.services, s)
+	err = s.Start(loopback)
+	return "service", s.Address(), eris.Wrapf(err, "fake service %s", up.Name)
+}
+
+// CallerAddress returns the address that callers are served on.
+func (d *Dev) CallerAddress() string { return d.entry.CallerAddress() }
+
+// Run runs the system until the context ends. When a request would be answered it prints the ready line and
+// a request to try.
+func (d *Dev) Run(ctx context.Context, out io.Writer) error {
+	ends := make(chan error, len(d.processes))
+	controlCtx, stopControl := context.WithCancel(context.Background())
+	defer stopControl()
+	for _, p := range d.processes {
+		end := ctx
+		if p == d.control {
+			end = controlCtx
+		}
+		go func() { ends <- p.Run(end) }()
+	}
+	go d.reviveEngines(ctx)
+	err := d.start(ctx)
+	if err == nil {
+		fmt.Fprintf(out, "ready http://%s\n%s", d.CallerAddress(), d.hint())
+		<-ctx.Done()
+	}
+	return d.stop(ends, stopControl, err)
+}
+
+func (d *Dev) stop(ends chan error, stopControl func(), err error) error {
+	for range len(d.processes) - 1 {
+		if ended := <-ends; err == nil {
+			err = ended
+		}
+	}
+	stopControl()
+	if ended := <-ends; err == nil {
+		err = ended
+	}
+	for _, e := range d.engines {
+		e.Stop()
+	}
+	for _, s := range d.services {
+		s.Stop()
+	}
+	if d.settings.Folder == "" {
+		_ = os.RemoveAll(d.folder)
+	}
+	return err
+}
+
+// start submits the inventory and waits until every service would answer.
+func (d *Dev) start(ctx context.Context) error {
+	ctx, cancel := context.WithTimeout(ctx, readyTimeout)
+	defer cancel()
+	status, err := d.control.ControlServer().Submit(ctx, &wire.SubmitRequest{
+		ChangeId: "dev-" + uuid.NewString(), Inventory: d.text, Operator: "dev", Reason: "inventory of the dev verb",
+	})
+	if err != nil {
+		return err
+	}
+	if status.State == "refused" {
+		return eris.Errorf("the inventory was refused: %s", status.Reason)
+	}
+	for !d.isReady() {
+		select {
+		case <-ctx.Done():
+			return eris.Wrap(ctx.Err(), "not ready in time")
+		case <-time.After(readyPause):
+		}
+	}
+	return nil
+}
+
+func (d *Dev) isReady() bool {
+	now := time.Now()
+	for _, up := range d.owned.Upstreams {
+		for _, service := range up.Services {
+			if !d.entry.Dispatcher().Picker().HasRoom(now, service) {
+				return false
+			}
+		}
+	}
+	return true
+}
+
+// reviveEngines restarts fake engines that a request has killed.
+func (d *Dev) reviveEngines(ctx context.Context) {
+	ticker := time.NewTicker(engineRestart)
+	defer ticker.Stop()
+	for {
+		select {
+		case <-ctx.Done():
+			return
+		case <-ticker.C:
+			for _, e := range d.engines {
+				if e.IsDead() {
+					_ = e.Start(e.Address())
+				}
+			}
+		}
+	}
+}
+
+func (d *Dev) hint() string {
+	if len(d.owned.Models) == 0 || len(d.owned.Organisations) == 0 {
+		return ""
+	}
+	return fmt.Sprintf(`try:
+  curl -N http://%s/v1/chat/completions -H 'Guavahitch-Organisation: %s' \
+    -d '{"model":"%s","messages":[{"role":"user","content":"Who can mend a roof?"}],"max_tokens":8,"stream":true}'
+`, d.entry.CallerAddress(), d.owned.Organisations[0].Name, d.owned.Models[0].Name)
+}
+
+func freeAddress() (string, error) {
+	listener, err := net.Listen("tcp", loopback)
+	if err != nil {
+		return "", eris.Wrap(err, "no free port")
+	}
+	defer func() { _ = listener.Close() }()
+	return listener.Addr().String(), nil
+}
--- a/dispatch/dispatcher.go
+++ b/dispatch/dispatcher.go
@@ -3,6 +3,7 @@
 import (
 	"context"
 	"net/http"
+	"strings"
 	"sync"
 	"sync/atomic"
 	"time"
@@ -142,7 +143,7 @@
 	e := &wire.Event{Kind: kind, Request: request.ID, Peer: peer}
 	if failure != nil {
 		e.Outcome, e.Detail = failure.Outcome.String(), failure.Error()
-		d.settings.Scope.Tagged(map[string]string{"reason": failure.Reason}).Counter(kind).Inc(1)
+		d.settings.Scope.Tagged(map[string]string{"reason": failure.Reason}).Counter(strings.ReplaceAll(kind, "-", "_")).Inc(1)
 	}
 	d.settings.Events.Add(e)
 }
--- a/dispatch/job.go
+++ b/dispatch/job.go
@@ -6,6 +6,7 @@
 	"time"
 
 	"guavahitch.example/guavahitch/admission"
+	"guavahitch.example/guavahitch/engine"
 	"guavahitch.example/guavahitch/fairness"
 	"guavahitch.example/guavahitch/outcome"
 	"guavahitch.example/guavahitch/retry"
@@ -21,6 +22,9 @@
 // prediction is known.
 const expectedAttempt = 5 * time.Millisecond
 
+// crashLimit is the number of upstreams that one request may lose.
+const crashLimit = 2
+
 type job struct {
 	d       *Dispatcher
 	request *Request
@@ -28,6 +32,8 @@
 	alone   bool
 	// number counts the attempts from 1.
 	number int
+	// crashes counts the upstreams that died while they ran this request.
+	crashes int
 	// exclude names upstreams that failed this request.
 	exclude []string
 	ticket  *fairness.Ticket
@@ -86,12 +92,32 @@
 		}
 		j.doubt(failure)
 		j.exclude = append(j.exclude, choice.Upstream.Name)
+		if crashed := j.crashed(failure); crashed != nil {
+			return j.final(crashed)
+		}
 		if !j.again(ctx, failure) {
 			return j.final(failure)
 		}
 	}
 }
 
+// crashed counts the deaths of upstreams that ran this request. After the first one the request is tried
+// alone; after the second one it is given up, so that it takes no third upstream with it.
+func (j *job) crashed(failure *outcome.Error) *outcome.Error {
+	if failure.Reason != engine.ReasonFailed {
+		return nil
+	}
+	j.crashes++
+	j.alone = true
+	if j.crashes < crashLimit {
+		return nil
+	}
+	return &outcome.Error{
+		Step: "dispatch", Peer: failure.Peer, Outcome: failure.Outcome, Reason: "crashed-upstreams",
+		Detail: "two upstreams failed while they ran this request", Status: http.StatusBadGateway,
+	}
+}
+
 // doubt remembers the strongest doubt: once an attempt may have run, no later one proves the contrary.
 func (j *job) doubt(failure *outcome.Error) {
 	if j.ran == outcome.NotRun || failure.Outcome == outcome.Ran {
--- a/engine/client.go
+++ b/engine/client.go
@@ -18,6 +18,9 @@
 )
 
 const (
+	// ReasonFailed is the reason of a call that broke off after it was sent.
+	ReasonFailed = "engine-failed"
+
 	// dialTimeout bounds the opening of a connection to the engine.
 	dialTimeout = time.Second
 	// loadTimeout bounds one question for the load.
@@ -147,7 +150,7 @@
 
 // failure tells a connection that was never opened, which proves that nothing ran, from all other ends.
 func (c *Client) failure(err error) *outcome.Error {
-	failure := outcome.Error{Step: "engine", Peer: c.address, Outcome: outcome.Unknown, Reason: "engine-failed"}
+	failure := outcome.Error{Step: "engine", Peer: c.address, Outcome: outcome.Unknown, Reason: ReasonFailed}
 	var op *net.OpError
 	if errors.As(err, &op) && op.Op == "dial" {
 		failure.Outcome = outcome.NotRun
