Consensus: histories under faults, and each mechanism shown to be needed

Cause: agreement is claimed for partitions, crashes, lost unsynced writes and replaced disks; that needs proof.

--- a/Makefile
+++ b/Makefile
@@ -31,3 +31,6 @@
 		--plugin=protoc-gen-twirp=$$($(GO) tool -n protoc-gen-twirp) \
 		--go_out=wire --go_opt=paths=source_relative \
 		--twirp_out=wire --twirp_opt=paths=source_relative wire/*.proto
+
+torture:
+	GUAVAHITCH_SEEDS=200 $(GO) test -timeout 30m -run Torture ./...
--- a/consensus/catch_up.go
+++ b/consensus/catch_up.go
@@ -24,7 +24,7 @@
 	if index <= c.snapshot.Index {
 		return
 	}
-	c.snapshot = c.infoAt(index)
+	c.snapshot = c.SnapshotInfoAt(index)
 	c.snapshot.Bytes = bytes
 	for len(c.history) > 1 && c.history[1].index <= index {
 		c.history = c.history[1:]
@@ -32,7 +32,8 @@
 	c.compact()
 }
 
-func (c *Core) infoAt(index uint64) SnapshotInfo {
+// SnapshotInfoAt describes a snapshot of the applied state up to an index that the log still holds.
+func (c *Core) SnapshotInfoAt(index uint64) SnapshotInfo {
 	term, _ := c.log.term(index)
 	info := SnapshotInfo{Index: index, Term: term, members: c.membersAt(index)}
 	if index > c.log.base {
--- a/consensus/change.go
+++ b/consensus/change.go
@@ -92,6 +92,9 @@
 }
 
 func (c *Core) hasCaughtUp(id identity) bool {
+	if c.settings.Without.CatchUp {
+		return true
+	}
 	p := c.lead.find(id)
 	return p != nil && c.isHeard(id) && p.state == replicating && p.match+promoteLag >= c.log.last()
 }
--- a/consensus/core.go
+++ b/consensus/core.go
@@ -43,6 +43,8 @@
 		ReadBarrier bool
 		// SyncGate holds messages back until what they vouch for is synced.
 		SyncGate bool
+		// CatchUp lets a learner vote only when it holds nearly the whole log.
+		CatchUp bool
 	}
 
 	// Core is the state machine of the protocol. It does no I/O, and the same inputs and seed give the
--- a/consensus/driver.go
+++ b/consensus/driver.go
@@ -346,7 +346,7 @@
 		d.isSaving = false
 		return
 	}
-	info := d.core.infoAt(s.index)
+	info := d.core.SnapshotInfoAt(s.index)
 	d.helpers.Go(func() {
 		bytes, err := d.node.storage.SaveSnapshot(info, s.state)
 		d.snapshots <- savedSnapshot{index: s.index, bytes: bytes, err: err}
--- /dev/null
+++ b/consensus/mechanism_test.go
@@ -0,0 +1,226 @@
+package consensus_test
+
+// What single mechanisms are for: each test passes with the mechanism and is shown to fail without it.
+
+import (
+	"fmt"
+	"testing"
+	"time"
+
+	"github.com/stretchr/testify/require"
+
+	"guavahitch.example/guavahitch/consensus"
+)
+
+// calm returns a simulation without random faults that has a leader.
+func calm(t *testing.T, count int, b broken) *simulation {
+	t.Helper()
+	s := newSimulation(5, count, b)
+	s.isCalm = true
+	s.runFor(2 * time.Second)
+	require.NotNil(t, s.leading())
+	return s
+}
+
+// leading returns the leader of the newest term.
+func (s *simulation) leading() *simReplica {
+	var found *simReplica
+	for _, r := range s.replicas {
+		if !r.isUp || r.core.Status().Role != "leader" {
+			continue
+		}
+		if found == nil || r.core.Status().Term > found.core.Status().Term {
+			found = r
+		}
+	}
+	return found
+}
+
+// cutOff separates a replica from all others.
+func (s *simulation) cutOff(r *simReplica) {
+	for _, other := range s.replicas {
+		s.blocked[[2]string{r.id, other.id}] = true
+		s.blocked[[2]string{other.id, r.id}] = true
+	}
+}
+
+// commit puts values at the leader and returns how many were answered within a second.
+func (s *simulation) commit(count int) int {
+	answered := 0
+	for i := range count {
+		r := s.leading()
+		if r == nil {
+			s.runFor(time.Second)
+			continue
+		}
+		r.submit(&call{
+			input: simInput{Kind: "put", Key: fmt.Sprint("k", i%simKeys), Value: fmt.Sprint(i)},
+			done: func(_ simOutput, isKnown, _ bool) {
+				if isKnown {
+					answered++
+				}
+			},
+		})
+		if i%20 == 0 {
+			s.runFor(10 * time.Millisecond)
+		}
+	}
+	s.runFor(time.Second)
+	return answered
+}
+
+func (s *simulation) follower() *simReplica {
+	for _, r := range s.replicas {
+		if r != s.leading() {
+			return r
+		}
+	}
+	return nil
+}
+
+func TestReturningReplicaDoesNotDeposeTheLeader(t *testing.T) {
+	isDeposed := func(b broken) bool {
+		s := calm(t, 3, b)
+		before := s.leading().core.Status()
+		s.cutOff(s.follower())
+		s.runFor(5 * time.Second)
+		clear(s.blocked)
+		s.runFor(2 * time.Second)
+		after := s.leading().core.Status()
+		return after.Term != before.Term
+	}
+	require.False(t, isDeposed(broken{}))
+	require.True(t, isDeposed(broken{core: consensus.Mechanisms{PreVote: true}}))
+}
+
+func TestCutOffLeaderStopsLeading(t *testing.T) {
+	isLeading := func(b broken) bool {
+		s := calm(t, 3, b)
+		old := s.leading()
+		s.cutOff(old)
+		s.runFor(2 * time.Second)
+		require.NotEqual(t, old, s.leading())
+		return old.core.Status().Role == "leader"
+	}
+	require.False(t, isLeading(broken{}))
+	require.True(t, isLeading(broken{core: consensus.Mechanisms{CheckQuorum: true}}))
+}
+
+func TestReplacementHasNoVoteBeforeItHasCaughtUp(t *testing.T) {
+	answered := func(b broken) int {
+		s := calm(t, 3, b)
+		s.commit(100)
+		r := s.follower()
+		r.crash()
+		r.disk = newMemoryDisk()
+		s.runFor(time.Second)
+		r.start()
+		// The replacement is cut off as soon as the leader has taken it up.
+		for len(s.leading().core.Status().Members) == 3 {
+			s.runFor(time.Millisecond)
+		}
+		s.cutOff(r)
+		s.runFor(100 * time.Millisecond)
+		return s.commit(20)
+	}
+	require.Equal(t, 20, answered(broken{}))
+	require.Zero(t, answered(broken{core: consensus.Mechanisms{CatchUp: true}}))
+}
+
+func TestSecondLossRightAfterARepair(t *testing.T) {
+	s := calm(t, 3, broken{})
+	w := &workload{simulation: s}
+	require.Equal(t, 100, s.commit(100))
+	first := s.follower()
+	first.crash()
+	first.disk = newMemoryDisk()
+	first.start()
+	for range 5000 {
+		if w.isRepaired() {
+			break
+		}
+		s.runFor(time.Millisecond)
+	}
+	require.True(t, w.isRepaired())
+	s.leading().crash()
+	s.runFor(2 * time.Second)
+	require.Equal(t, 50, s.commit(50))
+}
+
+func TestRestartAfterHundredsOfCommands(t *testing.T) {
+	s := calm(t, 3, broken{})
+	r := s.follower()
+	r.crash()
+	require.Equal(t, 600, s.commit(600))
+	r.start()
+	s.runFor(2 * time.Second)
+	require.NoError(t, s.err)
+	require.Positive(t, s.installed, "it was not caught up by snapshot")
+	require.Equal(t, s.leading().stateText(), r.stateText())
+	require.Equal(t, s.leading().core.Status().Commit, r.core.Status().Commit)
+}
+
+func TestWholeGroupRestarts(t *testing.T) {
+	s := calm(t, 5, broken{})
+	require.Equal(t, 300, s.commit(300))
+	want := s.leading().stateText()
+	for _, r := range s.replicas {
+		r.crash()
+	}
+	for _, r := range s.replicas {
+		r.start()
+	}
+	s.runFor(3 * time.Second)
+	require.NoError(t, s.err)
+	for _, r := range s.replicas {
+		require.Equal(t, want, r.stateText())
+	}
+}
+
+func TestOneChangeOfMembershipAtATime(t *testing.T) {
+	s := calm(t, 3, broken{})
+	r := s.leading()
+	_, _, err := r.core.Change(s.now, consensus.AddLearner, consensus.Member{ID: "r9", Incarnation: 9})
+	require.NoError(t, err)
+	_, _, err = r.core.Change(s.now, consensus.AddLearner, consensus.Member{ID: "r8", Incarnation: 8})
+	var refusal *consensus.ChangeError
+	require.ErrorAs(t, err, &refusal)
+	require.Equal(t, "in-progress", refusal.Reason)
+	r.flush()
+	s.runFor(time.Second)
+	_, _, err = r.core.Change(s.now, consensus.Promote, consensus.Member{ID: "r9", Incarnation: 9})
+	require.ErrorAs(t, err, &refusal)
+	require.Equal(t, "behind", refusal.Reason)
+	_, _, err = r.core.Change(s.now, consensus.Remove, consensus.Member{ID: "r9", Incarnation: 9})
+	require.NoError(t, err)
+}
+
+func TestReplicaThatLostItsDiskIsNotAskedForItsOldVote(t *testing.T) {
+	s := calm(t, 3, broken{})
+	require.Equal(t, 100, s.commit(100))
+	// One follower misses a part, the other one loses its disk, and the leader goes away with the rest.
+	leading := s.leading()
+	var behind, lost *simReplica
+	for _, r := range s.replicas {
+		switch {
+		case r == leading:
+		case behind == nil:
+			behind = r
+		default:
+			lost = r
+		}
+	}
+	s.cutOff(behind)
+	require.Equal(t, 10, s.commit(10))
+	lost.crash()
+	lost.disk = newMemoryDisk()
+	leading.crash()
+	clear(s.blocked)
+	lost.start()
+	s.runFor(5 * time.Second)
+	require.Nil(t, s.leading(), "a replica without the committed commands was elected")
+	leading.start()
+	s.runFor(5 * time.Second)
+	require.Equal(t, 10, s.commit(10))
+	require.True(t, (&workload{simulation: s}).isRepaired())
+}
--- /dev/null
+++ b/consensus/memory_disk_test.go
@@ -0,0 +1,143 @@
+package consensus_test
+
+import (
+	"errors"
+	"math/rand/v2"
+	"sort"
+
+	"guavahitch.example/guavahitch/journal"
+)
+
+const sector = 512
+
+var errPowerLost = errors.New("power lost")
+
+type (
+	// memoryDisk is a folder in memory that forgets what is not synced when the power is lost.
+	memoryDisk struct {
+		live, durable map[string]*memoryFile
+		// isLying drops the later syncs of a file, loses all that they should have kept, and reports success.
+		isLying bool
+		// isFailing makes the next sync lose the power halfway.
+		isFailing bool
+	}
+
+	memoryFile struct {
+		data, durable []byte
+		pending       []span
+		isSynced      bool
+	}
+
+	span struct{ from, to int }
+)
+
+func newMemoryDisk() *memoryDisk {
+	return &memoryDisk{live: map[string]*memoryFile{}, durable: map[string]*memoryFile{}}
+}
+
+func (d *memoryDisk) disk() *journal.Disk {
+	return &journal.Disk{Open: d.open, List: d.list, Rename: d.rename, Remove: d.remove, Sync: d.sync}
+}
+
+func (d *memoryDisk) open(name string) (*journal.File, error) {
+	f := d.live[name]
+	if f == nil {
+		f = &memoryFile{}
+		d.live[name] = f
+	}
+	return &journal.File{
+		ReadAt: func(p []byte, at int64) (int, error) { return copy(p, f.data[at:]), nil },
+		WriteAt: func(p []byte, at int64) (int, error) {
+			end := int(at) + len(p)
+			if end > len(f.data) {
+				f.data = append(f.data, make([]byte, end-len(f.data))...)
+			}
+			f.pending = append(f.pending, span{int(at), end})
+			return copy(f.data[at:], p), nil
+		},
+		Truncate: func(size int64) error {
+			f.data, f.pending = f.data[:size], nil
+			f.durable = f.durable[:min(len(f.durable), int(size))]
+			return nil
+		},
+		Size:  func() (int64, error) { return int64(len(f.data)), nil },
+		Sync:  func() error { return d.syncFile(f) },
+		Close: func() error { return nil },
+	}, nil
+}
+
+func (d *memoryDisk) syncFile(f *memoryFile) error {
+	if d.isFailing {
+		return errPowerLost
+	}
+	if d.isLying && f.isSynced {
+		return nil
+	}
+	f.isSynced = true
+	for _, s := range f.pending {
+		f.store(s)
+	}
+	f.pending = nil
+	return nil
+}
+
+func (f *memoryFile) store(s span) {
+	if s.to > len(f.durable) {
+		f.durable = append(f.durable, make([]byte, s.to-len(f.durable))...)
+	}
+	copy(f.durable[s.from:s.to], f.data[s.from:s.to])
+}
+
+// lose takes away what is not synced, but for sectors that happened to be written.
+func (d *memoryDisk) lose(random *rand.Rand) {
+	d.isFailing = false
+	live := map[string]*memoryFile{}
+	names := make([]string, 0, len(d.durable))
+	for name := range d.durable {
+		names = append(names, name)
+	}
+	sort.Strings(names)
+	for _, name := range names {
+		f := d.durable[name]
+		for _, s := range f.pending {
+			for at := s.from; at < s.to; {
+				next := min((at/sector+1)*sector, s.to)
+				if random.IntN(2) == 0 && !d.isLying {
+					f.store(span{at, next})
+				}
+				at = next
+			}
+		}
+		f.data, f.pending = append([]byte(nil), f.durable...), nil
+		live[name] = f
+	}
+	d.live = live
+}
+
+func (d *memoryDisk) list() ([]string, error) {
+	names := make([]string, 0, len(d.live))
+	for name := range d.live {
+		names = append(names, name)
+	}
+	sort.Strings(names)
+	return names, nil
+}
+
+func (d *memoryDisk) rename(from, to string) error {
+	d.live[to] = d.live[from]
+	delete(d.live, from)
+	return nil
+}
+
+func (d *memoryDisk) remove(name string) error {
+	delete(d.live, name)
+	return nil
+}
+
+func (d *memoryDisk) sync() error {
+	d.durable = map[string]*memoryFile{}
+	for name, f := range d.live {
+		d.durable[name] = f
+	}
+	return nil
+}
--- a/consensus/node.go
+++ b/consensus/node.go
@@ -77,7 +77,9 @@
 }
 
 func open(settings Settings, unlock func()) (*Node, error) {
-	storage, recovered, err := OpenStorage(settings.Disk, settings.ID, settings.Incarnation)
+	storage, recovered, err := OpenStorage(settings.Disk, StorageSettings{
+		ID: settings.ID, Incarnation: settings.Incarnation,
+	})
 	if err != nil {
 		return nil, err
 	}
--- a/consensus/storage.go
+++ b/consensus/storage.go
@@ -25,32 +25,42 @@
 // errBadSnapshot tells that a received snapshot did not pass its check.
 var errBadSnapshot = errors.New("received snapshot is damaged")
 
-// Storage is the open folder of a replica.
-type Storage struct {
-	disk     *journal.Disk
-	journal  *journal.Journal
-	state    *wire.ReplicaState
-	received *journal.File
+type (
+	// StorageSettings say whose folder is opened.
+	StorageSettings struct {
+		ID string
+		// Incarnation gives the random identity of a new folder.
+		Incarnation func() uint64
+		// SegmentBytes is the size of a segment of the journal; 0 takes the journal's default.
+		SegmentBytes int
+	}
 
-	mutex    sync.Mutex
-	snapshot SnapshotInfo
-}
+	// Storage is the open folder of a replica.
+	Storage struct {
+		disk     *journal.Disk
+		journal  *journal.Journal
+		state    *wire.ReplicaState
+		received *journal.File
+
+		mutex    sync.Mutex
+		snapshot SnapshotInfo
+	}
+)
 
-// OpenStorage opens a replica's folder, makes it when it is empty, and returns what it holds. The draw
-// gives the incarnation of a new folder.
-func OpenStorage(disk *journal.Disk, id string, draw func() uint64) (*Storage, Recovered, error) {
+// OpenStorage opens a replica's folder, makes it when it is empty, and returns what it holds.
+func OpenStorage(disk *journal.Disk, settings StorageSettings) (*Storage, Recovered, error) {
 	stored, isThere, err := readIdentity(disk)
 	if err != nil {
 		return nil, Recovered{}, err
 	}
-	if isThere && stored.ID != id {
-		return nil, Recovered{}, &FolderError{File: identityName, Detail: "belongs to replica " + stored.ID + ", not " + id}
+	if isThere && stored.ID != settings.ID {
+		return nil, Recovered{}, &FolderError{File: identityName, Detail: "belongs to replica " + stored.ID + ", not " + settings.ID}
 	}
 	s := &Storage{disk: disk, state: &wire.ReplicaState{}}
 	if err := s.loadSnapshot(); err != nil {
 		return nil, Recovered{}, err
 	}
-	entries, err := s.openJournal(isThere)
+	entries, err := s.openJournal(isThere, settings.SegmentBytes)
 	if err != nil {
 		return nil, Recovered{}, err
 	}
@@ -59,7 +69,7 @@
 			s.Close()
 			return nil, Recovered{}, &FolderError{File: identityName, Detail: "is missing from a folder that was in use"}
 		}
-		stored = identityFile{Format: FolderFormat, ID: id, Incarnation: draw()}
+		stored = identityFile{Format: FolderFormat, ID: settings.ID, Incarnation: settings.Incarnation()}
 		if err := writeIdentity(disk, stored); err != nil {
 			s.Close()
 			return nil, Recovered{}, err
@@ -70,7 +80,7 @@
 	}, nil
 }
 
-func (s *Storage) openJournal(isUsed bool) ([]*wire.LogEntry, error) {
+func (s *Storage) openJournal(isUsed bool, segmentBytes int) ([]*wire.LogEntry, error) {
 	if isUsed {
 		names, err := s.disk.List()
 		if err != nil {
@@ -81,7 +91,7 @@
 		}
 	}
 	r := &replay{storage: s, base: s.snapshot.Index, baseTerm: s.snapshot.Term}
-	opened, err := journal.Open(s.disk, journal.Settings{Replay: r.take})
+	opened, err := journal.Open(s.disk, journal.Settings{SegmentBytes: segmentBytes, Replay: r.take})
 	if err != nil {
 		return nil, err
 	}
