--- /dev/null
+++ b/daemon/cluster_test.go
@@ -0,0 +1,206 @@
+package daemon_test
+
+import (
+	"context"
+	"fmt"
+	"io"
+	"net"
+	"net/http"
+	"strings"
+	"sync"
+	"testing"
+	"time"
+
+	"github.com/sirupsen/logrus"
+	"github.com/stretchr/testify/require"
+
+	"guavahitch.example/guavahitch/daemon"
+	"guavahitch.example/guavahitch/fake"
+	"guavahitch.example/guavahitch/settings"
+	"guavahitch.example/guavahitch/wire"
+)
+
+const (
+	loopback = "127.0.0.1:0"
+	chatPath = "/v1/chat/completions"
+	// patience bounds the wait for something that must happen.
+	patience = 20 * time.Second
+)
+
+const clusterInventory = `{
+  "Models": [{"Name": "m"}],
+  "Services": [{"Name": "ledger", "Routes": [
+    {"Path": "/ledger/entries", "Method": "POST"}, {"Path": "/ledger/status/", "Repeatable": true}]}],
+  "Organisations": [{"Name": "north"}, {"Name": "south"}],
+  "Rules": {"AdmitUnlisted": true, "DefaultDeadline": "15s"},
+}`
+
+type (
+	// cluster is a small system of real processes in one test process.
+	cluster struct {
+		t        testing.TB
+		log      *logrus.Logger
+		replicas []settings.Replica
+		control  *daemon.Process
+		stopAll  context.CancelFunc
+		ended    sync.WaitGroup
+		// cuts holds the ports that connections are cut to.
+		engines  []*fake.Engine
+		services []*fake.Service
+		stops    map[string]context.CancelFunc
+		ends     map[string]chan struct{}
+	}
+
+	// answer is what a caller got.
+	answer struct {
+		status int
+		body   string
+		err    error
+	}
+)
+
+func freeAddress(t testing.TB) string {
+	listener, err := net.Listen("tcp", loopback)
+	require.NoError(t, err)
+	defer func() { _ = listener.Close() }()
+	return listener.Addr().String()
+}
+
+func newCluster(t testing.TB) *cluster {
+	log := logrus.New()
+	log.SetOutput(io.Discard)
+	c := &cluster{t: t, log: log, stops: map[string]context.CancelFunc{}, ends: map[string]chan struct{}{}}
+	address := freeAddress(t)
+	c.replicas = []settings.Replica{{Name: "control-1", Address: address}}
+	t.Cleanup(c.stop)
+	c.control = c.start(&settings.Settings{
+		Name: "control-1", Listen: address, Replicas: c.replicas, Control: &settings.Control{Folder: t.TempDir()},
+	})
+	c.submit(clusterInventory)
+	return c
+}
+
+func (c *cluster) submit(inventory string) {
+	ctx, cancel := context.WithTimeout(context.Background(), patience)
+	defer cancel()
+	revision := uint64(0)
+	for {
+		status, err := c.control.ControlServer().Submit(ctx, &wire.SubmitRequest{
+			ChangeId: fmt.Sprintf("change-%d", time.Now().UnixNano()), Inventory: []byte(inventory), ExpectedRevision: revision,
+		})
+		require.NoError(c.t, err)
+		if status.Failure == nil && status.State != "refused" {
+			return
+		}
+		require.NoError(c.t, ctx.Err(), status.String())
+		time.Sleep(10 * time.Millisecond)
+	}
+}
+
+// start runs a process until it is stopped by name or the test ends.
+func (c *cluster) start(s *settings.Settings) *daemon.Process {
+	s.DrainTimeout = patience
+	p, err := daemon.NewProcess(s, c.log)
+	require.NoError(c.t, err)
+	ctx, cancel := context.WithCancel(context.Background())
+	c.stops[s.Name] = cancel
+	end := make(chan struct{})
+	c.ends[s.Name] = end
+	go func() {
+		defer close(end)
+		_ = p.Run(ctx)
+	}()
+	return p
+}
+
+// drain stops a process as planned and waits for its end.
+func (c *cluster) drain(name string) {
+	c.stops[name]()
+	<-c.ends[name]
+}
+
+func (c *cluster) stop() {
+	for name := range c.stops {
+		if name != "control-1" {
+			c.stops[name]()
+		}
+	}
+	for name := range c.stops {
+		if name != "control-1" {
+			<-c.ends[name]
+		}
+	}
+	c.drain("control-1")
+	for _, e := range c.engines {
+		e.Stop()
+	}
+	for _, s := range c.services {
+		s.Stop()
+	}
+}
+
+func (c *cluster) addEntry(name string) *daemon.Process {
+	return c.start(&settings.Settings{
+		Name: name, Listen: loopback, Replicas: c.replicas,
+		Entry: &settings.Entry{Listen: loopback, Connections: 4096, BodyBytes: 64 << 20},
+	})
+}
+
+// addModel starts a fake engine and its sidecar.
+func (c *cluster) addModel(name string, s fake.EngineSettings) (*fake.Engine, *daemon.Process) {
+	s.Name, s.Model = name, "m"
+	e := fake.NewEngine(s)
+	require.NoError(c.t, e.Start(loopback))
+	c.engines = append(c.engines, e)
+	return e, c.addSidecar(name, e.Address(), "model", "m", s.Slots)
+}
+
+func (c *cluster) addLedger(name string, s fake.ServiceSettings) (*fake.Service, *daemon.Process) {
+	s.Name = name
+	service := fake.NewService(s)
+	require.NoError(c.t, service.Start(loopback))
+	c.services = append(c.services, service)
+	return service, c.addSidecar(name, service.Address(), "service", "ledger", 16)
+}
+
+func (c *cluster) addSidecar(name, engine, kind, service string, running int) *daemon.Process {
+	return c.start(&settings.Settings{
+		Name: name, Listen: loopback, Replicas: c.replicas,
+		Sidecar: &settings.Sidecar{Engine: engine, Kind: kind, Services: []string{service}, Running: running, Queued: running},
+	})
+}
+
+// awaitRoom waits until an entry sees this many open upstreams and the service has room.
+func (c *cluster) awaitRoom(entry *daemon.Process, service string, upstreams int) {
+	require.Eventually(c.t, func() bool {
+		open := 0
+		for _, up := range entry.Dispatcher().Picker().Table().Upstreams() {
+			if up.IsOpen(time.Now()) {
+				open++
+			}
+		}
+		return open >= upstreams && entry.Dispatcher().Picker().HasRoom(time.Now(), service)
+	}, patience, time.Millisecond)
+}
+
+func chatBody(prompt string, tokens int, stream bool) string {
+	return fmt.Sprintf(`{"model":"m","messages":[{"role":"user","content":%q}],"max_tokens":%d,"stream":%v}`, prompt, tokens, stream)
+}
+
+func send(client *http.Client, address, path, key, body string) answer {
+	request, err := http.NewRequest(http.MethodPost, "http://"+address+path, strings.NewReader(body))
+	if err != nil {
+		return answer{err: err}
+	}
+	request.Header.Set("Guavahitch-Organisation", "north")
+	if key != "" {
+		request.Header.Set("Idempotency-Key", key)
+	}
+	response, err := client.Do(request)
+	if err != nil {
+		return answer{err: err}
+	}
+	defer func() { _ = response.Body.Close() }()
+	text, err := io.ReadAll(response.Body)
+	return answer{status: response.StatusCode, body: string(text), err: err}
+}
--- /dev/null
+++ b/daemon/entry_benchmark_test.go
@@ -0,0 +1,147 @@
+package daemon_test
+
+import (
+	"bufio"
+	"bytes"
+	"encoding/json"
+	"fmt"
+	"net/http"
+	"strings"
+	"sync"
+	"syscall"
+	"testing"
+	"time"
+
+	"github.com/HdrHistogram/hdrhistogram-go"
+
+	"guavahitch.example/guavahitch/fake"
+)
+
+const (
+	// benchClients is the number of callers that ask at the same time.
+	benchClients = 8
+	// benchRequests is the number of whole requests of each way.
+	benchRequests = 4000
+	// benchStreams and benchTokens are the streams of each way and their length.
+	benchStreams = 64
+	benchTokens  = 200
+)
+
+// BenchmarkEntry measures what the way through entry and sidecar adds to calling the engine directly.
+func BenchmarkEntry(b *testing.B) {
+	c := newCluster(b)
+	engine, _ := c.addModel("up-1", fake.EngineSettings{Slots: 64, Step: time.Millisecond})
+	entry := c.addEntry("entry-1")
+	c.awaitRoom(entry, "m", 1)
+	for _, way := range []struct{ name, address string }{
+		{"direct", engine.Address()}, {"through", entry.CallerAddress()},
+	} {
+		b.Run("way="+way.name, func(b *testing.B) {
+			b.ReportAllocs()
+			for b.Loop() {
+				measureRequests(b, way.address)
+				measureStreams(b, way.address)
+			}
+		})
+	}
+}
+
+func benchClient() *http.Client {
+	return &http.Client{Transport: &http.Transport{MaxIdleConnsPerHost: benchClients}}
+}
+
+func measureRequests(b *testing.B, address string) {
+	client := benchClient()
+	defer client.CloseIdleConnections()
+	histogram := hdrhistogram.New(1, 60_000_000, 3)
+	var mutex sync.Mutex
+	var group sync.WaitGroup
+	for n := range benchClients {
+		group.Go(func() {
+			for i := range benchRequests / benchClients {
+				begun := time.Now()
+				got := send(client, address, chatPath, "", chatBody(fmt.Sprintf("request %d %d", n, i), 1, false))
+				took := time.Since(begun)
+				if got.err != nil || got.status != http.StatusOK {
+					b.Errorf("request: %+v", got)
+					return
+				}
+				mutex.Lock()
+				_ = histogram.RecordValue(took.Microseconds())
+				mutex.Unlock()
+			}
+		})
+	}
+	group.Wait()
+	b.ReportMetric(float64(histogram.ValueAtQuantile(50)), "p50-us")
+	b.ReportMetric(float64(histogram.ValueAtQuantile(99)), "p99-us")
+}
+
+func measureStreams(b *testing.B, address string) {
+	client := benchClient()
+	defer client.CloseIdleConnections()
+	histogram := hdrhistogram.New(1, 60_000_000, 3)
+	var mutex sync.Mutex
+	var group sync.WaitGroup
+	before := processorTime()
+	for n := range benchClients {
+		group.Go(func() {
+			for i := range benchStreams / benchClients {
+				delays, err := streamDelays(client, address, fmt.Sprintf("stream %d %d", n, i))
+				if err != nil {
+					b.Error(err)
+					return
+				}
+				mutex.Lock()
+				for _, d := range delays {
+					_ = histogram.RecordValue(max(d, 1))
+				}
+				mutex.Unlock()
+			}
+		})
+	}
+	group.Wait()
+	b.ReportMetric(float64(histogram.ValueAtQuantile(50)), "token-us")
+	b.ReportMetric(float64((processorTime()-before).Microseconds())/(benchStreams*benchTokens), "cpu-us/token")
+}
+
+// streamDelays returns the time from the engine to the caller of each token of one stream, in microseconds.
+func streamDelays(client *http.Client, address, prompt string) ([]int64, error) {
+	request, err := http.NewRequest(http.MethodPost, "http://"+address+chatPath, strings.NewReader(chatBody(prompt, benchTokens, true)))
+	if err != nil {
+		return nil, err
+	}
+	request.Header.Set("Guavahitch-Organisation", "north")
+	response, err := client.Do(request)
+	if err != nil {
+		return nil, err
+	}
+	defer func() { _ = response.Body.Close() }()
+	var delays []int64
+	lines := bufio.NewScanner(response.Body)
+	for lines.Scan() {
+		data, isData := bytes.CutPrefix(lines.Bytes(), []byte("data: {"))
+		if !isData {
+			continue
+		}
+		now := time.Now().UnixMicro()
+		var chunk struct {
+			EmittedUs int64 `json:"emitted_us"`
+		}
+		if err := json.Unmarshal(append([]byte("{"), data...), &chunk); err != nil {
+			return nil, err
+		}
+		delays = append(delays, now-chunk.EmittedUs)
+	}
+	if len(delays) != benchTokens {
+		return nil, fmt.Errorf("%d tokens of %d arrived", len(delays), benchTokens)
+	}
+	return delays, lines.Err()
+}
+
+// processorTime returns the processor time that this test process has used.
+func processorTime() time.Duration {
+	var usage syscall.Rusage
+	_ = syscall.Getrusage(syscall.RUSAGE_SELF, &usage)
+	return time.Duration(usage.Utime.Nano() + usage.Stime.Nano())
+}
--- a/fake/chat.go
+++ b/fake/chat.go
@@ -1,6 +1,9 @@
 package fake
 
-import "strings"
+import (
+	"strings"
+	"time"
+)
 
 // chat.go holds the messages of the OpenAI-style chat interface that the fake engine speaks.
 
@@ -35,6 +38,8 @@
 		Model   string       `json:"model"`
 		Choices []chatChoice `json:"choices"`
 		Usage   *chatUsage   `json:"usage,omitempty"`
+		// EmittedUs is when the engine sent the chunk, in microseconds since 1970.
+		EmittedUs int64 `json:"emitted_us,omitempty"`
 	}
 )
 
@@ -42,6 +47,7 @@
 	delta := &chatMessage{Role: "assistant", Content: text}
 	return chatCompletion{
 		ID: "chatcmpl-" + id, Object: "chat.completion.chunk", Model: model, Choices: []chatChoice{{Delta: delta}},
+		EmittedUs: time.Now().UnixMicro(),
 	}
 }
 
