Answers by a framed stream in place of long polls

Cause: a long poll costs a whole twirp exchange per token. Change: one POST per attempt whose answer is a row of length-prefixed pieces; it is opened again at an offset when it breaks or stays silent. The benchmark's requests now meet an engine without step time, so that the step does not hide or round the added time.

--- a/admission/answer.go
+++ b/admission/answer.go
@@ -121,7 +121,7 @@
 }
 
 // Read waits until there is something at the offset, the answer has ended or the wait is over, and returns
-// the piece there. All bytes before the offset are acknowledged.
+// the piece there.
 func (a *Answer) Read(ctx context.Context, offset int64, wait time.Duration) (Piece, *outcome.Error) {
 	timer := time.NewTimer(wait)
 	defer timer.Stop()
@@ -150,7 +150,6 @@
 			Step: "fetch", Outcome: outcome.Unknown, Reason: "offset", Detail: "the bytes at this offset are not held",
 		}
 	}
-	a.acknowledge(offset)
 	piece = Piece{Head: a.head, Offset: offset}
 	rest := a.data[offset-a.base:]
 	if len(rest) > PieceLimit {
@@ -168,8 +167,11 @@
 	return piece, ready, nil
 }
 
-func (a *Answer) acknowledge(offset int64) {
-	if offset <= a.acked {
+// Acknowledge tells that the reader holds all bytes before the offset.
+func (a *Answer) Acknowledge(offset int64) {
+	a.mutex.Lock()
+	defer a.mutex.Unlock()
+	if offset <= a.acked || offset > a.base+int64(len(a.data)) {
 		return
 	}
 	a.acked = offset
--- a/daemon/entry_benchmark_test.go
+++ b/daemon/entry_benchmark_test.go
@@ -8,6 +8,7 @@
 	"net/http"
 	"strings"
 	"sync"
+	"sync/atomic"
 	"syscall"
 	"testing"
 	"time"
@@ -30,7 +31,10 @@
 // BenchmarkEntry measures what the way through entry and sidecar adds to calling the engine directly.
 func BenchmarkEntry(b *testing.B) {
 	c := newCluster(b)
-	engine, _ := c.addModel("up-1", fake.EngineSettings{Slots: 64, Step: time.Millisecond})
+	var step atomic.Int64
+	engine, _ := c.addModel("up-1", fake.EngineSettings{
+		Slots: 64, StepTime: func(int) time.Duration { return time.Duration(step.Load()) },
+	})
 	entry := c.addEntry("entry-1")
 	c.awaitRoom(entry, "m", 1)
 	for _, way := range []struct{ name, address string }{
@@ -39,7 +43,9 @@
 		b.Run("way="+way.name, func(b *testing.B) {
 			b.ReportAllocs()
 			for b.Loop() {
+				step.Store(0)
 				measureRequests(b, way.address)
+				step.Store(int64(time.Millisecond))
 				measureStreams(b, way.address)
 			}
 		})
--- a/daemon/sidecar.go
+++ b/daemon/sidecar.go
@@ -46,6 +46,7 @@
 	})
 	p.sidecar = r
 	p.inner.add(wire.NewSidecarServer(r.server))
+	p.inner.mux.Handle(sidecar.StreamPath, r.server)
 	p.add(func(ctx context.Context) error {
 		defer cancel()
 		r.server.Watch(ctx)
--- a/dispatch/job.go
+++ b/dispatch/job.go
@@ -169,7 +169,6 @@
 		Epoch: choice.Upstream.Epoch, Organisation: r.Organisation, Service: r.Service, Method: r.Method, Path: r.Path,
 		Body: r.Body, DeadlineMs: left.Milliseconds(), Priority: r.Priority, Repeatable: r.Repeatable,
 		Fingerprint: fingerprint.Bytes(), Alone: j.alone, Rank: int32(choice.Rank), Revision: j.d.Holder().Revision(),
-		WaitMs: sidecar.WaitLimit.Milliseconds(),
 	}
 	if j.out != nil {
 		start.ResumeText = j.out.resumeText()
@@ -184,6 +183,7 @@
 func (j *job) attempt(ctx context.Context, choice routing.Choice, attempt *sidecar.Attempt) *outcome.Error {
 	up := choice.Upstream
 	attempt.OnLoad = func(load *wire.Load) { j.d.picker.Observe(time.Now(), up.Name, up.Epoch, load) }
+	defer attempt.Close()
 	j.d.note("dispatch", j.request, up.Name, nil)
 	first := true
 	for {
--- a/engine/client.go
+++ b/engine/client.go
@@ -10,6 +10,7 @@
 	"io"
 	"net"
 	"net/http"
+	"sync"
 	"time"
 
 	"guavahitch.example/guavahitch/admission"
@@ -63,6 +64,11 @@
 	}
 )
 
+var buffers = sync.Pool{New: func() any {
+	buffer := make([]byte, readSize)
+	return &buffer
+}}
+
 // NewClient returns a client of the engine at an IP address and port.
 func NewClient(address string) *Client {
 	dialer := &net.Dialer{Timeout: dialTimeout}
@@ -131,7 +137,9 @@
 }
 
 func (c *Client) copyBody(ctx context.Context, body io.Reader, answer *admission.Answer) *outcome.Error {
-	buffer := make([]byte, readSize)
+	pooled := buffers.Get().(*[]byte)
+	defer buffers.Put(pooled)
+	buffer := *pooled
 	for {
 		n, err := body.Read(buffer)
 		if n > 0 {
--- a/sidecar/attempt.go
+++ b/sidecar/attempt.go
@@ -22,6 +22,8 @@
 	askAgainFor = 3 * time.Second
 	// askAgainPause is the pause between two tries.
 	askAgainPause = 50 * time.Millisecond
+	// acknowledgeEvery is the distance between two acknowledgements, in bytes.
+	acknowledgeEvery = admission.UnreadLimit / 4
 	// settleFor is how long an attempt that gives up asks the sidecar whether it ran.
 	settleFor = 2 * time.Second
 )
@@ -33,6 +35,10 @@
 	peer    string
 	offset  int64
 	digest  *xxhash.Digest
+	// acknowledged is the offset up to which the sidecar was told that the entry holds the answer.
+	acknowledged int64
+	stream       *streamReader
+	generation   *generation
 	// sends counts the copies of the start that may have reached the sidecar.
 	sends   int
 	started bool
@@ -88,21 +94,73 @@
 	return errors.As(err, &op) && op.Op == "dial"
 }
 
-func (a *Attempt) exchange(ctx context.Context) (piece *wire.Piece, err error) {
-	err = a.link.call(ctx, WaitLimit, func(ctx context.Context, g *generation) error {
-		if a.started {
-			piece, err = g.client.Fetch(ctx, &wire.FetchRequest{
-				Id: a.request.Id, Epoch: a.request.Epoch, Offset: a.offset, WaitMs: WaitLimit.Milliseconds(),
-			})
-			return err
-		}
-		piece, err = g.client.Start(ctx, a.request)
-		if err == nil || !isDialError(err) {
-			a.sends++
+// exchange returns the next piece, opening a stream where none is open.
+func (a *Attempt) exchange(ctx context.Context) (*wire.Piece, error) {
+	if a.stream == nil {
+		if err := a.open(ctx); err != nil {
+			return nil, err
 		}
-		return err
-	})
-	return piece, err
+	}
+	piece, err := a.stream.next()
+	if err != nil {
+		a.drop(ctx)
+		return nil, err
+	}
+	if piece.End || piece.Failure != nil {
+		go a.stream.finish()
+		a.stream = nil
+		return piece, nil
+	}
+	a.acknowledge(ctx)
+	return piece, nil
+}
+
+func (a *Attempt) open(ctx context.Context) (err error) {
+	request := &wire.StreamRequest{Start: a.request}
+	if a.started {
+		request = &wire.StreamRequest{Resume: &wire.FetchRequest{Id: a.request.Id, Epoch: a.request.Epoch, Offset: a.offset}}
+	}
+	a.generation = a.link.generation()
+	a.stream, err = openStream(ctx, a.generation, request)
+	if !a.started && (err == nil || !isDialError(err)) {
+		a.sends++
+	}
+	if err != nil && ctx.Err() == nil {
+		a.link.replace(a.generation)
+	}
+	return err
+}
+
+// drop gives up a stream that broke or went silent, and the connections of its generation with it.
+func (a *Attempt) drop(ctx context.Context) {
+	a.stream.close()
+	a.stream = nil
+	if ctx.Err() == nil {
+		a.link.replace(a.generation)
+	}
+}
+
+// Close ends the attempt's stream.
+func (a *Attempt) Close() {
+	if a.stream != nil {
+		a.stream.close()
+		a.stream = nil
+	}
+}
+
+// acknowledge tells the sidecar now and then what it need not keep, without waiting for it.
+func (a *Attempt) acknowledge(ctx context.Context) {
+	if a.offset-a.acknowledged < acknowledgeEvery {
+		return
+	}
+	a.acknowledged = a.offset
+	request := &wire.FetchRequest{Id: a.request.Id, Epoch: a.request.Epoch, Offset: a.offset}
+	go func() {
+		_ = a.link.call(ctx, 0, func(ctx context.Context, g *generation) error {
+			_, err := g.client.Fetch(ctx, request)
+			return err
+		})
+	}()
 }
 
 // check verifies that a piece belongs to this attempt and continues it, and returns the failure that the
--- a/sidecar/link.go
+++ b/sidecar/link.go
@@ -1,6 +1,7 @@
 package sidecar
 
 import (
+	"bytes"
 	"context"
 	"net"
 	"net/http"
@@ -8,6 +9,8 @@
 	"sync/atomic"
 	"time"
 
+	"github.com/rotisserie/eris"
+
 	"guavahitch.example/guavahitch/outcome"
 	"guavahitch.example/guavahitch/wire"
 )
@@ -46,6 +49,8 @@
 
 	generation struct {
 		transport *http.Transport
+		base      string
+		http      *http.Client
 		client    wire.Sidecar
 	}
 )
@@ -71,10 +76,25 @@
 	if transport.TLSClientConfig != nil {
 		base = "https://" + l.address
 	}
-	return &generation{
-		transport: transport,
-		client:    wire.NewSidecarProtobufClient(base, &http.Client{Transport: transport}),
+	client := &http.Client{Transport: transport}
+	return &generation{transport: transport, base: base, http: client, client: wire.NewSidecarProtobufClient(base, client)}
+}
+
+// post sends a request and returns its answer as soon as its header has come.
+func (g *generation) post(ctx context.Context, path string, body []byte) (*http.Response, error) {
+	request, err := http.NewRequestWithContext(ctx, http.MethodPost, g.base+path, bytes.NewReader(body))
+	if err != nil {
+		return nil, err
+	}
+	response, err := g.http.Do(request)
+	if err != nil {
+		return nil, err
+	}
+	if response.StatusCode != http.StatusOK {
+		_ = response.Body.Close()
+		return nil, eris.Errorf("%s answered %s", path, response.Status)
 	}
+	return response, nil
 }
 
 func (l *Link) generation() *generation {
--- a/sidecar/server.go
+++ b/sidecar/server.go
@@ -17,8 +17,10 @@
 )
 
 const (
-	// WaitLimit is the longest time that a Start or Fetch waits for data. It is the heartbeat of a call:
-	// an answer comes at least this often.
+	// StreamPath is the path of the streams of pieces.
+	StreamPath = "/guavahitch.wire.Sidecar/Stream"
+	// WaitLimit is the longest time between two pieces of a stream, and the longest wait of a Fetch. A
+	// reader that hears nothing for longer has lost its connection.
 	WaitLimit = 300 * time.Millisecond
 	// watchInterval is the time between two looks at the engine's life and load.
 	watchInterval = 200 * time.Millisecond
@@ -73,18 +75,6 @@
 	return s.gate.Epoch()
 }
 
-// Start admits a request and waits for the first piece of its answer.
-func (s *Server) Start(ctx context.Context, request *wire.StartRequest) (*wire.Piece, error) {
-	s.mutex.Lock()
-	call, refusal := s.admit(request)
-	s.mutex.Unlock()
-	if refusal != nil {
-		s.settings.Scope.Tagged(map[string]string{"reason": refusal.Reason}).Counter("refused").Inc(1)
-		return &wire.Piece{Id: request.Id, Epoch: s.Epoch(), Failure: refusal.Failure(), Load: s.Load()}, nil
-	}
-	return s.read(ctx, request.Id, call, 0, request.WaitMs), nil
-}
-
 func (s *Server) admit(request *wire.StartRequest) (*admission.Call, *outcome.Error) {
 	now := time.Now()
 	if !s.alive {
@@ -178,21 +168,32 @@
 	call := s.gate.Call(id)
 	if call != nil {
 		call.Touched = time.Now()
-		if request.Done && call.Ticket.Repeatable {
+		if request.Done {
 			s.gate.Forget(id)
 		}
 	}
 	s.mutex.Unlock()
 	if call == nil {
-		failure := outcome.Error{Step: "fetch", Peer: s.settings.Name, Outcome: outcome.Unknown, Reason: "unknown-attempt"}
-		return &wire.Piece{Id: request.Id, Epoch: s.Epoch(), Failure: failure.Failure()}, nil
+		return &wire.Piece{Id: request.Id, Epoch: s.Epoch(), Failure: s.unknownAttempt().Failure()}, nil
 	}
+	call.Answer.Acknowledge(request.Offset)
 	if request.Done {
 		return &wire.Piece{Id: request.Id, Epoch: s.Epoch(), Load: s.Load()}, nil
 	}
 	return s.read(ctx, request.Id, call, request.Offset, request.WaitMs), nil
 }
 
+func (s *Server) unknownAttempt() *outcome.Error {
+	return &outcome.Error{Step: "fetch", Peer: s.settings.Name, Outcome: outcome.Unknown, Reason: "unknown-attempt"}
+}
+
+// touch notes that an entry asks for the attempt.
+func (s *Server) touch(call *admission.Call) {
+	s.mutex.Lock()
+	defer s.mutex.Unlock()
+	call.Touched = time.Now()
+}
+
 func (s *Server) read(ctx context.Context, id *wire.AttemptID, call *admission.Call, offset, waitMs int64) *wire.Piece {
 	wait := min(time.Duration(waitMs)*time.Millisecond, WaitLimit)
 	piece, refusal := call.Answer.Read(ctx, offset, wait)
@@ -211,9 +212,7 @@
 	if piece.Failure != nil {
 		sent.Failure = piece.Failure.Failure()
 	}
-	for _, h := range piece.Head.Headers {
-		sent.Headers = append(sent.Headers, &wire.Header{Name: h.Name, Value: h.Value})
-	}
+	sent.Headers = headersOf(piece.Head)
 	return sent
 }
 
