--- a/dispatch/job.go
+++ b/dispatch/job.go
@@ -206,7 +206,7 @@
 		}
 		if piece.End {
 			choice.Attempt.Ended(now)
-			go attempt.Done(ctx)
+			attempt.Done()
 			j.d.note("answered", j.request, up.Name, nil)
 			return nil
 		}
--- a/sidecar/attempt.go
+++ b/sidecar/attempt.go
@@ -116,7 +116,7 @@
 }
 
 func (a *Attempt) open(ctx context.Context) (err error) {
-	request := &wire.StreamRequest{Start: a.request}
+	request := &wire.StreamRequest{Start: a.request, Released: a.link.takeReleased()}
 	if a.started {
 		request = &wire.StreamRequest{Resume: &wire.FetchRequest{Id: a.request.Id, Epoch: a.request.Epoch, Offset: a.offset}}
 	}
@@ -224,11 +224,5 @@
 	return a.link.Cancel(ctx, &wire.CancelRequest{Id: a.request.Id, Epoch: a.request.Epoch})
 }
 
-// Done tells the sidecar that the whole answer is held and may be dropped.
-func (a *Attempt) Done(ctx context.Context) {
-	ctx = context.WithoutCancel(ctx)
-	_ = a.link.call(ctx, 0, func(ctx context.Context, g *generation) error {
-		_, err := g.client.Fetch(ctx, &wire.FetchRequest{Id: a.request.Id, Epoch: a.request.Epoch, Offset: a.offset, Done: true})
-		return err
-	})
-}
+// Done tells the sidecar, with the next message to it, that the whole answer is held and may be dropped.
+func (a *Attempt) Done() { a.link.release(a.request.Id) }
--- a/sidecar/link.go
+++ b/sidecar/link.go
@@ -45,6 +45,7 @@
 		current   *generation
 		sequence  atomic.Uint64
 		replaced  atomic.Int64
+		releases  releases
 	}
 
 	generation struct {
--- a/sidecar/server.go
+++ b/sidecar/server.go
@@ -93,7 +93,7 @@
 	s.settings.Events.Add(&wire.Event{
 		Kind: "admit", Request: request.Id.Request, Peer: request.Id.Entry, Detail: request.Path,
 	})
-	s.release(now)
+	s.dispatch(now)
 	return call, nil
 }
 
@@ -110,8 +110,8 @@
 	return admission.ID{Request: id.GetRequest(), Attempt: id.GetAttempt()}
 }
 
-// release hands waiting attempts to the engine while there is room. The mutex is held.
-func (s *Server) release(now time.Time) {
+// dispatch hands waiting attempts to the engine while there is room. The mutex is held.
+func (s *Server) dispatch(now time.Time) {
 	for {
 		call, expired := s.gate.Next(now)
 		for _, late := range expired {
@@ -147,7 +147,7 @@
 	delete(s.stops, call.Ticket.ID)
 	delete(s.requests, call.Ticket.ID)
 	call.Answer.Finish(failure)
-	s.release(time.Now())
+	s.dispatch(time.Now())
 }
 
 func engineCall(request *wire.StartRequest) engine.Call {
@@ -168,21 +168,29 @@
 	call := s.gate.Call(id)
 	if call != nil {
 		call.Touched = time.Now()
-		if request.Done {
-			s.gate.Forget(id)
-		}
 	}
 	s.mutex.Unlock()
 	if call == nil {
 		return &wire.Piece{Id: request.Id, Epoch: s.Epoch(), Failure: s.unknownAttempt().Failure()}, nil
 	}
 	call.Answer.Acknowledge(request.Offset)
-	if request.Done {
-		return &wire.Piece{Id: request.Id, Epoch: s.Epoch(), Load: s.Load()}, nil
-	}
 	return s.read(ctx, request.Id, call, request.Offset, request.WaitMs), nil
 }
 
+// Release drops answers that their entry holds.
+func (s *Server) Release(_ context.Context, request *wire.ReleaseRequest) (*wire.ReleaseReply, error) {
+	s.release(request.Ids)
+	return &wire.ReleaseReply{}, nil
+}
+
+func (s *Server) release(ids []*wire.AttemptID) {
+	s.mutex.Lock()
+	defer s.mutex.Unlock()
+	for _, id := range ids {
+		s.gate.Forget(idOf(id))
+	}
+}
+
 func (s *Server) unknownAttempt() *outcome.Error {
 	return &outcome.Error{Step: "fetch", Peer: s.settings.Name, Outcome: outcome.Unknown, Reason: "unknown-attempt"}
 }
--- a/sidecar/stream.go
+++ b/sidecar/stream.go
@@ -45,6 +45,7 @@
 		http.Error(w, err.Error(), http.StatusBadRequest)
 		return
 	}
+	s.release(request.Released)
 	out := &streamWriter{server: s, w: w, control: http.NewResponseController(w)}
 	if start := request.Start; start != nil {
 		out.id = shortID(start.Id)
