routing: spread over what other entries do unseen, and give each entry its equal part

Cause: entries that see the same late reports all chose the upstream of the lowest score. Change: the choice pours the unseen arrivals of others over the lowest scores and draws by share; an entry may always hold its equal part of all places, and takes a bounded part of the places that are free by late reports; a refusal for want of room is reported (Attempt.Refused) and its request is next of its organisation (Gate.Reacquire). An upstream may hold 2 requests beyond its capacity.

--- a/fairness/flow.go
+++ b/fairness/flow.go
@@ -76,11 +76,14 @@
 	return cost
 }
 
-func (f *flow) add(t *Ticket) {
+func (f *flow) add(t *Ticket, first bool) {
 	c := f.classOf(t.weight())
 	t.flow, t.class = f, c
-	t.inFlow = f.waiting.PushBack(t)
-	t.inClass = c.waiting.PushBack(t)
+	if first {
+		t.inFlow, t.inClass = f.waiting.PushFront(t), c.waiting.PushFront(t)
+	} else {
+		t.inFlow, t.inClass = f.waiting.PushBack(t), c.waiting.PushBack(t)
+	}
 	c.cost += t.cost()
 	f.cost += t.cost()
 }
--- a/fairness/gate.go
+++ b/fairness/gate.go
@@ -32,6 +32,22 @@
 	if refused := g.push(t, ended); refused != nil {
 		return refused
 	}
+	return g.await(ctx, t, ended)
+}
+
+// Reacquire takes an admitted request back that its upstream refused for want of room, and blocks as Acquire does.
+// The request is the next of its organisation.
+func (g *Gate) Reacquire(ctx context.Context, t *Ticket) *outcome.Error {
+	ended := make(chan *outcome.Error, 1)
+	g.mutex.Lock()
+	g.queue.Return(t)
+	g.waits[t] = ended
+	g.grant(time.Now())
+	g.mutex.Unlock()
+	return g.await(ctx, t, ended)
+}
+
+func (g *Gate) await(ctx context.Context, t *Ticket, ended chan *outcome.Error) *outcome.Error {
 	var late <-chan time.Time
 	if !t.Latest.IsZero() {
 		timer := time.NewTimer(time.Until(t.Latest) + time.Millisecond)
--- a/fairness/places.go
+++ b/fairness/places.go
@@ -17,11 +17,11 @@
 	return f
 }
 
-func (q *Queue) add(f *flow, t *Ticket) {
+func (q *Queue) add(f *flow, t *Ticket, first bool) {
 	if !f.isWaiting() {
 		f.finish = max(f.finish, q.virtual)
 	}
-	f.add(t)
+	f.add(t, first)
 	q.waiting++
 	t.state = ticketWaiting
 	t.expiry = -1
--- a/fairness/queue.go
+++ b/fairness/queue.go
@@ -111,7 +111,7 @@
 		}
 		q.giveUp(victim, "shed for a request of more weight or of a smaller share")
 	}
-	q.add(f, t)
+	q.add(f, t, false)
 	return nil
 }
 
@@ -142,6 +142,19 @@
 	return q.ready.flows[0].head()
 }
 
+// Return takes a request back that Pop returned and that did not run after all. It is the next of its
+// organisation.
+func (q *Queue) Return(t *Ticket) {
+	if t.state != ticketGranted {
+		return
+	}
+	f := t.flow
+	f.running--
+	f.finish = max(0, f.finish-t.cost()/f.weight())
+	q.meter.cost = max(0, q.meter.cost-t.cost())
+	q.add(f, t, true)
+}
+
 // Release tells that a request that Pop returned has ended. The service of its organisation is corrected by
 // what the request took: actual replaces the expected cost; zero keeps it.
 func (q *Queue) Release(t *Ticket, actual float64) {
--- a/fairness/rate_meter.go
+++ b/fairness/rate_meter.go
@@ -5,8 +5,12 @@
 	"time"
 )
 
-// rateWindow is the time over which the service rate is averaged.
-const rateWindow = 3 * time.Second
+const (
+	// rateWindow is the time over which the service rate is averaged.
+	rateWindow = 3 * time.Second
+	// rateGrants is the number of grants over which it is averaged when fewer come within the window.
+	rateGrants = 32
+)
 
 // rateMeter measures the cost granted a second while requests wait. Time without waiting requests does not
 // count, for then the rate is that of the demand and not of the room.
@@ -20,7 +24,7 @@
 func (m *rateMeter) add(now time.Time, cost float64, waiting bool) {
 	if !m.last.IsZero() {
 		seconds := now.Sub(m.last).Seconds()
-		keep := math.Exp(-seconds / rateWindow.Seconds())
+		keep := math.Exp(-min(seconds/rateWindow.Seconds(), 1.0/rateGrants))
 		m.cost = m.cost*keep + cost
 		m.seconds = m.seconds*keep + seconds
 	}
--- a/routing/account.go
+++ b/routing/account.go
@@ -16,8 +16,12 @@
 	historyStep = 25 * time.Millisecond
 	// stepGain is the weight of a new sample in the mean time of a decode step.
 	stepGain = 0.05
+	// stayGain is the weight of a new sample in the mean time of an attempt.
+	stayGain = 0.05
 	// prefillGain is the weight of a new sample in the mean prefill time of a token.
 	prefillGain = 0.1
+	// fullFor bounds the time for which a refusal for want of room counts.
+	fullFor = time.Second
 	// defaultStep is the decode step time of an upstream of which nothing is known.
 	defaultStep = 30 * time.Millisecond
 	// defaultPrefill is the prefill time of a token of which nothing is known.
@@ -31,12 +35,16 @@
 		running  atomic.Int64 // own requests in flight
 		tokens   atomic.Int64 // own tokens in flight, prompt and expected output
 		pending  atomic.Int64 // own prompt tokens whose first token has not come
+		ownThen  atomic.Int64 // own requests in flight when the last report was sampled
 		others   atomic.Int64 // requests of other entries, as of the last report
 		step     atomic.Int64 // mean decode step as own answers show it, in nanoseconds; 0 when unknown
 		reported atomic.Int64 // mean decode step of the last report, in nanoseconds; 0 when unknown
 		prefill  atomic.Int64 // prefill time of a token, in nanoseconds; 0 when unknown
 		capacity atomic.Int64
 		failures atomic.Int64 // failures in a row
+		stay     atomic.Int64 // mean time of an own attempt, in nanoseconds; 0 when unknown
+		sampled  atomic.Int64 // time of the last report's sample, Unix nanoseconds; 0 before the first
+		full     atomic.Int64 // time of the last refusal for want of room, Unix nanoseconds; 0 for none
 		closed   atomic.Int64 // time until which failures keep the upstream closed, Unix nanoseconds
 		ranks    atomic.Pointer[rankView]
 		rankWork []atomic.Int64 // own tokens in flight on each rank
@@ -120,8 +128,11 @@
 		return
 	}
 	a.sequence = load.Sequence
+	a.sampled.Store(sampled.UnixNano())
 	total := int64(load.Running) + int64(load.Queued)
-	a.others.Store(max(0, total-a.runningAt(sampled)))
+	own := a.runningAt(sampled)
+	a.ownThen.Store(own)
+	a.others.Store(max(0, total-own))
 	if load.Capacity > 0 {
 		a.capacity.Store(int64(load.Capacity))
 	}
@@ -149,6 +160,26 @@
 	}
 }
 
+// turnover returns the part of the reported work of others that has ended since the report was sampled; as much
+// new work has come in its place, at upstreams that the report does not tell.
+func (a *account) turnover(now time.Time) float64 {
+	sampled := a.sampled.Load()
+	if sampled == 0 {
+		return 0
+	}
+	stay := a.stay.Load()
+	if stay == 0 {
+		stay = int64(a.stepTime() * typicalOutput)
+	}
+	return min(1, max(0, float64(now.UnixNano()-sampled)/float64(stay)))
+}
+
+// isFull reports whether the upstream refused a request for want of room and nothing newer is known.
+func (a *account) isFull(now time.Time) bool {
+	full := a.full.Load()
+	return full != 0 && a.sampled.Load() < full && now.UnixNano()-full < int64(fullFor)
+}
+
 // prefillTime returns the prefill time of one token.
 func (a *account) prefillTime() time.Duration {
 	if known := a.prefill.Load(); known > 0 {
--- a/routing/attempt.go
+++ b/routing/attempt.go
@@ -62,10 +62,20 @@
 	a.last = now
 }
 
-// Ended reports that the attempt ended with an answer, or was refused or cancelled by no fault of the upstream.
+// Ended reports that the attempt ended with an answer or was cancelled by no fault of the upstream.
 func (a *Attempt) Ended(now time.Time) {
 	if a.close(now) {
 		a.account.failures.Store(0)
+		a.account.full.Store(0)
+		smooth(&a.account.stay, now.Sub(a.dispatched), stayGain)
+		a.settle()
+	}
+}
+
+// Refused reports that the upstream proved not to run the attempt for want of room.
+func (a *Attempt) Refused(now time.Time) {
+	if a.close(now) {
+		a.account.full.Store(now.UnixNano())
 		a.settle()
 	}
 }
--- a/routing/benchmark_test.go
+++ b/routing/benchmark_test.go
@@ -4,8 +4,6 @@
 	"fmt"
 	"slices"
 	"testing"
-
-	"guavahitch.example/guavahitch/routing"
 )
 
 // heldOutSeeds are kept apart from the seeds that the policy was tuned on, 1 to 3.
@@ -25,12 +23,12 @@
 }
 
 // measure runs a policy at a load over the seeds and pools what they answered.
-func measure(p policy, seeds []uint64, load float64) result {
+func measure(p policy, seeds []uint64, load float64, stalls bool) result {
 	var times, firsts, floors []float64
 	r := result{minFair: 10}
 	for _, seed := range seeds {
 		perSecond := capacity(seed)
-		m := simulate(p, seed, load, perSecond)
+		m := simulate(p, seed, load, perSecond, stalls)
 		times = append(times, m.times...)
 		firsts = append(firsts, m.firsts...)
 		floors = append(floors, m.floors...)
@@ -69,19 +67,27 @@
 
 func BenchmarkRouting(b *testing.B) {
 	for _, load := range []float64{0.5, 0.8, 1.0, 1.5} {
-		policies := append(baselines(), guavahitch("guavahitch", func(*routing.Settings) {}))
-		for _, p := range policies {
-			b.Run(fmt.Sprintf("load=%.1f/policy=%s", load, p.name), func(b *testing.B) {
-				for range b.N {
-					r := measure(p, heldOutSeeds, load)
-					b.ReportMetric(r.p50, "p50-ms")
-					b.ReportMetric(r.p99, "p99-ms")
-					b.ReportMetric(r.first99, "first-p99-ms")
-					b.ReportMetric(r.floor99, "floor-p99-ms")
-					b.ReportMetric(r.answered, "answered-share")
-					b.ReportMetric(r.minFair, "min-fair-share")
-				}
-			})
+		for _, p := range append(baselines(), guavahitch("guavahitch", func(*entry) {})) {
+			b.Run(fmt.Sprintf("load=%.1f/policy=%s", load, p.name), func(b *testing.B) { report(b, p, load, false) })
 		}
 	}
 }
+
+// BenchmarkRoutingStall is BenchmarkRouting at 0.8 while one upstream is slowed eightfold for 50 s.
+func BenchmarkRoutingStall(b *testing.B) {
+	for _, p := range append(baselines(), guavahitch("guavahitch", func(*entry) {})) {
+		b.Run("load=0.8/policy="+p.name, func(b *testing.B) { report(b, p, 0.8, true) })
+	}
+}
+
+func report(b *testing.B, p policy, load float64, stalls bool) {
+	for range b.N {
+		r := measure(p, heldOutSeeds, load, stalls)
+		b.ReportMetric(r.p50, "p50-ms")
+		b.ReportMetric(r.p99, "p99-ms")
+		b.ReportMetric(r.first99, "first-p99-ms")
+		b.ReportMetric(r.floor99, "floor-p99-ms")
+		b.ReportMetric(r.answered, "answered-share")
+		b.ReportMetric(r.minFair, "min-fair-share")
+	}
+}
--- a/routing/model_test.go
+++ b/routing/model_test.go
@@ -19,6 +19,7 @@
 	modelUpstreams = 12
 	modelEntries   = 4
 	modelSlots     = 16
+	modelQueue     = 8 // calls that a sidecar holds beyond the slots when it may refuse
 	stepBase       = 15 * time.Millisecond
 	stepPerRequest = 600 * time.Microsecond
 	prefillToken   = 80 * time.Microsecond
@@ -31,6 +32,9 @@
 	slowFactor     = 2.0
 	warmUp         = 20 * time.Second
 	modelLength    = 140 * time.Second
+	stallFrom      = 50 * time.Second
+	stallUntil     = 100 * time.Second
+	stallFactor    = 8.0
 )
 
 // demand is the share of the offered load of each organisation; all have the same weight.
@@ -55,6 +59,8 @@
 		finished       bool
 		onToken        func()
 		onEnd          func()
+		onCancel       func()
+		onRefused      func() // nil when the upstream must queue the call
 	}
 
 	engine struct {
@@ -74,10 +80,11 @@
 		now      time.Duration
 		seq      int
 		events   eventHeap
-		random   *rand.Rand
+		random   *rand.Rand // draws arrivals and calls, the same for all policies
+		choices  *rand.Rand // draws what policies choose
 		engines  []*engine
 		entries  []*entry
-		load     float64
+		stalls   bool
 		times    []float64
 		firsts   []float64
 		floors   []float64 // times of the same calls, each alone on an idle upstream
@@ -88,6 +95,7 @@
 	// policy is a way to route: start makes an entry ready, arrive takes a call.
 	policy struct {
 		name   string
+		fleet  int // entries; zero stands for modelEntries
 		start  func(e *entry)
 		arrive func(e *entry, c *call)
 	}
@@ -101,6 +109,7 @@
 		queue    *fairness.Queue
 		settings routing.Settings
 		pumping  bool
+		longest  time.Duration
 	}
 )
 
@@ -117,7 +126,7 @@
 }
 
 func newModel(seed uint64) *model {
-	m := &model{random: rand.New(rand.NewPCG(seed, 1)), answered: make([]float64, len(demand)), offered: make([]float64, len(demand))}
+	m := &model{random: rand.New(rand.NewPCG(seed, 1)), choices: rand.New(rand.NewPCG(seed, 2)), answered: make([]float64, len(demand)), offered: make([]float64, len(demand))}
 	for n := range modelUpstreams {
 		e := &engine{m: m, id: n, slow: 1, cached: map[uint64]int{}}
 		if n == 0 {
@@ -128,6 +137,13 @@
 	return m
 }
 
+func (p policy) entries() int {
+	if p.fleet > 0 {
+		return p.fleet
+	}
+	return modelEntries
+}
+
 func (m *model) time() time.Time { return start.Add(m.now) }
 
 func (m *model) after(d time.Duration, run func()) {
@@ -170,6 +186,10 @@
 }
 
 func (g *engine) accept(c *call) {
+	if c.onRefused != nil && len(g.running)+len(g.queue) >= modelSlots+modelQueue {
+		g.m.after(network, c.onRefused)
+		return
+	}
 	g.queue = append(g.queue, c)
 	if !g.stepping {
 		g.stepping = true
@@ -199,10 +219,18 @@
 		budget -= chunk
 	}
 	batch := stepBase + stepPerRequest*time.Duration(len(g.running)) + prefillToken*time.Duration(prefillChunk-budget)
-	g.step = time.Duration(float64(batch) * g.slow)
+	g.step = time.Duration(float64(batch) * g.slowness())
 	g.m.after(g.step, g.finishStep)
 }
 
+// slowness returns the factor on the time of a step. Where the model stalls, one upstream is slower for a while.
+func (g *engine) slowness() float64 {
+	if g.m.stalls && g.id == 1 && g.m.now > stallFrom && g.m.now < stallUntil {
+		return stallFactor
+	}
+	return g.slow
+}
+
 func (g *engine) finishStep() {
 	kept := g.running[:0]
 	for _, c := range g.running {
@@ -287,10 +315,15 @@
 		}
 	}
 	m.after(network, func() { m.engines[to].accept(c) })
+	again := c.onCancel != nil
+	c.onCancel = onEnd
+	if again {
+		return
+	}
 	m.after(c.born+callerPatience-m.now, func() {
 		if !c.finished {
 			c.finished = true
-			onEnd()
+			c.onCancel()
 		}
 	})
 }
@@ -336,9 +369,10 @@
 }
 
 // simulate runs a policy at a load, relative to the capacity in calls a second.
-func simulate(p policy, seed uint64, load, perSecond float64) *model {
+func simulate(p policy, seed uint64, load, perSecond float64, stalls bool) *model {
 	m := newModel(seed)
-	for n := range modelEntries {
+	m.stalls = stalls
+	for n := range p.entries() {
 		e := &entry{m: m, id: n, policy: p, reported: make([]int, modelUpstreams)}
 		m.entries = append(m.entries, e)
 		p.start(e)
@@ -361,9 +395,9 @@
 
 func baselines() []policy {
 	return []policy{
-		immediate("random", func(e *entry) int { return e.m.random.IntN(modelUpstreams) }),
+		immediate("random", func(e *entry) int { return e.m.choices.IntN(modelUpstreams) }),
 		immediate("least-reported", func(e *entry) int {
-			best := e.m.random.IntN(modelUpstreams)
+			best := e.m.choices.IntN(modelUpstreams)
 			for n := range e.reported {
 				if e.reported[n] < e.reported[best] {
 					best = n
@@ -372,7 +406,7 @@
 			return best
 		}),
 		immediate("power-of-two", func(e *entry) int {
-			a, b := e.m.random.IntN(modelUpstreams), e.m.random.IntN(modelUpstreams)
+			a, b := e.m.choices.IntN(modelUpstreams), e.m.choices.IntN(modelUpstreams)
 			if e.reported[b] < e.reported[a] {
 				return b
 			}
@@ -382,15 +416,15 @@
 }
 
 // guavahitch is the policy of this package with fair admission; adjust changes its settings.
-func guavahitch(name string, adjust func(s *routing.Settings)) policy {
+func guavahitch(name string, adjust func(e *entry)) policy {
 	return policy{
 		name: name,
 		start: func(e *entry) {
 			e.settings = routing.Settings{Entry: fmt.Sprintf("entry-%d", e.id), Seed: uint64(e.id), OnRoom: e.wake}
-			adjust(&e.settings)
+			adjust(e)
 			e.picker = routing.NewPicker(e.settings)
-			e.queue = fairness.NewQueue(fairness.Settings{})
-			table := routing.Table{}
+			e.queue = fairness.NewQueue(fairness.Settings{LongestWait: e.longest})
+			table := routing.Table{}.WithEntries(e.policy.entries())
 			for n := range modelUpstreams {
 				table = table.With(routing.Upstream{Name: upstreamName(n), Services: []string{"match"}, Capacity: modelSlots, Epoch: 1})
 			}
@@ -433,6 +467,13 @@
 			return
 		}
 		t := e.queue.Pop(e.m.time())
+		c.onRefused = func() {
+			if !c.finished {
+				e.queue.Return(t)
+			}
+			choice.Attempt.Refused(e.m.time())
+			e.wake()
+		}
 		var to int
 		fmt.Sscanf(choice.Upstream.Name, "upstream-%d", &to)
 		e.m.send(c, to,
--- a/routing/picker.go
+++ b/routing/picker.go
@@ -15,6 +15,8 @@
 const (
 	// DefaultSubset is the number of upstreams of one service that one entry uses.
 	DefaultSubset = 16
+	// DefaultOvercommit is the number of requests that an upstream may hold beyond its capacity.
+	DefaultOvercommit = 2
 	// stepPick is the step that errors of this package name.
 	stepPick = "pick"
 	// roomRetry is the retry advice when all upstreams are full.
@@ -34,7 +36,8 @@
 		Seed uint64
 		// Subset is the number of upstreams of one service that the entry uses; zero stands for DefaultSubset.
 		Subset int
-		// Overcommit is the number of requests beyond its capacity that an upstream may hold.
+		// Overcommit is the number of requests beyond its capacity that an upstream may hold, so that it has work
+		// while the news of a free place is on its way; zero stands for DefaultOvercommit, less for none.
 		Overcommit int
 		// IgnorePrefixes turns the use of prefix views off.
 		IgnorePrefixes bool
@@ -81,6 +84,10 @@
 	if s.Subset <= 0 {
 		s.Subset = DefaultSubset
 	}
+	if s.Overcommit == 0 {
+		s.Overcommit = DefaultOvercommit
+	}
+	s.Overcommit = max(s.Overcommit, 0)
 	if s.OnRoom == nil {
 		s.OnRoom = func() {}
 	}
@@ -157,14 +164,15 @@
 	c.account.cache.apply(e)
 }
 
-// HasRoom reports whether an upstream of the service would take a request now.
+// HasRoom reports whether an upstream of the service has a free place, as far as is known.
 func (p *Picker) HasRoom(now time.Time, service string) bool {
 	l, ok := p.plan.Load().services[service]
 	if !ok {
 		return false
 	}
 	for _, c := range l.subset {
-		if c.isOpen(now) && c.free()+int64(p.settings.Overcommit) > 0 {
+		places := c.account.capacity.Load() + int64(p.settings.Overcommit)
+		if c.isOpen(now) && !c.account.isFull(now) && c.running() < places {
 			return true
 		}
 	}
@@ -183,7 +191,8 @@
 	if !ok {
 		return Choice{}, refusal("no-upstream", "no upstream offers "+r.Service, absentRetry)
 	}
-	best, e, open := p.best(now, l, r)
+	chosen, open := p.best(now, current.table.entries, l, r)
+	best, e := chosen.candidate, chosen.estimate
 	switch {
 	case best == nil && open:
 		return Choice{}, refusal("no-room", "all upstreams are full", roomRetry)
@@ -195,41 +204,57 @@
 	return p.dispatch(now, best, e, r), nil
 }
 
-func (p *Picker) best(now time.Time, l *pool, r Request) (*candidate, estimate, bool) {
-	var best *candidate
-	var bestEstimate estimate
-	open := false
-	offset := int(mix(p.settings.Seed^p.sequence.Add(1)) % uint64(max(1, len(l.subset))))
+// best returns the choice among the open candidates that may take the request; open tells whether any is open at all.
+func (p *Picker) best(now time.Time, entries int, l *pool, r Request) (chosen scored, open bool) {
+	var space, fullSpace [DefaultSubset + 2]scored
+	found, full := space[:0], fullSpace[:0]
+	shared := p.newShare(now, entries, l)
 	consider := func(c *candidate) {
 		if !c.isOpen(now) || r.isExcluded(c.upstream.Name) {
 			return
 		}
 		open = true
-		e := c.estimate(r, p.settings)
-		if !r.Admitted && e.room+int64(p.settings.Overcommit) <= 0 {
-			return
-		}
+		e := c.estimate(now, r, p.settings)
 		if r.Alone {
-			e.score = e.score * time.Duration(1+c.running())
+			e.score *= float64(1 + c.running())
+		}
+		if r.Admitted || e.room+int64(p.settings.Overcommit) > 0 {
+			found = append(found, scored{candidate: c, estimate: e})
+			return
 		}
-		if best == nil || e.score < bestEstimate.score {
-			best, bestEstimate = c, e
+		if !c.account.isFull(now) {
+			full = append(full, scored{candidate: c, estimate: e})
 		}
 	}
+	draw := mix(p.settings.Seed ^ p.sequence.Add(1))
 	for n := range l.subset {
-		consider(l.subset[(n+offset)%len(l.subset)])
+		c := l.subset[(uint64(n)+draw)%uint64(len(l.subset))]
+		if c.isOpen(now) {
+			shared.add(c.account, p.settings.Overcommit)
+		}
+		consider(c)
 	}
 	if len(l.ring) > len(l.subset) {
-		for _, c := range l.homes(r.PrefixHashes) {
-			consider(c)
-		}
-		if !open {
-			for n := range min(len(l.ring), p.settings.Subset) {
-				consider(l.ring[int((mix(p.settings.Seed+uint64(offset))+uint64(n))%uint64(len(l.ring)))].candidate)
-			}
-		}
+		l.considerBeyond(consider, r, draw, open)
+	}
+	switch {
+	case len(found) > 0 && (r.Admitted || shared.isOwed() || shared.mayTakeFree()):
+		return choose(found, draw), open
+	case len(found) == 0 && shared.isOwed():
+		return choose(full, draw), open
+	default:
+		return scored{}, open
+	}
+}
+
+// considerBeyond adds the prompt's home upstreams, and when all of the subset are closed, others at random.
+func (l *pool) considerBeyond(consider func(*candidate), r Request, draw uint64, open bool) {
+	for _, c := range l.homes(r.PrefixHashes) {
+		consider(c)
+	}
+	for n := uint64(0); !open && n < uint64(len(l.subset)); n++ {
+		consider(l.ring[mix(draw+n)%uint64(len(l.ring))].candidate)
 	}
-	return best, bestEstimate, open
 }
 
 // homes returns the upstreams at which all entries look for the prompt's first block, in a table larger than
@@ -262,8 +287,6 @@
 
 func (c *candidate) running() int64 { return c.account.running.Load() + c.account.others.Load() }
 
-func (c *candidate) free() int64 { return c.account.capacity.Load() - c.running() }
-
 func refusal(reason, detail string, retryAfter time.Duration) *outcome.Error {
 	return &outcome.Error{
 		Step: stepPick, Outcome: outcome.NotRun, Reason: reason, Detail: detail, RetryAfter: retryAfter,
--- a/routing/picker_test.go
+++ b/routing/picker_test.go
@@ -30,7 +30,7 @@
 }
 
 func TestOwnDispatchesCountAtOnce(t *testing.T) {
-	picker := routing.NewPicker(routing.Settings{Entry: "entry-1"})
+	picker := routing.NewPicker(routing.Settings{Entry: "entry-1", Overcommit: -1})
 	picker.Use(routing.Table{}.With(upstream("a"), upstream("b"), upstream("c")))
 	counts := map[string]int{}
 	for range 12 {
@@ -53,7 +53,7 @@
 }
 
 func TestReportsOfOthersCount(t *testing.T) {
-	picker := routing.NewPicker(routing.Settings{Entry: "entry-1"})
+	picker := routing.NewPicker(routing.Settings{Entry: "entry-1", Overcommit: -1})
 	picker.Use(routing.Table{}.With(upstream("a"), upstream("b")))
 	picker.Observe(start, "a", 1, &wire.Load{Running: 4, Sequence: 2})
 	picker.Observe(start, "a", 1, &wire.Load{Running: 0, Sequence: 1})
--- a/routing/score.go
+++ b/routing/score.go
@@ -15,34 +15,43 @@
 	total  time.Duration // time to the end
 	cached int           // prompt tokens believed cached
 	room   int64         // free places before this request
-	score  time.Duration
+	score  float64       // cost to this request and to those beside it, in seconds
+	slope  float64       // growth of the score with each further request, in seconds
+	unseen float64       // requests of others that came since the last report, at whatever upstream
 }
 
 // estimate predicts the run of a request at the upstream.
-func (c *candidate) estimate(r Request, s Settings) estimate {
+func (c *candidate) estimate(now time.Time, r Request, s Settings) estimate {
 	a := c.account
-	running := a.running.Load() + a.others.Load()
+	own, others := a.running.Load(), a.others.Load()
+	unseen := float64(others) * a.turnover(now)
+	running := float64(own+others) - unseen
 	capacity := max(1, a.capacity.Load())
 	step := a.stepTime()
 	output := r.OutputTokens
 	if output <= 0 {
 		output = typicalOutput
 	}
-	e := estimate{room: capacity - running}
+	e := estimate{room: capacity - own - others, unseen: unseen}
+	if a.isFull(now) {
+		e.room = min(e.room, -int64(s.Overcommit))
+	}
 	if !s.IgnorePrefixes {
 		e.cached = min(a.cache.cachedTokens(r.PrefixHashes), r.PromptTokens)
 	}
 	uncached := time.Duration(a.pending.Load() + int64(r.PromptTokens-e.cached))
 	e.wait = uncached * a.prefillTime()
-	if over := running + 1 - capacity; over > 0 {
-		e.wait += step * typicalOutput * time.Duration(over) / time.Duration(capacity)
+	if over := running + 1 - float64(capacity); over > 0 {
+		e.wait += time.Duration(float64(step*typicalOutput) * over / float64(capacity))
 	}
-	e.total = e.wait + time.Duration(output)*step
+	decode := time.Duration(output) * step
+	e.total = e.wait + decode
 	// What the request adds to the step time is paid by all that run beside it.
-	crowding := step * time.Duration(output) * time.Duration(running) / time.Duration(capacity)
-	e.score = time.Duration(float64(e.total+crowding) * c.slow)
+	crowding := decode.Seconds() * running / float64(capacity)
+	e.score = (e.total.Seconds() + crowding) * c.slow
+	e.slope = decode.Seconds() / float64(capacity) * c.slow
 	if c.far {
-		e.score += domainPenalty
+		e.score += domainPenalty.Seconds()
 	}
 	return e
 }
--- a/routing/subset.go
+++ b/routing/subset.go
@@ -47,3 +47,6 @@
 	x = (x ^ (x >> 27)) * 0x94d049bb133111eb
 	return x ^ (x >> 31)
 }
+
+// unit maps 64 random bits to a number from 0 to below 1.
+func unit(x uint64) float64 { return float64(x>>11) / (1 << 53) }
--- a/routing/table.go
+++ b/routing/table.go
@@ -49,6 +49,7 @@
 	Table struct {
 		upstreams map[string]Upstream
 		until     time.Time
+		entries   int
 	}
 )
 
@@ -88,7 +89,7 @@
 
 // With returns a copy that holds the given upstreams, each in place of one of the same name.
 func (t Table) With(upstreams ...Upstream) Table {
-	next := Table{upstreams: make(map[string]Upstream, len(t.upstreams)+len(upstreams)), until: t.until}
+	next := Table{upstreams: make(map[string]Upstream, len(t.upstreams)+len(upstreams)), until: t.until, entries: t.entries}
 	maps.Copy(next.upstreams, t.upstreams)
 	for _, u := range upstreams {
 		next.upstreams[u.Name] = u
@@ -98,7 +99,7 @@
 
 // Without returns a copy that lacks the named upstreams.
 func (t Table) Without(names ...string) Table {
-	next := Table{upstreams: maps.Clone(t.upstreams), until: t.until}
+	next := Table{upstreams: maps.Clone(t.upstreams), until: t.until, entries: t.entries}
 	for _, name := range names {
 		delete(next.upstreams, name)
 	}
@@ -111,6 +112,13 @@
 	return t
 }
 
+// WithEntries returns a copy for a picker that shares the upstreams with others: entries is the number of entries in
+// all. Zero stands for an unknown number.
+func (t Table) WithEntries(entries int) Table {
+	t.entries = entries
+	return t
+}
+
 // Lease returns the time until which a picker may act on the table; zero when there is no bound.
 func (t Table) Lease() time.Time { return t.until }
 
