Quarantine through the log: deaths, verdicts, distribution, clearing

Cause: death reports were recorded and no verdict came of them, and every watch reply carried the whole list of verdicts. Measured: TestWholePath: the first send loses two fake engines, the resend is refused as deadly, none lost. Conclusion: a deadly request takes two upstreams with it in the whole path.

--- a/control/members.go
+++ b/control/members.go
@@ -175,21 +175,25 @@
 	return names
 }
 
-// Fill puts into the reply what a process lacks that holds the given view and revision.
-func (s *State) Fill(reply *wire.WatchReply, view, revision uint64) {
+// Fill puts into the reply what a process lacks that holds what the request names.
+func (s *State) Fill(reply *wire.WatchReply, request *wire.WatchRequest) {
 	s.mutex.RLock()
 	defer s.mutex.RUnlock()
-	s.members.view.Fill(reply, view)
+	s.members.view.Fill(reply, request.View)
 	reply.Revision = s.configuration.revision
-	if revision != reply.Revision {
+	if request.Revision != reply.Revision {
 		reply.Inventory = s.configuration.inventory
 	}
-	reply.Quarantined = s.quarantinedLocked()
+	reply.Quarantine = s.verdicts
+	if request.Quarantine != reply.Quarantine {
+		reply.Quarantined = s.quarantinedLocked()
+	}
 }
 
-// isBehind reports whether a process that holds the view and revision lacks something.
-func (s *State) isBehind(view, revision uint64) bool {
+// isBehind reports whether a process lacks something that holds what the request names.
+func (s *State) isBehind(request *wire.WatchRequest) bool {
 	s.mutex.RLock()
 	defer s.mutex.RUnlock()
-	return view != s.members.view.Number() || revision != s.configuration.revision
+	return request.View != s.members.view.Number() || request.Revision != s.configuration.revision ||
+		request.Quarantine != s.verdicts
 }
--- a/control/quarantine.go
+++ b/control/quarantine.go
@@ -1,5 +1,5 @@
-// Deaths of engines and the verdicts on the requests that they ran. The verdict itself is made outside,
-// from the reported deaths; this file stores it and hands it to every process.
+// Deaths of engines and the verdicts on the requests that they ran. Package quarantine makes the verdict from
+// the reported deaths; this file applies it from the log, records it and hands it to every process.
 
 package control
 
@@ -7,7 +7,9 @@
 	"bytes"
 	"encoding/hex"
 	"fmt"
+	"time"
 
+	"guavahitch.example/guavahitch/quarantine"
 	"guavahitch.example/guavahitch/wire"
 )
 
@@ -20,9 +22,25 @@
 		Cause: fmt.Sprintf("crash %s with %d requests running", report.CrashId, len(report.Running)),
 		Rule:  "suspicion is the intersection over distinct crashes",
 	})
+	for _, verdict := range s.tracker.Died(time.UnixMilli(s.nowMs), report) {
+		cause := fmt.Sprintf("it was running when %s died in crash %s", report.Upstream, report.CrashId)
+		s.quarantine(replica, &wire.QuarantineUpdate{Quarantine: verdict, Cause: cause})
+	}
 	return &wire.Result{Applied: true}
 }
 
+// clear frees a suspect that ran alone to its end.
+func (s *State) clear(replica string, request *wire.ClearRequest) *wire.Result {
+	fingerprint, ok := quarantine.FromBytes(request.Fingerprint)
+	if !ok || !s.tracker.Cleared(request.Organisation, fingerprint) {
+		return &wire.Result{Applied: true}
+	}
+	return s.quarantine(replica, &wire.QuarantineUpdate{
+		Quarantine: &wire.Quarantine{Fingerprint: request.Fingerprint, Organisation: request.Organisation},
+		Remove:     true, Cause: "it ran alone to its end",
+	})
+}
+
 func (s *State) quarantine(replica string, update *wire.QuarantineUpdate) *wire.Result {
 	q := update.Quarantine
 	name := string(q.GetFingerprint())
@@ -42,6 +60,7 @@
 		Kind: "quarantine", Subject: hex.EncodeToString(q.GetFingerprint()), Decision: decision, Cause: update.Cause,
 		Rule: "a fingerprint of one organisation never blocks another",
 	})
+	s.verdicts = s.index
 	s.signal()
 	return &wire.Result{Applied: true}
 }
--- a/control/server.go
+++ b/control/server.go
@@ -195,6 +195,19 @@
 	return &wire.DeathReply{Failure: result.Failure}, nil
 }
 
+// Clear frees a suspect that ran alone to its end.
+func (s *Server) Clear(ctx context.Context, request *wire.ClearRequest) (*wire.ClearReply, error) {
+	leads, leader := s.isLeader()
+	if !leads {
+		return &wire.ClearReply{Failure: notLeader("clear"), Leader: leader}, nil
+	}
+	result, err := s.propose(ctx, &wire.Command{Body: &wire.Command_Clear{Clear: request}})
+	if err != nil {
+		return &wire.ClearReply{Failure: unsettled("clear", err)}, nil
+	}
+	return &wire.ClearReply{Failure: result.Failure}, nil
+}
+
 // Records returns the durable records of decisions.
 func (s *Server) Records(ctx context.Context, request *wire.RecordsRequest) (*wire.RecordsReply, error) {
 	leader, failure := s.barrier(ctx, "records")
--- a/control/state.go
+++ b/control/state.go
@@ -20,6 +20,7 @@
 	"google.golang.org/protobuf/proto"
 
 	"guavahitch.example/guavahitch/claim"
+	"guavahitch.example/guavahitch/quarantine"
 	"guavahitch.example/guavahitch/wire"
 )
 
@@ -60,9 +61,12 @@
 		members       *members
 		claims        *claim.Store
 		keys          *claim.Keys
+		tracker       *quarantine.Tracker
 		quarantined   map[string]*wire.Quarantine
-		records       *records
-		settled       map[claim.Key]chan struct{}
+		// verdicts is the index of the last change of the quarantine.
+		verdicts uint64
+		records  *records
+		settled  map[claim.Key]chan struct{}
 		// broken is why the stores cannot be read; the replica must stop.
 		broken error
 	}
@@ -113,6 +117,7 @@
 func (s *State) reset() {
 	s.members = newMembers()
 	s.keys = claim.NewKeys(s.claims)
+	s.tracker = quarantine.NewTracker(quarantine.Settings{})
 	s.quarantined = make(map[string]*wire.Quarantine)
 }
 
@@ -169,6 +174,8 @@
 		return s.settle(command.Replica, body.Settle)
 	case *wire.Command_Death:
 		return s.death(command.Replica, body.Death)
+	case *wire.Command_Clear:
+		return s.clear(command.Replica, body.Clear)
 	case *wire.Command_Quarantine:
 		return s.quarantine(command.Replica, body.Quarantine)
 	case *wire.Command_Record:
--- a/control/watch.go
+++ b/control/watch.go
@@ -92,7 +92,7 @@
 	}
 	s.await(ctx, request)
 	reply := &wire.WatchReply{}
-	s.settings.State.Fill(reply, request.View, request.Revision)
+	s.settings.State.Fill(reply, request)
 	if granted {
 		reply.LeaseMs = lease.Duration.Milliseconds()
 	}
@@ -125,7 +125,7 @@
 	defer timer.Stop()
 	for {
 		changed := s.settings.State.Changed()
-		if s.settings.State.isBehind(request.View, request.Revision) {
+		if s.settings.State.isBehind(request) {
 			return
 		}
 		select {
--- a/daemon/sidecar.go
+++ b/daemon/sidecar.go
@@ -22,6 +22,8 @@
 	entriesKept = 4096
 	// answerKept is how long an answer that nobody fetches is kept.
 	answerKept = 10 * time.Minute
+	// reportWait is how long the failure of attempts waits for control to take the report of a death.
+	reportWait = 500 * time.Millisecond
 	// epochRandomBits are the low bits of an epoch, which tell apart starts of the same millisecond.
 	epochRandomBits = 20
 )
@@ -77,13 +79,19 @@
 	report := &wire.DeathReport{
 		Upstream: r.process.settings.Name, Epoch: r.server.Epoch(), Running: running, CrashId: uuid.NewString(),
 	}
+	taken := make(chan struct{})
 	go func() {
+		defer close(taken)
 		ctx, cancel := context.WithTimeout(context.Background(), 10*lease.Duration)
 		defer cancel()
 		if _, failure := r.process.leader.ReportDeath(ctx, report); failure != nil {
 			r.process.log.WithError(failure).Error("control did not take the death report")
 		}
 	}()
+	select {
+	case <-taken:
+	case <-time.After(reportWait):
+	}
 }
 
 // drain refuses new work at once, tells control, and lets everything admitted end.
--- a/dev/dev_test.go
+++ b/dev/dev_test.go
@@ -126,5 +126,9 @@
 		status, refusal := s.refusal("POST", chatPath, "", `{"model":"matching","messages":[{"role":"user","content":"crash-the-engine"}]}`)
 		require.Equal(t, 502, status)
 		require.Equal(t, "crashed-upstreams", refusal.Reason)
+		status, refusal = s.refusal("POST", chatPath, "", `{"model":"matching","messages":[{"role":"user","content":"crash-the-engine"}]}`)
+		require.Equal(t, 422, status)
+		require.Equal(t, "deadly", refusal.Reason)
+		require.Equal(t, "NotRun", refusal.Outcome)
 	})
 }
--- a/dispatch/job.go
+++ b/dispatch/job.go
@@ -112,6 +112,7 @@
 	if j.crashes < crashLimit {
 		return nil
 	}
+	j.d.verdicts.Saw(time.Now(), j.request.Organisation, j.request.fingerprint())
 	return &outcome.Error{
 		Step: "dispatch", Peer: failure.Peer, Outcome: failure.Outcome, Reason: "crashed-upstreams",
 		Detail: "two upstreams failed while they ran this request", Status: http.StatusBadGateway,
@@ -208,11 +209,27 @@
 			choice.Attempt.Ended(now)
 			attempt.Done()
 			j.d.note("answered", j.request, up.Name, nil)
+			j.clearSuspicion(ctx)
 			return nil
 		}
 	}
 }
 
+// clearSuspicion tells control that a suspect request ran alone to its end.
+func (j *job) clearSuspicion(ctx context.Context) {
+	if !j.alone {
+		return
+	}
+	fingerprint := j.request.fingerprint()
+	request := &wire.ClearRequest{Fingerprint: fingerprint.Bytes(), Organisation: j.request.Organisation}
+	ctx, cancel := context.WithTimeout(context.WithoutCancel(ctx), settleFor)
+	go func() {
+		defer cancel()
+		_, failure := j.d.settings.Leader.Clear(ctx, request)
+		j.d.note("clear-suspicion", j.request, "", failure)
+	}()
+}
+
 // statusClientClosed is noted for a caller that has gone; it is never sent.
 const statusClientClosed = 499
 
--- a/leader/client.go
+++ b/leader/client.go
@@ -147,6 +147,13 @@
 	})
 }
 
+// Clear tells that a suspect request ran alone to its end.
+func (c *Client) Clear(ctx context.Context, request *wire.ClearRequest) (*wire.ClearReply, *outcome.Error) {
+	return ask(ctx, c, "clear", 0, func(ctx context.Context, client wire.Control) (*wire.ClearReply, error) {
+		return client.Clear(ctx, request)
+	})
+}
+
 // Records returns the durable records of decisions.
 func (c *Client) Records(ctx context.Context, request *wire.RecordsRequest) (*wire.RecordsReply, *outcome.Error) {
 	return ask(ctx, c, "records", 0, func(ctx context.Context, client wire.Control) (*wire.RecordsReply, error) {
--- a/lease/holder.go
+++ b/lease/holder.go
@@ -21,12 +21,15 @@
 	expires     time.Time
 	view        uint64
 	members     map[string]*wire.Member
+	quarantine  uint64
 	quarantined []*wire.Quarantine
 }
 
 // Request returns the next WatchRequest of the process.
 func (h Holder) Request(process string, wait time.Duration) *wire.WatchRequest {
-	return &wire.WatchRequest{Process: process, View: h.view, Revision: h.revision, WaitMs: wait.Milliseconds()}
+	return &wire.WatchRequest{
+		Process: process, View: h.view, Revision: h.revision, WaitMs: wait.Milliseconds(), Quarantine: h.quarantine,
+	}
 }
 
 // With returns the holder after a reply to a request that was sent at sent. A reply that failed, or that
@@ -45,7 +48,9 @@
 	if expires := HolderExpiry(sent, lease); lease > 0 && expires.After(h.expires) {
 		h.expires = expires
 	}
-	h.quarantined = reply.Quarantined
+	if reply.Quarantine > h.quarantine {
+		h.quarantine, h.quarantined = reply.Quarantine, reply.Quarantined
+	}
 	return h.withView(reply)
 }
 
--- a/quarantine/view.go
+++ b/quarantine/view.go
@@ -2,6 +2,7 @@
 
 import (
 	"net/http"
+	"sync"
 	"sync/atomic"
 	"time"
 
@@ -25,6 +26,9 @@
 	// View is an entry's copy of the verdicts. It is safe for concurrent use; the zero value holds none.
 	View struct {
 		verdicts atomic.Pointer[map[key]verdict]
+		mutex    sync.Mutex
+		// seen are the requests that this entry saw crash two upstreams.
+		seen map[key]time.Time
 	}
 
 	verdict struct {
@@ -47,12 +51,8 @@
 // Check tells how a request may run. The error, always NotRun, refuses one that is proved deadly, and a suspect
 // that may not be repeated, which cannot be tried.
 func (v *View) Check(now time.Time, organisation string, f Fingerprint, repeatable bool) (Treatment, *outcome.Error) {
-	known := v.verdicts.Load()
-	if known == nil {
-		return Free, nil
-	}
-	found, ok := (*known)[key{organisation, f}]
-	if !ok || !now.Before(found.expires) {
+	found, ok := v.find(now, key{organisation, f})
+	if !ok {
 		return Free, nil
 	}
 	left := found.expires.Sub(now)
@@ -66,6 +66,39 @@
 	}
 }
 
+func (v *View) find(now time.Time, k key) (verdict, bool) {
+	v.mutex.Lock()
+	seen, isSeen := v.seen[k]
+	v.mutex.Unlock()
+	if isSeen && now.Before(seen) {
+		return verdict{proved: true, expires: seen}, true
+	}
+	known := v.verdicts.Load()
+	if known == nil {
+		return verdict{}, false
+	}
+	found, ok := (*known)[k]
+	return found, ok && now.Before(found.expires)
+}
+
+// Saw notes that this entry saw a request crash two upstreams, so that it refuses a resend before control's
+// verdict arrives.
+func (v *View) Saw(now time.Time, organisation string, f Fingerprint) {
+	v.mutex.Lock()
+	defer v.mutex.Unlock()
+	for k, expires := range v.seen {
+		if !now.Before(expires) {
+			delete(v.seen, k)
+		}
+	}
+	if v.seen == nil {
+		v.seen = map[key]time.Time{}
+	}
+	if len(v.seen) < DefaultLimit {
+		v.seen[key{organisation, f}] = now.Add(SuspectFor)
+	}
+}
+
 func refusal(reason, detail string, retryAfter time.Duration) *outcome.Error {
 	return &outcome.Error{
 		Step: stepQuarantine, Outcome: outcome.NotRun, Reason: reason, Detail: detail, RetryAfter: retryAfter,
--- a/sidecar/server.go
+++ b/sidecar/server.go
@@ -38,7 +38,8 @@
 		Engine  *engine.Client
 		Events  *event.Ring
 		Scope   tally.Scope
-		// ReportDeath is told which attempts the engine was running when it died.
+		// ReportDeath is told which attempts the engine was running when it died. It returns when the report is
+		// taken, or after a bounded time.
 		ReportDeath func(running []*wire.Suspect)
 		// Execute carries out an order of control; nil refuses every order.
 		Execute func(context.Context, *wire.OrderRequest) (*wire.OrderReply, error)
@@ -47,6 +48,8 @@
 	// Server implements wire.Sidecar.
 	Server struct {
 		settings ServerSettings
+		// looking is held while the engine's life is looked at.
+		looking  sync.Mutex
 		mutex    sync.Mutex
 		gate     *admission.Gate
 		requests map[admission.ID]*wire.StartRequest
--- a/sidecar/watch.go
+++ b/sidecar/watch.go
@@ -27,8 +27,11 @@
 	}
 }
 
-// look notes whether the engine is alive, and reports its death once with the attempts that it was running.
+// look notes whether the engine is alive, and reports its death once with the attempts that it was running. It
+// returns when the report is taken, so that no attempt fails before control knows what it may have caused.
 func (s *Server) look() {
+	s.looking.Lock()
+	defer s.looking.Unlock()
 	alive := s.settings.Engine.IsAlive(s.base)
 	s.mutex.Lock()
 	died := s.alive && !alive && s.base.Err() == nil
