History check of the expert map's switch, and the three faults it found

Change: ranks promise only when the last layout is in use, or when the group is stalled; a group without survivors begins a new series of steps; unasked statuses are no acknowledgements; the step time is measured over windows.

--- a/mapswitch/codec.go
+++ b/mapswitch/codec.go
@@ -149,7 +149,7 @@
 		return nil
 	}
 	message := &wire.MapLayout{
-		Sequence: l.Sequence, Step: l.Step, Map: referenceToWire(l.Map), Stalled: l.Stalled,
+		Sequence: l.Sequence, Step: l.Step, Map: referenceToWire(l.Map), Stalled: l.Stalled, Series: l.Series,
 	}
 	for _, m := range l.Members {
 		message.Members = append(message.Members, memberToWire(m))
@@ -162,7 +162,7 @@
 		return Layout{}, nil
 	}
 	layout := Layout{
-		Sequence: message.Sequence, Step: message.Step, Map: referenceFromWire(message.Map), Stalled: message.Stalled,
+		Sequence: message.Sequence, Step: message.Step, Map: referenceFromWire(message.Map), Stalled: message.Stalled, Series: message.Series,
 	}
 	for n, sent := range message.Members {
 		m, err := memberFromWire(sent)
--- a/mapswitch/coordinator.go
+++ b/mapswitch/coordinator.go
@@ -269,7 +269,7 @@
 	if isNew {
 		v.status, v.seen = s, true
 	}
-	if s.Answers == v.token && !v.isAcked {
+	if !v.token.IsZero() && s.Answers == v.token && !v.isAcked {
 		v.isAcked = true
 		c.pace.observeAcknowledgement(now.Sub(v.sent))
 	}
@@ -304,6 +304,14 @@
 	layout := Layout{
 		Sequence: c.state.Sequence + 1, Map: request.Map.MapReference, Members: request.Members, Stalled: request.Stalled,
 	}
+	layout = layout.After(c.state.InForce)
+	isFounded := layout.Series == layout.Sequence
+	if isFounded && len(c.state.InForce.Members) > 0 && !request.Stalled {
+		c.out.Results = append(c.out.Results, Result{
+			Switch: request, Ending: Refused, Cause: "no member stays, and the group is not said to be stalled",
+		})
+		return
+	}
 	c.active = &attempt{request: request, layout: layout, phase: preparing, began: now, entered: now}
 	c.instructAll(now)
 }
@@ -323,11 +331,24 @@
 			return
 		}
 	}
+	if !c.active.layout.Stalled && !c.isInUse() {
+		return
+	}
 	c.active.phase = arming
 	c.active.entered = now
 	c.arm(now)
 }
 
+// isInUse reports whether every member in force has reached the step of the last switch.
+func (c *Coordinator) isInUse() bool {
+	for _, m := range c.state.InForce.Members {
+		if v := c.view(m); !v.seen || v.status.Engine.Layout < c.state.InForce.Sequence {
+			return false
+		}
+	}
+	return true
+}
+
 // arm chooses the step and asks every member for its promise.
 func (c *Coordinator) arm(now time.Time) {
 	a := c.active
--- a/mapswitch/layout.go
+++ b/mapswitch/layout.go
@@ -40,6 +40,9 @@
 	Layout struct {
 		// Sequence is the number of the switch that brought the layout; 0 stands for no layout.
 		Sequence uint64
+		// Series is the sequence of the switch that founded the group. Steps are counted within a series; a
+		// group of which no member survives is founded anew.
+		Series uint64
 		// Step is the first step that runs on the layout.
 		Step uint64
 		// Map names the expert map.
@@ -62,6 +65,20 @@
 // Has reports whether the member, in this incarnation, belongs to the layout.
 func (l Layout) Has(m Member) bool { return slices.Contains(l.Members, m) }
 
+// Shares reports whether a member belongs to both layouts.
+func (l Layout) Shares(other Layout) bool {
+	return slices.ContainsFunc(l.Members, other.Has)
+}
+
+// After returns the layout with the series in which it follows the one in force.
+func (l Layout) After(inForce Layout) Layout {
+	l.Series = l.Sequence
+	if l.Shares(inForce) {
+		l.Series = inForce.Series
+	}
+	return l
+}
+
 // WithStep returns the layout with another first step.
 func (l Layout) WithStep(step uint64) Layout {
 	l.Step = step
@@ -70,7 +87,7 @@
 
 // IsSame reports whether two layouts are equal.
 func (l Layout) IsSame(other Layout) bool {
-	return l.Sequence == other.Sequence && l.Step == other.Step && l.Map == other.Map &&
+	return l.Sequence == other.Sequence && l.Series == other.Series && l.Step == other.Step && l.Map == other.Map &&
 		l.Stalled == other.Stalled && slices.Equal(l.Members, other.Members)
 }
 
--- a/mapswitch/margin.go
+++ b/mapswitch/margin.go
@@ -10,6 +10,11 @@
 	defaultAcknowledgement = 50 * time.Millisecond
 	// defaultStepTime stands for the step time until two steps were seen.
 	defaultStepTime = 20 * time.Millisecond
+	// stepWindow is the shortest time over which the step time is measured. Statuses that arrive late in a
+	// bunch would else look like very short steps.
+	stepWindow = 20 * time.Millisecond
+	// minStepTime bounds the measured step time from below.
+	minStepTime = time.Millisecond
 	// stepTimeWeight is the share of a new sample in the smoothed step time.
 	stepTimeWeight = 0.3
 	// roundTrips is the number of slowest acknowledgements between arm and run: arm with its answer, one
@@ -21,22 +26,32 @@
 
 // pace observes the steps of a group and the acknowledgements of its ranks.
 type pace struct {
-	step     uint64
-	at       time.Time
-	stepTime time.Duration
-	slowest  time.Duration
+	// step is the latest seen, at the time when it was seen last.
+	step uint64
+	at   time.Time
+	// The window over which the step time is measured began with windowStep at windowAt.
+	windowStep uint64
+	windowAt   time.Time
+	stepTime   time.Duration
+	slowest    time.Duration
 }
 
 // observeStep takes the last step begun by a rank.
 func (p *pace) observeStep(step uint64, now time.Time) {
-	if step <= p.step {
+	if step < p.step || step == 0 {
 		return
 	}
-	elapsed := now.Sub(p.at)
-	if p.step != 0 && elapsed > 0 {
-		p.smooth(elapsed / time.Duration(step-p.step))
-	}
 	p.step, p.at = step, now
+	if p.windowStep == 0 {
+		p.windowStep, p.windowAt = step, now
+		return
+	}
+	elapsed := now.Sub(p.windowAt)
+	if elapsed < stepWindow || step == p.windowStep {
+		return
+	}
+	p.smooth(max(elapsed/time.Duration(step-p.windowStep), minStepTime))
+	p.windowStep, p.windowAt = step, now
 }
 
 func (p *pace) smooth(sample time.Duration) {
--- a/mapswitch/participant.go
+++ b/mapswitch/participant.go
@@ -25,11 +25,12 @@
 		rank  int
 		name  string
 
-		engine   EngineState
-		isRead   bool
-		isBusy   bool
-		since    time.Time
-		reported time.Time
+		engine     EngineState
+		isRead     bool
+		isBusy     bool
+		isDoubtful bool
+		since      time.Time
+		reported   time.Time
 
 		term        uint64
 		facts       State
@@ -53,7 +54,8 @@
 		NoDurableDecision bool
 		// NoTermFence lets leaders of earlier terms go on.
 		NoTermFence bool
-		// NoReadBack lets a restarted sidecar act as if the engine were new.
+		// NoReadBack lets a restarted sidecar give orders before the engine is settled. The caller hands it to
+		// the gate.
 		NoReadBack bool
 	}
 )
@@ -87,10 +89,7 @@
 
 // Engine takes the state that the engine reported after a read or an order.
 func (p *Participant) Engine(state EngineState, now time.Time) Action {
-	p.isBusy = false
-	if p.Seams.NoReadBack && !p.isRead {
-		state = EngineState{Incarnation: state.Incarnation, Step: state.Step, Layout: state.Layout, Weights: state.Weights}
-	}
+	p.isBusy, p.isDoubtful = false, false
 	p.isRead = true
 	p.engine = state
 	if order, isNeeded := p.next(); isNeeded {
@@ -104,6 +103,13 @@
 	return Action{Status: p.status(now)}
 }
 
+// Failed tells that a read or an order ended without a report. The engine is read again after a while.
+func (p *Participant) Failed(now time.Time) {
+	p.isBusy = false
+	p.isDoubtful = true
+	p.since = now
+}
+
 // Tick repeats the status of a rank that waits for a decision, and reads an engine that did not answer.
 func (p *Participant) Tick(now time.Time) Action {
 	if p.isBusy {
@@ -112,8 +118,11 @@
 		}
 		return p.read(now)
 	}
+	if p.isDoubtful && now.Sub(p.since) < reportInterval {
+		return Action{}
+	}
 	isWaiting := p.engine.Hold.Sequence != 0 && now.Sub(p.reported) >= reportInterval
-	if !p.isRead || isWaiting {
+	if !p.isRead || p.isDoubtful || isWaiting {
 		p.isAsked = true
 		return p.read(now)
 	}
@@ -202,6 +211,10 @@
 	if !isJoining && p.engine.Newest() != p.facts.InForce.Sequence {
 		return false
 	}
+	// An engine keeps one layout to follow. Only a stalled group, which aborts its steps, may skip it.
+	if p.engine.Pending != 0 && !layout.Stalled {
+		return false
+	}
 	hold := p.engine.Hold
 	if hold.Sequence != 0 && hold.Token.IsZero() {
 		return layout.Step <= hold.Step
--- /dev/null
+++ b/mapswitch/participant_test.go
@@ -0,0 +1,115 @@
+package mapswitch_test
+
+import (
+	"testing"
+	"time"
+
+	"github.com/stretchr/testify/require"
+
+	"guavahitch.example/guavahitch/fencing"
+	"guavahitch.example/guavahitch/mapswitch"
+)
+
+var (
+	start = time.Unix(1000, 0)
+	alone = []mapswitch.Member{{Rank: 0, Name: "ub-a-1", Incarnation: 7}}
+	first = mapswitch.NewMap(1, []byte("first"))
+)
+
+// layoutOf returns a layout of the only member in the first series.
+func layoutOf(sequence, step uint64) mapswitch.Layout {
+	return mapswitch.Layout{Sequence: sequence, Series: 2, Step: step, Map: first.MapReference, Members: alone}
+}
+
+// armFor returns an instruction that arms for the layout after the state.
+func armFor(s mapswitch.State, l mapswitch.Layout, count uint64) mapswitch.Instruction {
+	token := fencing.Token{Term: s.Term, Count: count}
+	return mapswitch.Instruction{Group: group, Token: token, State: s, Arm: l, ArmToken: token}
+}
+
+// respond gives the instruction to a participant whose engine is in the state, and returns what it does.
+func respond(p *mapswitch.Participant, i mapswitch.Instruction, e mapswitch.EngineState) mapswitch.Action {
+	e.Incarnation = alone[0].Incarnation
+	e.Weights = []mapswitch.MapReference{first.MapReference}
+	p.Start(start)
+	p.Engine(e, start)
+	p.Receive(i, start)
+	return p.Engine(e, start)
+}
+
+// An engine keeps one layout to follow: a promise for the next one would make it skip the first.
+func TestArmWaitsUntilTheLastLayoutIsInUse(t *testing.T) {
+	state := mapswitch.State{Term: 1, Sequence: 3, InForce: layoutOf(3, 100)}
+	p := mapswitch.NewParticipant(group, 0, "ub-a-1")
+	action := respond(p, armFor(state, layoutOf(4, 120), 9), mapswitch.EngineState{Step: 90, Layout: 2, Pending: 3})
+	require.Nil(t, action.Order)
+	action = respond(p, armFor(state, layoutOf(4, 120), 9), mapswitch.EngineState{Step: 101, Layout: 3})
+	require.Equal(t, mapswitch.HoldStep, action.Order.Kind)
+}
+
+// A restarted sidecar must not move a hold whose arm it does not know to a later step.
+func TestHoldIsNotMovedByAnEarlierArm(t *testing.T) {
+	state := mapswitch.State{Term: 1, Sequence: 3, InForce: layoutOf(3, 100)}
+	held := func(token fencing.Token) mapswitch.EngineState {
+		return mapswitch.EngineState{Step: 110, Layout: 3, Hold: mapswitch.Hold{Sequence: 4, Step: 120, Token: token}}
+	}
+	for name, token := range map[string]fencing.Token{"later": {Term: 2, Count: 1}, "not kept": {}} {
+		p := mapswitch.NewParticipant(group, 0, "ub-a-1")
+		action := respond(p, armFor(state, layoutOf(4, 150), 9), held(token))
+		require.Nil(t, action.Order, name)
+	}
+	p := mapswitch.NewParticipant(group, 0, "ub-a-1")
+	action := respond(p, armFor(state, layoutOf(4, 150), 9), held(fencing.Token{Term: 1, Count: 8}))
+	require.Equal(t, mapswitch.HoldStep, action.Order.Kind)
+}
+
+// A status that answers no instruction says nothing about the time of an acknowledgement.
+func TestStatusWithoutInstructionDoesNotDelayTheSwitch(t *testing.T) {
+	c := mapswitch.NewCoordinator(mapswitch.Options{Group: group}, mapswitch.State{}, 1)
+	record := c.Start(start).Propose[0]
+	engine := mapswitch.EngineState{Incarnation: 7, Step: 10, Weights: []mapswitch.MapReference{first.MapReference}}
+	c.Receive(mapswitch.Status{Group: group, Member: alone[0], Term: 1, Engine: engine}, start)
+	c.Committed(record, start)
+	out := c.Request(mapswitch.Switch{ChangeID: "a", Map: first, Members: alone}, start)
+	require.Less(t, out.Send[len(out.Send)-1].Instruction.Arm.Step, uint64(100))
+}
+
+func TestRecordsOfOneSequence(t *testing.T) {
+	state, verdict := mapswitch.State{}.Apply(mapswitch.Record{Term: 1, Takeover: true})
+	require.Equal(t, mapswitch.Applied, verdict)
+	run := mapswitch.Record{Term: 1, Sequence: 2, Run: true, Layout: layoutOf(2, 3)}
+	state, verdict = state.Apply(run)
+	require.Equal(t, mapswitch.Applied, verdict)
+	after := func(r mapswitch.Record) mapswitch.Verdict {
+		_, v := state.Apply(r)
+		return v
+	}
+	require.Equal(t, mapswitch.Decided, after(run), "a repeated record does nothing")
+	require.Equal(t, mapswitch.Decided, after(mapswitch.Record{Term: 1, Sequence: 2}), "the first decision holds")
+	require.Equal(t, mapswitch.Fenced, after(mapswitch.Record{Term: 2, Sequence: 3}), "a leader takes over first")
+	early := mapswitch.Record{Term: 1, Sequence: 3, Run: true, Layout: layoutOf(3, 3)}
+	require.Equal(t, mapswitch.Invalid, after(early), "steps do not go back within a series")
+	founded := layoutOf(3, 1)
+	founded.Series, founded.Members = 3, []mapswitch.Member{{Rank: 0, Name: "ub-a-1", Incarnation: 8}}
+	require.Equal(t, mapswitch.Applied, after(mapswitch.Record{Term: 1, Sequence: 3, Run: true, Layout: founded}))
+	state, _ = state.Apply(mapswitch.Record{Term: 2, Takeover: true})
+	require.Equal(t, mapswitch.Fenced, after(mapswitch.Record{Term: 1, Sequence: 4}))
+}
+
+func TestSeatKeepsRanksAndFillsThemWithSpares(t *testing.T) {
+	inForce := mapswitch.Layout{Members: []mapswitch.Member{
+		{Rank: 0, Name: "a", Incarnation: 1}, {Rank: 1, Name: "b", Incarnation: 1}, {Rank: 2, Name: "c", Incarnation: 1},
+	}}
+	seating := mapswitch.Seat(inForce, 3, []mapswitch.Presence{
+		{Name: "d", Incarnation: 1}, {Name: "c", Incarnation: 1}, {Name: "a", Incarnation: 2},
+	})
+	require.Equal(t, []mapswitch.Member{
+		{Rank: 0, Name: "a", Incarnation: 2}, {Rank: 1, Name: "d", Incarnation: 1}, {Rank: 2, Name: "c", Incarnation: 1},
+	}, seating.Members)
+	require.True(t, seating.IsChanged)
+	require.True(t, seating.IsStalled)
+	require.Equal(t, []int{1}, mapswitch.Seat(inForce, 3, []mapswitch.Presence{{Name: "c", Incarnation: 1}, {Name: "a", Incarnation: 1}}).Vacant)
+	require.False(t, mapswitch.Seat(inForce, 3, []mapswitch.Presence{
+		{Name: "a", Incarnation: 1}, {Name: "b", Incarnation: 1}, {Name: "c", Incarnation: 1},
+	}).IsChanged)
+}
--- a/mapswitch/state.go
+++ b/mapswitch/state.go
@@ -80,7 +80,7 @@
 	if r.Sequence != s.Sequence+1 {
 		return s, Invalid
 	}
-	if r.Run && (r.Layout.Sequence != r.Sequence || r.Layout.Step <= s.InForce.Step || len(r.Layout.Members) == 0) {
+	if r.Run && !s.canFollow(r.Layout) {
 		return s, Invalid
 	}
 	s.Sequence = r.Sequence
@@ -89,3 +89,11 @@
 	}
 	return s, Applied
 }
+
+// canFollow reports whether the layout fits the one in force: in the same series it begins later.
+func (s State) canFollow(l Layout) bool {
+	if l.Sequence != s.Sequence+1 || len(l.Members) == 0 || l.Series != l.After(s.InForce).Series {
+		return false
+	}
+	return l.Series == l.Sequence || l.Step > s.InForce.Step
+}
