--- a/quarantine/fingerprint.go
+++ b/quarantine/fingerprint.go
@@ -41,3 +41,6 @@
 
 // Bytes returns the fingerprint as a message carries it.
 func (f Fingerprint) Bytes() []byte { return append([]byte(nil), f[:]...) }
+
+// Key returns a number by which all entries agree on the upstream that tries the request alone.
+func (f Fingerprint) Key() uint64 { return binary.LittleEndian.Uint64(f[:]) }
--- a/quarantine/tracker.go
+++ b/quarantine/tracker.go
@@ -3,6 +3,7 @@
 import (
 	"bytes"
 	"cmp"
+	"maps"
 	"slices"
 	"time"
 
@@ -18,6 +19,8 @@
 	SuspectFor = 5 * time.Minute
 	// ProvedFor is the time for which a proved fingerprint stays refused.
 	ProvedFor = 24 * time.Hour
+	// deathLimit is the number of upstreams that one request may cost.
+	deathLimit = 2
 	// crashLimit bounds the crash ids remembered to tell repeated reports.
 	crashLimit = 1024
 )
@@ -67,9 +70,11 @@
 
 // Died takes the report of one death and returns the verdicts that it changes. A repeated report changes none.
 //
-// The requests that ran become suspects. One is proved deadly when it died alone after an earlier death, or when it
-// is the only one that ran in two distinct crashes.
+// The requests that ran become suspects. The one that alone ran in two distinct crashes, of which the second may be
+// its trial, is proved deadly for ProvedFor. When several ran in the same two crashes, a trial of each could cost a
+// third upstream, so they are refused for SuspectFor.
 func (t *Tracker) Died(now time.Time, report *wire.DeathReport) []*wire.Quarantine {
+	now = now.Truncate(time.Millisecond)
 	t.Expire(now)
 	if !t.isNewCrash(report.GetCrashId()) {
 		return nil
@@ -77,15 +82,18 @@
 	touched := t.suspects(now, report.GetRunning())
 	again := 0
 	for _, r := range touched {
-		if r.deaths >= 2 {
+		if r.deaths >= deathLimit {
 			again++
 		}
 	}
 	verdicts := make([]*wire.Quarantine, 0, len(touched))
 	for _, r := range touched {
-		if r.deaths >= 2 && again == 1 {
+		switch {
+		case r.deaths >= deathLimit && again == 1:
 			r.proved = true
 			r.expires = now.Add(t.settings.ProvedFor)
+		case r.deaths >= deathLimit:
+			r.proved = true
 		}
 		verdicts = append(verdicts, r.verdict())
 	}
@@ -166,8 +174,8 @@
 
 // bound drops what expires first, of the organisation that holds the most, while there is too much.
 func (t *Tracker) bound() {
-	for owner, held := range t.perOwner {
-		for ; held > t.settings.PerOrganisation; held-- {
+	for _, owner := range slices.Sorted(maps.Keys(t.perOwner)) {
+		for t.perOwner[owner] > t.settings.PerOrganisation {
 			t.dropFirst(owner)
 		}
 	}
@@ -188,17 +196,22 @@
 
 func (t *Tracker) dropFirst(owner string) {
 	var first *record
-	for _, r := range t.sorted() {
-		if r.key.organisation != owner {
-			continue
-		}
-		if first == nil || r.expires.Before(first.expires) {
+	for _, r := range t.records {
+		if r.key.organisation == owner && (first == nil || r.isBefore(first)) {
 			first = r
 		}
 	}
 	t.drop(first)
 }
 
+// isBefore orders the records of one organisation by what is dropped first.
+func (r *record) isBefore(other *record) bool {
+	if !r.expires.Equal(other.expires) {
+		return r.expires.Before(other.expires)
+	}
+	return bytes.Compare(r.key.fingerprint[:], other.key.fingerprint[:]) < 0
+}
+
 func (t *Tracker) drop(r *record) {
 	delete(t.records, r.key)
 	t.perOwner[r.key.organisation]--
--- a/quarantine/view.go
+++ b/quarantine/view.go
@@ -15,6 +15,9 @@
 	Free Treatment = iota
 	// Alone lets the request run only where nothing else runs.
 	Alone
+	// TrialDelay is the time between a crash and the trial of a request that ran in it. Within it the verdict of
+	// that crash, and of others at the same time, reaches every entry.
+	TrialDelay = 300 * time.Millisecond
 	// stepQuarantine is the step that refusals name.
 	stepQuarantine = "quarantine"
 )
@@ -58,7 +61,7 @@
 	left := found.expires.Sub(now)
 	switch {
 	case found.proved:
-		return Free, refusal("deadly", "this request crashed the upstreams that ran it", 0)
+		return Free, refusal("deadly", "two upstreams crashed while they ran this request", deadlyRetry(left))
 	case !repeatable:
 		return Free, refusal("suspect", "an upstream crashed while this request ran; it is not run again until that is settled", left)
 	default:
@@ -99,6 +102,14 @@
 	}
 }
 
+// deadlyRetry returns the retry advice for a refused request: none while it is of no use.
+func deadlyRetry(left time.Duration) time.Duration {
+	if left > SuspectFor {
+		return 0
+	}
+	return left
+}
+
 func refusal(reason, detail string, retryAfter time.Duration) *outcome.Error {
 	return &outcome.Error{
 		Step: stepQuarantine, Outcome: outcome.NotRun, Reason: reason, Detail: detail, RetryAfter: retryAfter,
--- a/routing/picker.go
+++ b/routing/picker.go
@@ -191,6 +191,9 @@
 	if !ok {
 		return Choice{}, refusal("no-upstream", "no upstream offers "+r.Service, absentRetry)
 	}
+	if r.Alone && r.AloneKey != 0 {
+		return p.pickAlone(now, l, r)
+	}
 	chosen, open := p.best(now, current.table.entries, l, r)
 	best, e := chosen.candidate, chosen.estimate
 	switch {
@@ -204,6 +207,18 @@
 	return p.dispatch(now, best, e, r), nil
 }
 
+// pickAlone chooses the open upstream that comes first on the ring from the key on, whether it has room or not.
+func (p *Picker) pickAlone(now time.Time, l *pool, r Request) (Choice, *outcome.Error) {
+	first := l.find(r.AloneKey)
+	for n := range l.ring {
+		c := l.ring[(first+n)%len(l.ring)].candidate
+		if c.isOpen(now) && !r.isExcluded(c.upstream.Name) {
+			return p.dispatch(now, c, c.estimate(now, r, p.settings), r), nil
+		}
+	}
+	return Choice{}, refusal("no-upstream", "no upstream of "+r.Service+" is open", absentRetry)
+}
+
 // best returns the choice among the open candidates that may take the request; open tells whether any is open at all.
 func (p *Picker) best(now time.Time, entries int, l *pool, r Request) (chosen scored, open bool) {
 	var space, fullSpace [DefaultSubset + 2]scored
@@ -263,10 +278,14 @@
 	if len(hashes) == 0 {
 		return nil
 	}
-	n, _ := slices.BinarySearchFunc(l.ring, mix(hashes[0]), func(p point, hash uint64) int { return cmp.Compare(p.hash, hash) })
-	first := l.ring[n%len(l.ring)].candidate
-	second := l.ring[(n+1)%len(l.ring)].candidate
-	return []*candidate{first, second}
+	n := l.find(hashes[0])
+	return []*candidate{l.ring[n].candidate, l.ring[(n+1)%len(l.ring)].candidate}
+}
+
+// find returns the place of a key on the ring.
+func (l *pool) find(key uint64) int {
+	n, _ := slices.BinarySearchFunc(l.ring, mix(key), func(p point, hash uint64) int { return cmp.Compare(p.hash, hash) })
+	return n % len(l.ring)
 }
 
 func (p *Picker) dispatch(now time.Time, c *candidate, e estimate, r Request) Choice {
--- a/routing/request.go
+++ b/routing/request.go
@@ -24,6 +24,9 @@
 		Exclude []string
 		// Alone is true when the request must share its batch with no other.
 		Alone bool
+		// AloneKey selects the upstream of a request that is to run alone: every entry sends those of one key to
+		// the same upstream, which runs them one after the other. Zero leaves the choice to the score.
+		AloneKey uint64
 		// Admitted is true for a later attempt of a request that holds its admission: it is not refused for want of room.
 		Admitted bool
 	}
