--- a/consensus/node.go
+++ b/consensus/node.go
@@ -10,6 +10,8 @@
 	"sync/atomic"
 	"time"
 
+	"github.com/rotisserie/eris"
+
 	"guavahitch.example/guavahitch/journal"
 	"guavahitch.example/guavahitch/wire"
 )
@@ -20,6 +22,8 @@
 	inboxSize = 8192
 	// proposalsSize is the most proposals that wait to be appended; more are refused.
 	proposalsSize = 8192
+	// closePatience is the longest wait, beside a slow sync, for work in progress when the replica stops.
+	closePatience = 5 * time.Second
 
 	stepPropose  = "propose"
 	stepRead     = "read"
@@ -248,20 +252,44 @@
 }
 
 // Close hands leadership over, if this replica leads others, and stops it. Calls that still wait end with
-// the outcome Unknown.
+// the outcome Unknown. It returns an error when the disk does not come back from a write in time; the
+// folder then stays locked until the process ends.
 func (n *Node) Close() error {
+	var err error
 	n.closeOnce.Do(func() {
-		ctx, cancel := context.WithTimeout(context.Background(), 2*n.settings.ElectionTimeout)
-		defer cancel()
-		if s := n.Status(); s.Role == leader.String() && len(s.Members) > 1 {
-			_ = n.TransferLeadership(ctx, "")
-		}
+		n.handOver()
 		close(n.stop)
+		err = n.release()
+	})
+	return err
+}
+
+func (n *Node) handOver() {
+	if s := n.Status(); s.Role != leader.String() || len(s.Members) == 1 {
+		return
+	}
+	ctx, cancel := context.WithTimeout(context.Background(), 2*n.settings.ElectionTimeout)
+	defer cancel()
+	_ = n.TransferLeadership(ctx, "")
+}
+
+// release closes the files once nothing works on them any more.
+func (n *Node) release() error {
+	idle := make(chan struct{})
+	go func() {
 		n.workers.Wait()
 		n.storage.Close()
 		n.unlock()
-	})
-	return nil
+		close(idle)
+	}()
+	timer := time.NewTimer(closePatience + n.settings.SlowSync)
+	defer timer.Stop()
+	select {
+	case <-idle:
+		return nil
+	case <-timer.C:
+		return eris.Errorf("close replica %s: the disk does not come back from a write", n.settings.ID)
+	}
 }
 
 // IsNotLeader returns the leader that an error names, and whether it says that another replica leads.
