routing: properties and tests that each mechanism matters

Cause: the choice's mechanisms were measured but not guarded by tests. Change: tests with herding allowance, prefix views, fair queue and entries' shares switched off, tests of slow upstreams and ranks, gaps in prefix events, a lost failure domain, and a property that draws tables, reports and requests. Settings.IgnoreUnseen is the switch for the first.

--- /dev/null
+++ b/routing/mechanism_test.go
@@ -0,0 +1,263 @@
+package routing_test
+
+import (
+	"fmt"
+	"testing"
+	"time"
+
+	"github.com/stretchr/testify/require"
+	"pgregory.net/rapid"
+
+	"guavahitch.example/guavahitch/outcome"
+	"guavahitch.example/guavahitch/routing"
+	"guavahitch.example/guavahitch/wire"
+)
+
+// tuningSeed is one of the seeds that the policy was tuned on.
+var tuningSeed = []uint64{1}
+
+func try(fleet int, load float64, adjust func(e *entry)) result {
+	p := guavahitch("guavahitch", adjust)
+	p.fleet = fleet
+	return measure(p, tuningSeed, load, false)
+}
+
+func asIs(*entry) {}
+
+// TestNoHerding lets twelve entries choose by the same late reports.
+func TestNoHerding(t *testing.T) {
+	full := try(12, 0.8, asIs)
+	without := try(12, 0.8, func(e *entry) { e.settings.IgnoreUnseen = true })
+	require.Less(t, full.first99, 0.7*without.first99)
+}
+
+func TestPrefixViewsMatter(t *testing.T) {
+	full := try(4, 0.8, asIs)
+	without := try(4, 0.8, func(e *entry) { e.settings.IgnorePrefixes = true })
+	require.Less(t, full.first99, without.first99)
+}
+
+func TestFairQueueMatters(t *testing.T) {
+	full := try(4, 1.5, asIs)
+	without := try(4, 1.5, func(e *entry) { e.isUnfair = true })
+	require.Greater(t, full.minFair, 0.9)
+	require.Greater(t, full.answered, 0.95)
+	require.Less(t, without.minFair, 0.8)
+}
+
+// TestEntriesShareUnderOverload has 40 entries before 12 upstreams, more than there are places for each.
+func TestEntriesShareUnderOverload(t *testing.T) {
+	full := try(40, 1.5, asIs)
+	without := try(40, 1.5, func(e *entry) { e.isAloof = true })
+	require.Greater(t, full.minFair, without.minFair+0.05)
+}
+
+func TestSlowUpstreamGetsLess(t *testing.T) {
+	m := simulate(guavahitch("guavahitch", asIs), 1, 0.8, capacity(1), false)
+	slow, others := m.engines[0].accepted, 0
+	for _, g := range m.engines[1:] {
+		others += g.accepted
+	}
+	require.Less(t, float64(slow), 0.7*float64(others)/(modelUpstreams-1))
+}
+
+func TestSlowRankGetsLess(t *testing.T) {
+	picker := routing.NewPicker(routing.Settings{Entry: "entry-1"})
+	u := upstream("a")
+	u.Ranks, u.Capacity = 4, 400
+	picker.Use(routing.Table{}.With(u))
+	load := &wire.Load{Sequence: 1}
+	for n := range int32(4) {
+		step := int64(20_000)
+		if n == 2 {
+			step = 40_000
+		}
+		load.Ranks = append(load.Ranks, &wire.RankLoad{Rank: n, RunningTokens: 1000, StepUs: step})
+	}
+	picker.Observe(start, "a", 1, load)
+	tokens := make([]int, 4)
+	for range 200 {
+		choice, refused := picker.Pick(start, routing.Request{Service: "match", PromptTokens: 100, OutputTokens: 100})
+		require.Nil(t, refused)
+		tokens[choice.Rank] += 200
+	}
+	require.InDelta(t, 0.5, float64(tokens[2])/float64(tokens[0]), 0.1)
+	require.InDelta(t, tokens[0], tokens[3], 200)
+}
+
+func TestGapMakesAPrefixViewDoubtful(t *testing.T) {
+	hashes := []uint64{11, 22, 33, 44}
+	request := routing.Request{Service: "match", PromptTokens: 400, PrefixHashes: hashes}
+	cached := func(picker *routing.Picker) int {
+		choice, refused := picker.Pick(start, request)
+		require.Nil(t, refused)
+		choice.Attempt.Ended(start)
+		return choice.CachedTokens
+	}
+	picker := routing.NewPicker(routing.Settings{Entry: "entry-1"})
+	picker.Use(routing.Table{}.With(upstream("a")))
+	event := routing.PrefixEvent{Upstream: "a", Epoch: 1, Sequence: 1, Stored: hashes}
+	picker.ObservePrefix(event)
+	require.Equal(t, 4*routing.BlockTokens, cached(picker))
+
+	picker.ObservePrefix(routing.PrefixEvent{Upstream: "a", Epoch: 1, Sequence: 9})
+	doubtful := cached(picker)
+	require.Less(t, doubtful, 4*routing.BlockTokens)
+	require.Positive(t, doubtful, "a gap does not empty the view")
+
+	for n := range uint64(200) {
+		picker.ObservePrefix(routing.PrefixEvent{Upstream: "a", Epoch: 1, Sequence: 10 + n})
+	}
+	require.Greater(t, cached(picker), doubtful, "events without a gap win trust back")
+
+	picker.ObservePrefix(routing.PrefixEvent{Upstream: "a", Epoch: 1, Sequence: 5, Removed: hashes[1:2]})
+	require.LessOrEqual(t, cached(picker), routing.BlockTokens, "a late event still removes")
+	picker.ObservePrefix(routing.PrefixEvent{Upstream: "a", Epoch: 2, Sequence: 1, Cleared: true})
+	require.Positive(t, cached(picker), "another epoch's event is dropped")
+}
+
+// TestLostDomainCausesNoStorm takes a third of the upstreams away under full load.
+func TestLostDomainCausesNoStorm(t *testing.T) {
+	picker := routing.NewPicker(routing.Settings{Entry: "entry-1"})
+	whole := routing.Table{}
+	var lost []string
+	for n := range 12 {
+		u := upstream(fmt.Sprint("upstream-", n))
+		u.FailureDomain = fmt.Sprint("domain-", n%3)
+		whole = whole.With(u)
+		if n%3 == 0 {
+			lost = append(lost, u.Name)
+		}
+	}
+	picker.Use(whole)
+	held := map[string]int{}
+	fill := func() {
+		for {
+			choice, refused := picker.Pick(start, routing.Request{Service: "match"})
+			if refused != nil {
+				require.Equal(t, "no-room", refused.Reason)
+				require.Positive(t, refused.RetryAfter)
+				return
+			}
+			held[choice.Upstream.Name]++
+		}
+	}
+	fill()
+	picker.Use(whole.Without(lost...))
+	fill()
+	for name, n := range held {
+		require.LessOrEqual(t, n, 4+routing.DefaultOvercommit, name)
+	}
+}
+
+func TestOwnFailureDomainIsPreferredAtEqualCost(t *testing.T) {
+	picker := routing.NewPicker(routing.Settings{Entry: "entry-1", FailureDomain: "levis"})
+	far, near := upstream("a"), upstream("b")
+	far.FailureDomain, near.FailureDomain = "rimouski", "levis"
+	picker.Use(routing.Table{}.With(far, near))
+	for range 10 {
+		choice, _ := picker.Pick(start, routing.Request{Service: "match"})
+		require.Equal(t, "b", choice.Upstream.Name)
+		choice.Attempt.Ended(start)
+	}
+	for range 2 * 4 {
+		picker.Pick(start, routing.Request{Service: "match"})
+	}
+	_, refused := picker.Pick(start, routing.Request{Service: "match"})
+	require.Nil(t, refused, "the other domain serves when the own one is full")
+}
+
+func TestRepeatedFailureClosesAnUpstreamForAWhile(t *testing.T) {
+	picker := routing.NewPicker(routing.Settings{Entry: "entry-1"})
+	picker.Use(routing.Table{}.With(upstream("a")))
+	for range 2 {
+		choice, refused := picker.Pick(start, routing.Request{Service: "match"})
+		require.Nil(t, refused)
+		choice.Attempt.Failed(start)
+	}
+	_, refused := picker.Pick(start, routing.Request{Service: "match"})
+	require.Equal(t, "no-upstream", refused.Reason)
+	_, refused = picker.Pick(start.Add(time.Second), routing.Request{Service: "match"})
+	require.Nil(t, refused)
+}
+
+func TestTrialsOfOneRequestMeetAtOneUpstream(t *testing.T) {
+	first, second := routing.NewPicker(routing.Settings{Entry: "entry-1"}), routing.NewPicker(routing.Settings{Entry: "entry-2"})
+	first.Use(table(100))
+	second.Use(table(100))
+	for key := range uint64(50) {
+		request := routing.Request{Service: "match", Alone: true, AloneKey: key + 1}
+		a, refused := first.Pick(start, request)
+		require.Nil(t, refused)
+		b, refused := second.Pick(start, request)
+		require.Nil(t, refused)
+		require.Equal(t, a.Upstream.Name, b.Upstream.Name)
+	}
+}
+
+func TestSubsetsAreEvenAndStable(t *testing.T) {
+	var names []string
+	for n := range 760 {
+		names = append(names, fmt.Sprint("upstream-", n))
+	}
+	held := map[string]int{}
+	moved := 0
+	for n := range 410 {
+		entry := fmt.Sprint("entry-", n)
+		before := routing.Subset(entry, names, routing.DefaultSubset)
+		after := routing.Subset(entry, names[1:], routing.DefaultSubset)
+		for i := range before {
+			held[before[i]]++
+			if before[i] == names[0] {
+				moved++
+			} else {
+				require.Contains(t, after, before[i])
+			}
+		}
+	}
+	for _, n := range held {
+		require.Less(t, n, 30)
+	}
+	require.Equal(t, held[names[0]], moved)
+}
+
+// TestNoDispatchWhereItMustNot draws tables, reports and requests.
+func TestNoDispatchWhereItMustNot(t *testing.T) {
+	rapid.Check(t, func(t *rapid.T) {
+		picker := routing.NewPicker(routing.Settings{Entry: "entry-1", Seed: rapid.Uint64().Draw(t, "seed"), Subset: 3})
+		current := routing.Table{}
+		now := start
+		for range rapid.IntRange(1, 60).Draw(t, "steps") {
+			now = now.Add(time.Duration(rapid.IntRange(0, 400).Draw(t, "ms")) * time.Millisecond)
+			name := fmt.Sprint("upstream-", rapid.IntRange(0, 4).Draw(t, "upstream"))
+			switch rapid.IntRange(0, 4).Draw(t, "kind") {
+			case 0:
+				u := upstream(name).WithDraining(rapid.Bool().Draw(t, "draining"))
+				u.Epoch = rapid.Uint64Range(1, 3).Draw(t, "epoch")
+				u = u.WithExpires(now.Add(time.Duration(rapid.IntRange(0, 900).Draw(t, "lease")) * time.Millisecond))
+				current = current.With(u).WithLease(now.Add(time.Second))
+				picker.Use(current)
+			case 1:
+				current = current.Without(name)
+				picker.Use(current)
+			case 2:
+				load := &wire.Load{Running: int32(rapid.IntRange(0, 8).Draw(t, "running")), Sequence: rapid.Uint64Range(0, 9).Draw(t, "sequence")}
+				picker.Observe(now.Add(-time.Second/2), name, rapid.Uint64Range(1, 3).Draw(t, "of"), load)
+			default:
+				request := routing.Request{Service: "match", Exclude: []string{name}, Alone: rapid.Bool().Draw(t, "alone")}
+				choice, refused := picker.Pick(now, request)
+				if refused != nil {
+					require.Equal(t, outcome.NotRun, refused.Outcome)
+					require.Positive(t, refused.RetryAfter)
+					continue
+				}
+				require.True(t, now.Before(current.Lease()))
+				u, ok := current.Upstream(choice.Upstream.Name)
+				require.True(t, ok)
+				require.True(t, u.IsOpen(now))
+				require.Equal(t, u.Epoch, choice.Upstream.Epoch)
+				require.NotEqual(t, name, u.Name)
+			}
+		}
+	})
+}
--- a/routing/model_test.go
+++ b/routing/model_test.go
@@ -74,6 +74,7 @@
 		cached   map[uint64]int
 		clock    int
 		reports  uint64
+		accepted int
 	}
 
 	model struct {
@@ -109,7 +110,8 @@
 		queue    *fairness.Queue
 		settings routing.Settings
 		pumping  bool
-		longest  time.Duration
+		isUnfair bool // one queue for all organisations
+		isAloof  bool // the picker does not know that there are other entries
 	}
 )
 
@@ -190,6 +192,7 @@
 		g.m.after(network, c.onRefused)
 		return
 	}
+	g.accepted++
 	g.queue = append(g.queue, c)
 	if !g.stepping {
 		g.stepping = true
@@ -423,8 +426,11 @@
 			e.settings = routing.Settings{Entry: fmt.Sprintf("entry-%d", e.id), Seed: uint64(e.id), OnRoom: e.wake}
 			adjust(e)
 			e.picker = routing.NewPicker(e.settings)
-			e.queue = fairness.NewQueue(fairness.Settings{LongestWait: e.longest})
-			table := routing.Table{}.WithEntries(e.policy.entries())
+			e.queue = fairness.NewQueue(fairness.Settings{})
+			table := routing.Table{}
+			if !e.isAloof {
+				table = table.WithEntries(e.policy.entries())
+			}
 			for n := range modelUpstreams {
 				table = table.With(routing.Upstream{Name: upstreamName(n), Services: []string{"match"}, Capacity: modelSlots, Epoch: 1})
 			}
@@ -435,6 +441,9 @@
 				Organisation: fmt.Sprint(c.organisation), Weight: c.weight, Cost: float64(c.prompt)/10 + meanOutput,
 				Latest: start.Add(c.born + callerPatience - expectedRun), Value: c,
 			}
+			if e.isUnfair {
+				t.Organisation = "all"
+			}
 			e.queue.Push(e.m.time(), t)
 			e.pump()
 		},
--- a/routing/picker.go
+++ b/routing/picker.go
@@ -41,6 +41,8 @@
 		Overcommit int
 		// IgnorePrefixes turns the use of prefix views off.
 		IgnorePrefixes bool
+		// IgnoreUnseen turns off the allowance for what other entries have sent since their last report.
+		IgnoreUnseen bool
 		// OnRoom is called when a place at an upstream came free; it may be nil and must not block.
 		OnRoom func()
 	}
--- a/routing/score.go
+++ b/routing/score.go
@@ -24,7 +24,10 @@
 func (c *candidate) estimate(now time.Time, r Request, s Settings) estimate {
 	a := c.account
 	own, others := a.running.Load(), a.others.Load()
-	unseen := float64(others) * a.turnover(now)
+	unseen := 0.0
+	if !s.IgnoreUnseen {
+		unseen = float64(others) * a.turnover(now)
+	}
 	running := float64(own+others) - unseen
 	capacity := max(1, a.capacity.Load())
 	step := a.stepTime()
