fairness: properties of fair service and of every bound

Cause: the queue's guarantees were not tested under drawn operations. Change: rapid properties of fairness within one request, limits, latest starts and memory; tests of shedding order and of refusal at once. Properties run with a fixed seed.

--- /dev/null
+++ b/fairness/property_test.go
@@ -0,0 +1,201 @@
+package fairness_test
+
+import (
+	"flag"
+	"fmt"
+	"testing"
+	"time"
+
+	"github.com/stretchr/testify/require"
+	"pgregory.net/rapid"
+
+	"guavahitch.example/guavahitch/fairness"
+	"guavahitch.example/guavahitch/outcome"
+)
+
+func init() {
+	// A fixed seed, so that a property has the same verdict every time.
+	if err := flag.Set("rapid.seed", "1"); err != nil {
+		panic(err)
+	}
+}
+
+var start = time.Date(2026, 1, 2, 3, 4, 5, 0, time.UTC)
+
+// TestServiceIsFairWithinOneRequest keeps all organisations waiting and compares the service that they get.
+func TestServiceIsFairWithinOneRequest(t *testing.T) {
+	rapid.Check(t, func(t *rapid.T) {
+		count := rapid.IntRange(2, 6).Draw(t, "organisations")
+		weights := map[string]float64{}
+		for n := range count {
+			weights[fmt.Sprint(n)] = rapid.Float64Range(0.5, 8).Draw(t, "weight")
+		}
+		queue := fairness.NewQueue(fairness.Settings{LimitsOf: func(organisation string) fairness.Limits {
+			return fairness.Limits{Weight: weights[organisation]}
+		}})
+		const dearest = 50
+		served := map[string]float64{}
+		push := func(organisation string) {
+			cost := float64(rapid.IntRange(1, dearest).Draw(t, "cost"))
+			require.Nil(t, queue.Push(start, &fairness.Ticket{Organisation: organisation, Cost: cost}))
+		}
+		for n := range count {
+			push(fmt.Sprint(n))
+			push(fmt.Sprint(n))
+		}
+		for range rapid.IntRange(1, 100).Draw(t, "pops") {
+			ticket := queue.Pop(start)
+			served[ticket.Organisation] += ticket.Cost
+			push(ticket.Organisation)
+			for a := range weights {
+				for b := range weights {
+					gap := served[a]/weights[a] - served[b]/weights[b]
+					require.LessOrEqual(t, gap, dearest/weights[a]+dearest/weights[b]+1e-6)
+				}
+			}
+		}
+	})
+}
+
+// TestBoundsHold draws all operations and checks every limit after each.
+func TestBoundsHold(t *testing.T) {
+	rapid.Check(t, func(t *rapid.T) {
+		limits := fairness.Limits{Running: 2, Queued: 4}
+		queue := fairness.NewQueue(fairness.Settings{Limit: 10, LimitsOf: func(string) fairness.Limits { return limits }})
+		now := start
+		waiting, running := map[*fairness.Ticket]bool{}, map[*fairness.Ticket]bool{}
+		count := func(in map[*fairness.Ticket]bool, organisation string) int {
+			n := 0
+			for ticket := range in {
+				if ticket.Organisation == organisation {
+					n++
+				}
+			}
+			return n
+		}
+		for step := range rapid.IntRange(1, 150).Draw(t, "steps") {
+			now = now.Add(time.Duration(rapid.IntRange(0, 50).Draw(t, "ms")) * time.Millisecond)
+			switch rapid.IntRange(0, 5).Draw(t, "kind") {
+			case 0, 1:
+				ticket := &fairness.Ticket{
+					Organisation: fmt.Sprint(rapid.IntRange(0, 4).Draw(t, "organisation")),
+					Weight:       float64(rapid.IntRange(1, 3).Draw(t, "weight")),
+					Cost:         float64(rapid.IntRange(1, 100).Draw(t, "cost")),
+					Value:        step,
+					Latest:       now.Add(time.Duration(rapid.IntRange(1, 500).Draw(t, "slack")) * time.Millisecond),
+				}
+				refused := queue.Push(now, ticket)
+				if refused == nil {
+					waiting[ticket] = true
+					break
+				}
+				require.Equal(t, outcome.NotRun, refused.Outcome)
+				require.Positive(t, refused.RetryAfter)
+			case 2, 3:
+				if ticket := queue.Pop(now); ticket != nil {
+					require.True(t, waiting[ticket])
+					delete(waiting, ticket)
+					running[ticket] = true
+				}
+			case 4:
+				ticket := oldest(running)
+				switch {
+				case ticket == nil:
+				case rapid.Bool().Draw(t, "return"):
+					queue.Return(ticket)
+					waiting[ticket] = true
+				default:
+					queue.Release(ticket, float64(rapid.IntRange(0, 200).Draw(t, "actual")))
+				}
+				delete(running, ticket)
+			default:
+				if ticket := oldest(waiting); ticket != nil {
+					require.True(t, queue.Remove(ticket))
+					delete(waiting, ticket)
+				}
+			}
+			for _, given := range queue.GiveUp(now) {
+				require.True(t, waiting[given.Ticket])
+				require.Positive(t, given.Refusal.RetryAfter)
+				delete(waiting, given.Ticket)
+			}
+			for ticket := range waiting {
+				require.False(t, ticket.Latest.Before(now), "what cannot start in time does not wait")
+			}
+			require.Equal(t, len(waiting), queue.Len())
+			require.LessOrEqual(t, queue.Len(), 10+1)
+			require.LessOrEqual(t, queue.Organisations(), 5)
+			for n := range 5 {
+				require.LessOrEqual(t, count(running, fmt.Sprint(n)), limits.Running)
+			}
+		}
+	})
+}
+
+func oldest(in map[*fairness.Ticket]bool) *fairness.Ticket {
+	var first *fairness.Ticket
+	for ticket := range in {
+		if first == nil || ticket.Value.(int) < first.Value.(int) {
+			first = ticket
+		}
+	}
+	return first
+}
+
+func TestLeastWeightedIsShedFirst(t *testing.T) {
+	queue := fairness.NewQueue(fairness.Settings{Limit: 3})
+	push := func(organisation string, weight float64) *outcome.Error {
+		return queue.Push(start, &fairness.Ticket{Organisation: organisation, Weight: weight, Cost: 10})
+	}
+	require.Nil(t, push("a", 1))
+	require.Nil(t, push("a", 3))
+	require.Nil(t, push("a", 3))
+	require.Nil(t, push("a", 3))
+	given := queue.GiveUp(start)
+	require.Len(t, given, 1)
+	require.EqualValues(t, 1, given[0].Ticket.Weight)
+	require.Equal(t, "overloaded", push("a", 3).Reason, "the newcomer weighs least")
+	require.Nil(t, push("b", 1), "an organisation with nothing waiting displaces one with most")
+	require.Equal(t, "a", queue.GiveUp(start)[0].Ticket.Organisation)
+}
+
+// serve pops a request every 10 ms while each organisation keeps as many waiting.
+func serve(queue *fairness.Queue, now time.Time, grants int) time.Time {
+	for n := range grants {
+		now = now.Add(10 * time.Millisecond)
+		queue.Push(now, &fairness.Ticket{Organisation: "busy", Cost: 10, Value: n})
+		queue.Pop(now)
+	}
+	return now
+}
+
+func TestRefusedAtOnceWhatCannotStartInTime(t *testing.T) {
+	queue := fairness.NewQueue(fairness.Settings{})
+	for range 100 {
+		queue.Push(start, &fairness.Ticket{Organisation: "busy", Cost: 10})
+	}
+	now := serve(queue, start, 200)
+	require.InDelta(t, time.Second, queue.Wait("busy"), float64(50*time.Millisecond))
+	late := &fairness.Ticket{Organisation: "busy", Cost: 10, Latest: now.Add(500 * time.Millisecond)}
+	refused := queue.Push(now, late)
+	require.Equal(t, "overloaded", refused.Reason)
+	require.InDelta(t, 500*time.Millisecond, refused.RetryAfter, float64(100*time.Millisecond))
+	other := &fairness.Ticket{Organisation: "other", Cost: 10, Latest: now.Add(500 * time.Millisecond)}
+	require.Nil(t, queue.Push(now, other), "the wait is that of the organisation")
+	heavy := &fairness.Ticket{Organisation: "busy", Weight: 5, Cost: 10, Latest: now.Add(500 * time.Millisecond)}
+	require.Nil(t, queue.Push(now, heavy), "less weighted requests make way")
+	require.NotEmpty(t, queue.GiveUp(now))
+}
+
+func TestMemoryIsBoundedByWhatWaitsAndOwes(t *testing.T) {
+	queue := fairness.NewQueue(fairness.Settings{Limit: 1000})
+	now := start
+	for n := range 40_000 {
+		now = now.Add(time.Millisecond)
+		if queue.Push(now, &fairness.Ticket{Organisation: fmt.Sprint(n), Cost: 10}) == nil {
+			queue.Release(queue.Pop(now), 1e6)
+		}
+		queue.GiveUp(now)
+	}
+	require.LessOrEqual(t, queue.Organisations(), 16384+1)
+}
--- a/routing/mechanism_test.go
+++ b/routing/mechanism_test.go
@@ -1,6 +1,7 @@
 package routing_test
 
 import (
+	"flag"
 	"fmt"
 	"testing"
 	"time"
@@ -13,6 +14,13 @@
 	"guavahitch.example/guavahitch/wire"
 )
 
+func init() {
+	// A fixed seed, so that a property has the same verdict every time.
+	if err := flag.Set("rapid.seed", "1"); err != nil {
+		panic(err)
+	}
+}
+
 // tuningSeed is one of the seeds that the policy was tuned on.
 var tuningSeed = []uint64{1}
 
