Failures under load: histories, hedging, stalls, hand-over

Cause: nothing showed what callers see when connections go silent, engines die or stall, sidecars restart or entries crash; an entry's crash left answers that nobody fetched, for which a planned stop waited until its timeout. Change: a test system of real processes with relays that go silent, whose histories are checked against what the fakes ran; a second attempt beside one that is late; a repeatable answer that pauses for 2 s goes on elsewhere; a sidecar settles claimed calls whose entry is gone; Advertise and Abort.

--- a/admission/answer.go
+++ b/admission/answer.go
@@ -188,3 +188,23 @@
 	defer a.mutex.Unlock()
 	return a.ended && a.fetched
 }
+
+// Abandon notes that no entry will fetch the end of the answer.
+func (a *Answer) Abandon() {
+	a.mutex.Lock()
+	defer a.mutex.Unlock()
+	a.fetched = true
+}
+
+// Whole returns a kept answer as one piece, or the failure that ended it.
+func (a *Answer) Whole() (Piece, *outcome.Error) {
+	a.mutex.Lock()
+	defer a.mutex.Unlock()
+	if a.failure != nil {
+		return Piece{}, a.failure
+	}
+	if !a.ended || !a.whole {
+		return Piece{}, &outcome.Error{Step: "answer", Outcome: outcome.Unknown, Reason: "not-whole"}
+	}
+	return Piece{Head: a.head, Data: append([]byte(nil), a.data...), End: true, Length: int64(len(a.data))}, nil
+}
--- a/admission/gate.go
+++ b/admission/gate.go
@@ -67,6 +67,8 @@
 		Priority     int32
 		Deadline     time.Time
 		Repeatable   bool
+		// Key is the idempotency key of a call that may not be repeated.
+		Key string
 		// Alone asks that no other attempt runs at the same time.
 		Alone bool
 	}
@@ -363,13 +365,16 @@
 
 // IsIdle reports whether no attempt waits, runs, or has an answer that is not fetched to its end.
 func (g *Gate) IsIdle() bool {
-	if g.running > 0 || len(g.queue) > 0 {
-		return false
-	}
+	return g.running == 0 && len(g.queue) == 0 && len(g.Unfetched()) == 0
+}
+
+// Unfetched returns the ended attempts whose end no entry was handed.
+func (g *Gate) Unfetched() []*Call {
+	var unfetched []*Call
 	for _, call := range g.calls {
-		if !call.Answer.IsFetched() {
-			return false
+		if call.State == Ended && !call.Answer.IsFetched() {
+			unfetched = append(unfetched, call)
 		}
 	}
-	return true
+	return unfetched
 }
--- a/caller/chat.go
+++ b/caller/chat.go
@@ -31,6 +31,7 @@
 			Role    string          `json:"role"`
 			Content json.RawMessage `json:"content"`
 		} `json:"messages"`
+		Stream              bool `json:"stream"`
 		MaxTokens           *int `json:"max_tokens"`
 		MaxCompletionTokens *int `json:"max_completion_tokens"`
 	}
@@ -92,7 +93,7 @@
 		return refusal
 	}
 	request.Service = body.Model
-	request.IsModel, request.Repeatable = true, true
+	request.IsModel, request.Repeatable, request.Stream = true, true, body.Stream
 	request.Weight = model.Weight
 	request.PromptTokens = len(request.Body)/bytesPerToken + 1
 	request.OutputTokens = output
--- a/caller/server.go
+++ b/caller/server.go
@@ -100,6 +100,9 @@
 // Shutdown stops listening and waits for open requests until the context ends.
 func (s *Server) Shutdown(ctx context.Context) error { return s.http.Shutdown(ctx) }
 
+// Close stops at once and cuts open connections.
+func (s *Server) Close() error { return s.http.Close() }
+
 func (s *Server) ready(c *echo.Context) error {
 	if err := s.settings.Ready(); err != nil {
 		return c.String(http.StatusServiceUnavailable, err.Error()+"\n")
--- a/daemon/cluster_test.go
+++ b/daemon/cluster_test.go
@@ -44,7 +44,6 @@
 		control  *daemon.Process
 		stopAll  context.CancelFunc
 		ended    sync.WaitGroup
-		// cuts holds the ports that connections are cut to.
 		engines  []*fake.Engine
 		services []*fake.Service
 		stops    map[string]context.CancelFunc
@@ -54,8 +53,10 @@
 	// answer is what a caller got.
 	answer struct {
 		status int
-		body   string
-		err    error
+		// request is the name that the entry gave the request.
+		request string
+		body    string
+		err     error
 	}
 )
 
@@ -113,6 +114,12 @@
 	return p
 }
 
+// abort ends a process as a crash would, and waits for its end.
+func (c *cluster) abort(p *daemon.Process, name string) {
+	p.Abort()
+	<-c.ends[name]
+}
+
 // drain stops a process as planned and waits for its end.
 func (c *cluster) drain(name string) {
 	c.stops[name]()
@@ -164,10 +171,14 @@
 }
 
 func (c *cluster) addSidecar(name, engine, kind, service string, running int) *daemon.Process {
-	return c.start(&settings.Settings{
+	return c.start(c.sidecarSettings(name, engine, kind, service, running))
+}
+
+func (c *cluster) sidecarSettings(name, engine, kind, service string, running int) *settings.Settings {
+	return &settings.Settings{
 		Name: name, Listen: loopback, Replicas: c.replicas,
 		Sidecar: &settings.Sidecar{Engine: engine, Kind: kind, Services: []string{service}, Running: running, Queued: running},
-	})
+	}
 }
 
 // awaitRoom waits until an entry sees this many open upstreams and the service has room.
@@ -202,5 +213,7 @@
 	}
 	defer func() { _ = response.Body.Close() }()
 	text, err := io.ReadAll(response.Body)
-	return answer{status: response.StatusCode, body: string(text), err: err}
+	return answer{
+		status: response.StatusCode, request: response.Header.Get("Guavahitch-Request"), body: string(text), err: err,
+	}
 }
--- a/daemon/entry.go
+++ b/daemon/entry.go
@@ -36,14 +36,14 @@
 	p.entry = r
 	p.add(r.dispatcher.Follow)
 	p.add(func(ctx context.Context) error { return p.announce(ctx, r.member, nil) })
-	p.group.Add(func() error { return r.server.Serve(listener) }, func(error) { _ = listener.Close() })
+	p.group.Add(func() error { return r.server.Serve(listener) }, func(error) { _ = r.server.Close() })
 	return nil
 }
 
 func (r *entryRole) member() *wire.Member {
 	s := r.process.settings
 	return &wire.Member{
-		Name: s.Name, Role: "entry", Address: r.process.inner.address(), FailureDomain: s.FailureDomain, Region: s.Region,
+		Name: s.Name, Role: "entry", Address: r.process.address(), FailureDomain: s.FailureDomain, Region: s.Region,
 		Draining: r.dispatcher.IsDraining(),
 	}
 }
--- a/daemon/process.go
+++ b/daemon/process.go
@@ -3,6 +3,7 @@
 import (
 	"context"
 	"io"
+	"sync"
 	"time"
 
 	"github.com/google/uuid"
@@ -36,11 +37,18 @@
 	entry       *entryRole
 	control     *controlRole
 	sidecar     *sidecarRole
+	aborted     chan struct{}
+	abort       func()
 }
 
 // NewProcess binds the addresses of the settings and assembles the roles. Nothing runs before Run.
 func NewProcess(s *settings.Settings, log *logrus.Logger) (*Process, error) {
 	p := &Process{settings: s, incarnation: uuid.NewString()[:8], log: log.WithField("process", s.Name)}
+	p.aborted = make(chan struct{})
+	p.abort = sync.OnceFunc(func() {
+		close(p.aborted)
+		_ = p.inner.http.Close()
+	})
 	p.scope, p.metrics, p.closer = metric.NewScope(s.Name)
 	p.events = event.NewRing(s.Name, &event.Clock{})
 	p.transport = sidecar.PlainTransport
@@ -82,6 +90,7 @@
 		select {
 		case <-ctx.Done():
 			p.drain()
+		case <-p.aborted:
 		case <-inner.Done():
 		}
 		return nil
@@ -92,6 +101,17 @@
 	return err
 }
 
+// Abort ends the process at once, as a crash would: nothing is drained and no one is told.
+func (p *Process) Abort() { p.abort() }
+
+// address returns the address that the process is announced under.
+func (p *Process) address() string {
+	if p.settings.Advertise != "" {
+		return p.settings.Advertise
+	}
+	return p.inner.address()
+}
+
 // add runs a function in the group with a context that ends when the process stops.
 func (p *Process) add(run func(context.Context) error) {
 	ctx, cancel := context.WithCancel(context.Background())
--- a/daemon/sidecar.go
+++ b/daemon/sidecar.go
@@ -44,7 +44,7 @@
 			Running: s.Running, Queued: s.Queued, Barred: barredKept, Entries: entriesKept, Keep: answerKept,
 		},
 		Epoch: newEpoch(time.Now()), IsModel: s.Kind == "model", Engine: r.engine, Events: p.events,
-		Scope: p.scope.SubScope("sidecar"), ReportDeath: r.reportDeath,
+		Scope: p.scope.SubScope("sidecar"), ReportDeath: r.reportDeath, Settle: r.settle,
 	})
 	p.sidecar = r
 	p.inner.add(wire.NewSidecarServer(r.server))
@@ -68,7 +68,7 @@
 func (r *sidecarRole) member() *wire.Member {
 	s := r.process.settings
 	return &wire.Member{
-		Name: s.Name, Role: "sidecar", Address: r.process.inner.address(), FailureDomain: s.FailureDomain, Region: s.Region,
+		Name: s.Name, Role: "sidecar", Address: r.process.address(), FailureDomain: s.FailureDomain, Region: s.Region,
 		Epoch: r.server.Epoch(), Services: s.Sidecar.Services, Group: s.Sidecar.Group, Ranks: int32(s.Sidecar.Ranks),
 		Draining: r.server.IsDraining(), Load: r.server.Load(), ChecksFencing: s.Sidecar.ChecksFencing,
 	}
@@ -94,6 +94,14 @@
 	}
 }
 
+// settle stores the end of a claimed call whose entry is gone.
+func (r *sidecarRole) settle(request *wire.SettleRequest) bool {
+	ctx, cancel := context.WithTimeout(context.Background(), lease.Duration)
+	defer cancel()
+	reply, failure := r.process.leader.Settle(ctx, request)
+	return failure == nil && reply.Failure == nil
+}
+
 // drain refuses new work at once, tells control, and lets everything admitted end.
 func (r *sidecarRole) drain(ctx context.Context) {
 	done := make(chan error, 1)
--- a/dispatch/claimed.go
+++ b/dispatch/claimed.go
@@ -45,7 +45,6 @@
 			return j.final(failure)
 		}
 		j.doubt(failure)
-		j.exclude = append(j.exclude, choice.Upstream.Name)
 		j.out = newOutput(j.request, j.sink)
 		if failure.Outcome != outcome.NotRun || !j.again(ctx, failure) {
 			return j.final(failure)
--- a/dispatch/dispatcher.go
+++ b/dispatch/dispatcher.go
@@ -60,6 +60,7 @@
 		links     map[string]*sidecar.Link
 		gates     map[string]*fairness.Gate
 		budgets   map[string]*retry.Budget
+		hedges    map[string]*retry.Hedge
 		inFlight  sync.WaitGroup
 		draining  atomic.Bool
 	}
@@ -76,7 +77,7 @@
 func NewDispatcher(settings Settings) *Dispatcher {
 	d := &Dispatcher{
 		settings: settings, links: map[string]*sidecar.Link{}, gates: map[string]*fairness.Gate{},
-		budgets: map[string]*retry.Budget{},
+		budgets: map[string]*retry.Budget{}, hedges: map[string]*retry.Hedge{},
 	}
 	d.picker = routing.NewPicker(routing.Settings{
 		Entry: settings.Entry, FailureDomain: settings.FailureDomain, Subset: settings.Subset, OnRoom: d.onRoom,
@@ -167,6 +168,16 @@
 	return d.budgets[service]
 }
 
+// hedge returns the estimate of the time to the first data of one kind of request.
+func (d *Dispatcher) hedge(kind string) *retry.Hedge {
+	d.mutex.Lock()
+	defer d.mutex.Unlock()
+	if d.hedges[kind] == nil {
+		d.hedges[kind] = &retry.Hedge{}
+	}
+	return d.hedges[kind]
+}
+
 // gate returns the fair queue of a service.
 func (d *Dispatcher) gate(service string) *fairness.Gate {
 	d.mutex.Lock()
--- a/dispatch/job.go
+++ b/dispatch/job.go
@@ -91,7 +91,6 @@
 			return nil
 		}
 		j.doubt(failure)
-		j.exclude = append(j.exclude, choice.Upstream.Name)
 		if crashed := j.crashed(failure); crashed != nil {
 			return j.final(crashed)
 		}
@@ -182,37 +181,46 @@
 
 // attempt runs one attempt to its end and feeds its pieces to the output.
 func (j *job) attempt(ctx context.Context, choice routing.Choice, attempt *sidecar.Attempt) *outcome.Error {
-	up := choice.Upstream
-	attempt.OnLoad = func(load *wire.Load) { j.d.picker.Observe(time.Now(), up.Name, up.Epoch, load) }
-	defer attempt.Close()
-	j.d.note("dispatch", j.request, up.Name, nil)
-	first := true
+	l, pieces, failure := j.firstData(ctx, j.newLeg(ctx, choice, attempt))
+	if failure != nil {
+		return failure
+	}
+	defer l.cancel()
+	defer l.attempt.Close()
+	l.choice.Attempt.FirstToken(time.Now())
 	for {
-		piece, failure := attempt.Next(ctx)
-		now := time.Now()
+		for _, piece := range pieces {
+			isEnd, failure := j.take(ctx, l, piece)
+			if isEnd || failure != nil {
+				return failure
+			}
+		}
+		piece, failure := j.next(l)
 		if failure != nil {
-			j.reportFailure(choice, failure, now)
+			j.reportFailure(l.choice, failure, time.Now())
 			return failure
 		}
-		if first && len(piece.Data) > 0 {
-			choice.Attempt.FirstToken(now)
-			first = false
-		}
-		if err := j.out.add(headOf(piece), piece.Data, piece.End); err != nil {
-			choice.Attempt.Ended(now)
-			known := attempt.Cancel(ctx)
-			return outcome.Error{
-				Step: "deliver", Outcome: known, Reason: "caller-gone", Status: statusClientClosed,
-			}.WithCause(err)
-		}
-		if piece.End {
-			choice.Attempt.Ended(now)
-			attempt.Done()
-			j.d.note("answered", j.request, up.Name, nil)
-			j.clearSuspicion(ctx)
-			return nil
-		}
+		pieces = []*wire.Piece{piece}
+	}
+}
+
+// take hands a piece to the output and reports whether it was the last one.
+func (j *job) take(ctx context.Context, l *leg, piece *wire.Piece) (isEnd bool, failure *outcome.Error) {
+	if err := j.out.add(headOf(piece), piece.Data, piece.End); err != nil {
+		l.choice.Attempt.Ended(time.Now())
+		known := l.attempt.Cancel(ctx)
+		return false, outcome.Error{
+			Step: "deliver", Outcome: known, Reason: "caller-gone", Status: statusClientClosed,
+		}.WithCause(err)
+	}
+	if !piece.End {
+		return false, nil
 	}
+	l.choice.Attempt.Ended(time.Now())
+	l.attempt.Done()
+	j.d.note("answered", j.request, l.choice.Upstream.Name, nil)
+	j.clearSuspicion(ctx)
+	return true, nil
 }
 
 // clearSuspicion tells control that a suspect request ran alone to its end.
--- a/dispatch/request.go
+++ b/dispatch/request.go
@@ -27,7 +27,9 @@
 		// Repeatable is true when the request may run more than once.
 		Repeatable bool
 		// IsModel is true for a request to a model, whose stream can be resumed.
-		IsModel  bool
+		IsModel bool
+		// Stream is true when the caller asked for a stream of events.
+		Stream   bool
 		Priority int32
 		Deadline time.Time
 		// Weight is the worth of the answer relative to others.
--- a/fake/engine.go
+++ b/fake/engine.go
@@ -48,6 +48,7 @@
 		stepTime time.Duration
 		dead     bool
 		stopped  bool
+		paused   bool
 		server   *http.Server
 		address  string
 	}
@@ -128,6 +129,19 @@
 	}
 }
 
+// Pause stalls the engine: it accepts connections and runs no steps until Resume.
+func (e *Engine) Pause() { e.setPaused(true) }
+
+// Resume ends a Pause.
+func (e *Engine) Resume() { e.setPaused(false) }
+
+func (e *Engine) setPaused(paused bool) {
+	e.mutex.Lock()
+	defer e.mutex.Unlock()
+	e.paused = paused
+	e.arrived.Broadcast()
+}
+
 // IsDead reports whether the engine has stopped or was killed by a request.
 func (e *Engine) IsDead() bool {
 	e.mutex.Lock()
@@ -176,7 +190,7 @@
 func (e *Engine) loop() {
 	for {
 		e.mutex.Lock()
-		for len(e.running) == 0 && len(e.waiting) == 0 && !e.stopped {
+		for (e.paused || len(e.running) == 0 && len(e.waiting) == 0) && !e.stopped {
 			e.arrived.Wait()
 		}
 		if e.stopped {
--- a/settings/settings.go
+++ b/settings/settings.go
@@ -34,6 +34,8 @@
 		FailureDomain string
 		// Listen is the IP address and port for the other processes of the system.
 		Listen string `document:"required"`
+		// Advertise is the IP address and port at which other processes reach this one; empty stands for Listen.
+		Advertise string
 		// Replicas are the control replicas.
 		Replicas []Replica `document:"required"`
 		Entry    *Entry
@@ -151,6 +153,7 @@
 
 func (s *Settings) checkAddresses(d *document.Document) {
 	checkAddress(d, "Listen", s.Listen)
+	checkAddress(d, "Advertise", s.Advertise)
 	for i, r := range s.Replicas {
 		checkAddress(d, fmt.Sprintf("Replicas[%d].Address", i), r.Address)
 	}
--- a/sidecar/server.go
+++ b/sidecar/server.go
@@ -22,6 +22,8 @@
 	// WaitLimit is the longest time between two pieces of a stream, and the longest wait of a Fetch. A
 	// reader that hears nothing for longer has lost its connection.
 	WaitLimit = 300 * time.Millisecond
+	// headerKey is the header with the idempotency key.
+	headerKey = "Idempotency-Key"
 	// watchInterval is the time between two looks at the engine's life and load.
 	watchInterval = 200 * time.Millisecond
 )
@@ -41,6 +43,8 @@
 		// ReportDeath is told which attempts the engine was running when it died. It returns when the report is
 		// taken, or after a bounded time.
 		ReportDeath func(running []*wire.Suspect)
+		// Settle stores the end of a claimed call whose entry is gone, and reports whether control took it.
+		Settle func(*wire.SettleRequest) bool
 		// Execute carries out an order of control; nil refuses every order.
 		Execute func(context.Context, *wire.OrderRequest) (*wire.OrderReply, error)
 	}
@@ -105,10 +109,20 @@
 		ID: idOf(request.Id), Epoch: request.Epoch, Entry: request.Id.GetEntry(), Sequence: request.Id.GetSequence(),
 		Organisation: request.Organisation, Fingerprint: string(request.Fingerprint), Priority: request.Priority,
 		Deadline:   now.Add(time.Duration(request.DeadlineMs) * time.Millisecond),
-		Repeatable: request.Repeatable, Alone: request.Alone,
+		Repeatable: request.Repeatable, Alone: request.Alone, Key: keyOf(request),
 	}
 }
 
+// keyOf returns the idempotency key of a call that may not be repeated.
+func keyOf(request *wire.StartRequest) string {
+	for _, h := range request.Headers {
+		if !request.Repeatable && h.Name == headerKey {
+			return h.Value
+		}
+	}
+	return ""
+}
+
 func idOf(id *wire.AttemptID) admission.ID {
 	return admission.ID{Request: id.GetRequest(), Attempt: id.GetAttempt()}
 }
--- a/sidecar/watch.go
+++ b/sidecar/watch.go
@@ -9,6 +9,9 @@
 	"guavahitch.example/guavahitch/wire"
 )
 
+// handOverAfter is how long the end of an answer waits for its entry before it is settled without it.
+const handOverAfter = 2 * time.Second
+
 // watch.go looks after the engine: its life, its load, calls that no entry asks for, and the planned stop.
 
 // Watch looks at the engine until the context ends.
@@ -23,6 +26,7 @@
 			s.look()
 			s.readLoad(ctx)
 			s.expire()
+			s.handOver()
 		}
 	}
 }
@@ -90,6 +94,50 @@
 	}
 }
 
+// handOver settles claimed calls whose entry has not fetched the end of their answer: the entry has crashed or
+// is cut off, and control keeps the answer for the resend.
+func (s *Server) handOver() {
+	for _, call := range s.orphans(time.Now()) {
+		request := s.settledRequest(call)
+		if request.Key != "" && !s.settings.Settle(request) {
+			continue
+		}
+		call.Answer.Abandon()
+		s.settings.Events.Add(&wire.Event{Kind: "hand-over", Request: call.Ticket.ID.Request})
+	}
+}
+
+// orphans returns the ended calls whose end nobody has fetched for handOverAfter.
+func (s *Server) orphans(now time.Time) []*admission.Call {
+	s.mutex.Lock()
+	defer s.mutex.Unlock()
+	var orphans []*admission.Call
+	for _, call := range s.gate.Unfetched() {
+		if now.Sub(call.Touched) > handOverAfter {
+			orphans = append(orphans, call)
+		}
+	}
+	return orphans
+}
+
+// settledRequest returns what control is told of an ended call; its key is empty for a call without one.
+func (s *Server) settledRequest(call *admission.Call) *wire.SettleRequest {
+	id := call.Ticket.ID
+	request := &wire.SettleRequest{
+		Organisation: call.Ticket.Organisation, Key: call.Ticket.Key, Outcome: wire.Outcome_OUTCOME_UNKNOWN,
+		Id: &wire.AttemptID{Request: id.Request, Attempt: id.Attempt, Entry: call.Ticket.Entry, Sequence: call.Ticket.Sequence},
+	}
+	piece, failure := call.Answer.Whole()
+	switch {
+	case failure != nil:
+		request.Outcome = wire.Outcome(failure.Outcome)
+	default:
+		request.Outcome = wire.Outcome_OUTCOME_RAN
+		request.Answer = &wire.Answer{Status: int32(piece.Head.Status), Headers: headersOf(piece.Head), Body: piece.Data}
+	}
+	return request
+}
+
 // Drain refuses new attempts and waits until every admitted one has ended and its answer has been fetched,
 // or until the context ends.
 func (s *Server) Drain(ctx context.Context) error {
