--- /dev/null
+++ b/peer/bench_test.go
@@ -0,0 +1,148 @@
+package peer_test
+
+import (
+	"context"
+	"fmt"
+	"net"
+	"net/http"
+	"net/http/httptest"
+	"sync/atomic"
+	"syscall"
+	"testing"
+	"time"
+
+	"github.com/HdrHistogram/hdrhistogram-go"
+	"github.com/stretchr/testify/require"
+
+	"guavahitch.example/guavahitch/consensus"
+	"guavahitch.example/guavahitch/peer"
+	"guavahitch.example/guavahitch/wire"
+)
+
+// countingConn counts the bytes of a connection in both directions.
+type countingConn struct {
+	net.Conn
+	bytes *atomic.Int64
+}
+
+func (c countingConn) Read(p []byte) (int, error) {
+	n, err := c.Conn.Read(p)
+	c.bytes.Add(int64(n))
+	return n, err
+}
+
+func (c countingConn) Write(p []byte) (int, error) {
+	n, err := c.Conn.Write(p)
+	c.bytes.Add(int64(n))
+	return n, err
+}
+
+// group is a number of replicas over loopback connections.
+type group struct {
+	nodes []*atomic.Pointer[consensus.Node]
+	bytes atomic.Int64
+}
+
+func newGroup(b *testing.B, count int) *group {
+	g := &group{}
+	var members []consensus.Member
+	urls := map[string]string{}
+	for i := range count {
+		holder := &atomic.Pointer[consensus.Node]{}
+		server := httptest.NewServer(peer.NewReceiver(func(m *wire.ReplicaMessage) {
+			if n := holder.Load(); n != nil {
+				n.Step(m)
+			}
+		}).Handler())
+		b.Cleanup(server.Close)
+		id := fmt.Sprint("r", i+1)
+		urls[id] = server.URL
+		members = append(members, consensus.Member{ID: id})
+		g.nodes = append(g.nodes, holder)
+	}
+	for i, m := range members {
+		client := g.client()
+		s := peer.NewSender(peer.Settings{URL: func(id string) string { return urls[id] }, Client: client})
+		n, err := consensus.Open(consensus.Settings{
+			ID: m.ID, Members: members, Folder: b.TempDir(), Send: s.Send,
+			Apply:    func(consensus.Entry) []byte { return nil },
+			Snapshot: func() []byte { return nil }, Restore: func([]byte) error { return nil },
+		})
+		require.NoError(b, err)
+		g.nodes[i].Store(n)
+		b.Cleanup(func() {
+			_ = n.Close()
+			s.Close()
+			client.CloseIdleConnections()
+		})
+	}
+	return g
+}
+
+func (g *group) client() *http.Client {
+	dial := func(ctx context.Context, network, address string) (net.Conn, error) {
+		c, err := (&net.Dialer{}).DialContext(ctx, network, address)
+		return countingConn{Conn: c, bytes: &g.bytes}, err
+	}
+	return &http.Client{Transport: &http.Transport{DialContext: dial, MaxIdleConnsPerHost: 8}}
+}
+
+func (g *group) leader() *consensus.Node {
+	for {
+		for _, holder := range g.nodes {
+			if n := holder.Load(); n.Status().Role == "leader" {
+				return n
+			}
+		}
+		time.Sleep(time.Millisecond)
+	}
+}
+
+func cpuTime() time.Duration {
+	var usage syscall.Rusage
+	_ = syscall.Getrusage(syscall.RUSAGE_SELF, &usage)
+	return time.Duration(usage.Utime.Nano() + usage.Stime.Nano())
+}
+
+// BenchmarkIdle gives what a group costs that has nothing to agree on, as a mean over its replicas.
+func BenchmarkIdle(b *testing.B) {
+	for _, count := range []int{3, 5, 7} {
+		b.Run(fmt.Sprint("replicas=", count), func(b *testing.B) {
+			for b.Loop() {
+				g := newGroup(b, count)
+				g.leader()
+				time.Sleep(time.Second)
+				const span = 8 * time.Second
+				cpu, bytes := cpuTime(), g.bytes.Load()
+				time.Sleep(span)
+				b.ReportMetric(100*float64(cpuTime()-cpu)/float64(span)/float64(count), "cpu-%/replica")
+				b.ReportMetric(float64(g.bytes.Load()-bytes)/span.Seconds()/float64(count), "B/s/replica")
+			}
+		})
+	}
+}
+
+// BenchmarkCommitOverTwirp gives the time of single commits over loopback connections.
+func BenchmarkCommitOverTwirp(b *testing.B) {
+	for _, count := range []int{3, 5} {
+		b.Run(fmt.Sprint("replicas=", count), func(b *testing.B) {
+			for b.Loop() {
+				g := newGroup(b, count)
+				n := g.leader()
+				times := hdrhistogram.New(1, int64(time.Minute/time.Microsecond), 3)
+				const commits = 2000
+				cpu, bytes := cpuTime(), g.bytes.Load()
+				for range commits {
+					start := time.Now()
+					_, err := n.Propose(context.Background(), make([]byte, 128))
+					require.NoError(b, err)
+					_ = times.RecordValue(time.Since(start).Microseconds())
+				}
+				b.ReportMetric(float64(times.ValueAtQuantile(50))/1000, "p50-ms")
+				b.ReportMetric(float64(times.ValueAtQuantile(99))/1000, "p99-ms")
+				b.ReportMetric(float64((cpuTime()-cpu).Microseconds())/commits, "cpu-us/commit")
+				b.ReportMetric(float64(g.bytes.Load()-bytes)/commits, "B/commit")
+			}
+		})
+	}
+}
