--- a/balance/decider.go
+++ b/balance/decider.go
@@ -25,6 +25,9 @@
 		// weights can answer, and under the loads ahead with the best weights, which only moves can.
 		current regrowth
 		ahead   regrowth
+		// expected holds the slowdowns that the decision under way expects; 0 for none.
+		expectedCurrent float64
+		expectedAhead   float64
 	}
 
 	// Situation is what a decision looks at.
@@ -68,7 +71,9 @@
 // WithSwitch returns the decider after a switch ended, whether by its own decision or not.
 func (d Decider) WithSwitch(at time.Time) Decider {
 	d.switched = at
-	d.current, d.ahead = d.current.withoutLast(), d.ahead.withoutLast()
+	d.current = d.current.withSwitch(at, d.expectedCurrent)
+	d.ahead = d.ahead.withSwitch(at, d.expectedAhead)
+	d.expectedCurrent, d.expectedAhead = 0, 0
 	return d
 }
 
@@ -85,7 +90,7 @@
 		withFigure("counts age", s.Now.Sub(s.Estimate.At).Seconds(), "s").
 		withFigure("layers covered", s.Estimate.Covered, "part")
 	forced := holdsOnLostRank(s.Present, s.Group)
-	if reason := d.barred(s, forced); reason != "" {
+	if reason := d.blind(s); reason != "" {
 		decision.Reason = reason
 		return decision, d
 	}
@@ -96,6 +101,10 @@
 		withFigure("slowdown", present.Slowdown, "times the ideal step").
 		withFigure("suspected burst", s.Estimate.Burst, "part of the load").
 		withFigure("weight of the latest level", s.Estimate.LevelWeight, "part")
+	if reason := d.barred(s, forced); reason != "" {
+		decision.Reason = reason
+		return decision, d
+	}
 	if !forced && !d.couldPay(present.Slowdown) {
 		decision.Reason = ReasonEven
 		return decision, d
@@ -103,17 +112,24 @@
 	return d.weigh(decision, s, present, forced)
 }
 
-// barred returns the reason for which the group is left alone now, or nothing.
-func (d Decider) barred(s Situation, forced bool) Reason {
+// blind returns the reason for which the group's load tells nothing now, or nothing.
+func (d Decider) blind(s Situation) Reason {
 	switch {
 	case s.Failing:
 		return ReasonFailing
 	case s.Switching:
 		return ReasonSwitching
-	case s.Now.Before(d.quietTo):
-		return ReasonSettling
 	case s.Estimate.At.IsZero() || s.Now.Sub(s.Estimate.At) > d.Rule.MaxAge || s.Estimate.Covered < d.Rule.MinCovered:
 		return ReasonStale
+	}
+	return ""
+}
+
+// barred returns the reason for which the group is left alone now whatever its load, or nothing.
+func (d Decider) barred(s Situation, forced bool) Reason {
+	switch {
+	case s.Now.Before(d.quietTo):
+		return ReasonSettling
 	case forced:
 		return ""
 	case s.Now.Sub(d.switched) < d.Rule.MinInterval:
@@ -171,6 +187,7 @@
 	decision = decision.
 		withFigure("gain of weights", weightsGain, "slowdown").
 		withFigure("slowdown ahead with the best weights", floor, "times the ideal step").
+		withFigure("regrowth with weights", d.current.rate*3600, "slowdown an hour").
 		withFigure("regrowth with moves", d.ahead.rate*3600, "slowdown an hour")
 	best, alternatives := d.choose(plan, weightsGain, s.StoreRate > 0 || forced)
 	decision.Alternatives = alternatives
@@ -246,6 +263,7 @@
 	decision.Map = built.WithVersion(s.Present.Version() + 1)
 	decision.Chosen = plan.Options[option]
 	after := Measure(decision.Map, s.Estimate.Current, s.Group)
+	d.expectedCurrent, d.expectedAhead = after.Slowdown, plan.Options[option].Slowdown
 	decision = decision.withFigure("skew expected", after.Skew, "max over mean")
 	return decision, d
 }
--- a/balance/estimate.go
+++ b/balance/estimate.go
@@ -10,8 +10,7 @@
 )
 
 const (
-	// fastTime, levelTime and slowTime are the time constants of the three averages of each expert's load.
-	fastTime  = 2 * time.Minute
+	// levelTime and slowTime are the time constants of the two averages that tell the load ahead.
 	levelTime = 6 * time.Minute
 	slowTime  = 60 * time.Minute
 	// burstTime is how long a load must stay away from its level before that counts as drift.
@@ -49,9 +48,10 @@
 		newest   time.Time
 		// seen is the end of the newest window of each layer.
 		seen []time.Time
-		// fast, level and slow are averages of each expert's part of its layer's tokens; deviation is the
-		// mean distance of the part from its level, suspect how long it has been far off.
-		fast      []float64
+		// current follows each expert's part of its layer's tokens now. Level and slow are averages for the
+		// load ahead: level passes over bursts, deviation is the mean distance of the part from it, suspect
+		// how long the part has been far off.
+		current   current
 		level     []float64
 		slow      []float64
 		deviation []float64
@@ -85,7 +85,7 @@
 	return &Estimator{
 		shape:     shape,
 		seen:      make([]time.Time, shape.Layers),
-		fast:      make([]float64, size),
+		current:   newCurrent(size),
 		level:     make([]float64, size),
 		slow:      make([]float64, size),
 		deviation: make([]float64, size),
@@ -113,8 +113,9 @@
 			e.addLayer(number, r)
 		}
 	}
+	e.current.endReport()
 	e.speeds.add(r)
-	e.forecast.score(r.At, e.level, e.slow, e.fast)
+	e.forecast.score(r.At, e.level, e.slow, e.current.averages[fastAverage])
 	return true, nil
 }
 
@@ -129,17 +130,19 @@
 		e.seen[number] = r.At
 		for n := from; n < to; n++ {
 			part := r.Tokens[n] / total
-			e.fast[n], e.level[n], e.slow[n] = part, part, part
+			e.level[n], e.slow[n] = part, part
+			e.current.start(n, part)
 			e.deviation[n] = part * burstFloor / burstFactor
 		}
 		return
 	}
 	elapsed := r.At.Sub(e.seen[number])
 	e.seen[number] = r.At
-	fast, level, slow := gain(elapsed, fastTime), gain(elapsed, levelTime), gain(elapsed, slowTime)
+	level, slow := gain(elapsed, levelTime), gain(elapsed, slowTime)
+	e.current.startLayer(elapsed)
 	for n := from; n < to; n++ {
 		part := r.Tokens[n] / total
-		e.fast[n] += fast * (part - e.fast[n])
+		e.current.add(n, part)
 		e.slow[n] += slow * (part - e.slow[n])
 		e.addLevel(n, part, level, elapsed)
 	}
@@ -153,7 +156,7 @@
 		if e.suspect[n] < burstTime {
 			return
 		}
-		e.level[n] = e.fast[n]
+		e.level[n] = e.current.averages[fastAverage][n]
 	}
 	e.suspect[n] = 0
 	e.level[n] += level * (part - e.level[n])
@@ -170,7 +173,7 @@
 	weight := e.forecast.levelWeight()
 	estimate := Estimate{
 		At:          e.newest,
-		Current:     append([]float64(nil), e.fast...),
+		Current:     e.current.estimate(),
 		Ahead:       make([]float64, len(e.level)),
 		Speeds:      e.speeds.speeds(),
 		Covered:     e.covered(),
@@ -179,9 +182,9 @@
 	total, burst := 0.0, 0.0
 	for n := range e.level {
 		estimate.Ahead[n] = weight*e.level[n] + (1-weight)*e.slow[n]
-		total += e.fast[n]
+		total += estimate.Current[n]
 		if e.suspect[n] > 0 {
-			burst += math.Abs(e.fast[n] - e.level[n])
+			burst += math.Abs(estimate.Current[n] - e.level[n])
 		}
 	}
 	if total > 0 {
--- a/balance/layer.go
+++ b/balance/layer.go
@@ -17,6 +17,8 @@
 // layer.
 type layer struct {
 	slots int
+	// rankOf is the rank of each slot.
+	rankOf []int32
 	// load is the load of each expert; time is that of each rank, cost its time for a unit of load, speed the
 	// inverse of cost.
 	load  []float64
@@ -53,6 +55,9 @@
 
 		queued: make([]bool, shape.Experts),
 	}
+	for n := range shape.LayerSize() {
+		l.rankOf = append(l.rankOf, int32(n/shape.Slots))
+	}
 	for r, speed := range speeds {
 		if speed > 0 {
 			l.cost[r] = 1 / speed
@@ -72,7 +77,7 @@
 	}
 	for n := len(placed) - 1; n >= 0; n-- {
 		l.held[n], l.part[n] = expertmap.Empty, 0
-		if e := placed[n]; e != expertmap.Empty && l.cost[n/l.slots] > 0 {
+		if e := placed[n]; e != expertmap.Empty && l.cost[l.rankOf[n]] > 0 {
 			l.link(n, e)
 		}
 	}
@@ -125,7 +130,7 @@
 
 // setPart changes the load that a replica takes.
 func (l *layer) setPart(n int, part float64) {
-	r := n / l.slots
+	r := l.rankOf[n]
 	l.time[r] += (part - l.part[n]) * l.cost[r]
 	l.part[n] = part
 }
@@ -145,7 +150,7 @@
 	common, bound := l.commonTime(e)
 	moved := false
 	for n := l.first[e]; n != none; n = l.next[n] {
-		r := int(n) / l.slots
+		r := int(l.rankOf[n])
 		part := 0.0
 		if rest := l.time[r] - l.part[n]*l.cost[r]; rest < bound && rest < common {
 			part = (common - rest) * l.speed[r]
@@ -159,11 +164,16 @@
 func (l *layer) levelTwo(e int) bool {
 	a := l.first[e]
 	b := l.next[a]
-	ra, rb := int(a)/l.slots, int(b)/l.slots
+	ra, rb := int(l.rankOf[a]), int(l.rankOf[b])
 	restA := l.time[ra] - l.part[a]*l.cost[ra]
 	restB := l.time[rb] - l.part[b]*l.cost[rb]
 	common := (l.load[e] + restA*l.speed[ra] + restB*l.speed[rb]) / (l.speed[ra] + l.speed[rb])
-	partA := min(max((common-restA)*l.speed[ra], 0), l.load[e])
+	partA := (common - restA) * l.speed[ra]
+	if partA < 0 {
+		partA = 0
+	} else if partA > l.load[e] {
+		partA = l.load[e]
+	}
 	l.setPart(int(b), l.load[e]-partA)
 	return l.shift(int(a), partA)
 }
@@ -176,11 +186,13 @@
 	for {
 		load, speed, latest := l.load[e], 0.0, 0.0
 		for n := l.first[e]; n != none; n = l.next[n] {
-			r := int(n) / l.slots
+			r := int(l.rankOf[n])
 			if rest := l.time[r] - l.part[n]*l.cost[r]; rest < bound {
 				load += rest * l.speed[r]
 				speed += l.speed[r]
-				latest = max(latest, rest)
+				if rest > latest {
+					latest = rest
+				}
 			}
 		}
 		common = load / speed
@@ -193,7 +205,7 @@
 
 // shift changes the load that a replica takes and reports whether the change is noticeable.
 func (l *layer) shift(n int, part float64) bool {
-	change := (part - l.part[n]) * l.cost[n/l.slots]
+	change := (part - l.part[n]) * l.cost[l.rankOf[n]]
 	l.setPart(n, part)
 	return change > l.notice || -change > l.notice
 }
@@ -220,7 +232,7 @@
 // enqueueAround puts all experts with several replicas that share a rank with an expert into the queue.
 func (l *layer) enqueueAround(e int) {
 	for n := l.first[e]; n != none; n = l.next[n] {
-		start := int(n) / l.slots * l.slots
+		start := int(l.rankOf[n]) * l.slots
 		for _, other := range l.held[start : start+l.slots] {
 			if other == expertmap.Empty || l.count[other] < 2 || l.queued[other] {
 				continue
@@ -231,32 +243,48 @@
 	}
 }
 
-// sweep levels all experts with several replicas, in turns of both directions.
+// sweep levels all experts with several replicas, in turns of both directions, until no noticeable load
+// moves or the rounds are over.
 func (l *layer) sweep(rounds int) {
 	last := len(l.load) - 1
 	for round := range rounds {
+		moved := false
 		for e := range l.load {
 			if round%2 == 1 {
 				e = last - e
 			}
 			if l.count[e] > 1 {
-				l.level(e)
+				moved = l.level(e) || moved
 			}
 		}
+		if !moved {
+			return
+		}
 	}
 }
 
-// latest returns the rank with the greatest time, the lowest-numbered of equals.
-func (l *layer) latest() int {
-	at := 0
+// latest returns the rank with the greatest time below a bound, the lowest-numbered of equals, or none.
+func (l *layer) latest(below float64) int {
+	at := none
 	for r, time := range l.time {
-		if time > l.time[at] {
+		if time < below && (at == none || time > l.time[at]) {
 			at = r
 		}
 	}
 	return at
 }
 
+// latestTime returns the time of the latest rank.
+func (l *layer) latestTime() float64 {
+	latest := 0.0
+	for _, time := range l.time {
+		if time > latest {
+			latest = time
+		}
+	}
+	return latest
+}
+
 // unevenness is the sum of the squared times; it falls with each improvement also while several ranks are
 // equally late.
 func (l *layer) unevenness() float64 {
@@ -267,16 +295,6 @@
 	return sum
 }
 
-// holds reports whether a rank has a replica of an expert.
-func (l *layer) holds(rank int, e int16) bool {
-	for _, held := range l.held[rank*l.slots : (rank+1)*l.slots] {
-		if held == e {
-			return true
-		}
-	}
-	return false
-}
-
 // copyFrom makes the state equal to another one of the same shape.
 func (l *layer) copyFrom(other *layer) {
 	l.load = other.load
--- a/balance/planner.go
+++ b/balance/planner.go
@@ -74,7 +74,7 @@
 }
 
 // defaultMovesPerLayer bounds the moves of one layer in one plan.
-const defaultMovesPerLayer = 48
+const defaultMovesPerLayer = 32
 
 // Plan searches maps that are more even than the present one. Load holds the estimated tokens of each
 // expert, by layer and expert, in any unit.
@@ -121,7 +121,7 @@
 			loading[int(st.slot)/shape.Slots]++
 		}
 		p.settle(s.state)
-		latest := s.state.time[s.state.latest()]
+		latest := s.state.latestTime()
 		start += latest
 		if ideal > 0 {
 			steps = s.improve(steps, p.planner.MovesPerLayer, ideal)
@@ -249,11 +249,13 @@
 }
 
 // Reweigh returns the map with the weights of the replicas changed for the given loads and nothing moved.
+// Replicas on lost ranks are emptied; an expert that has no other one is an error.
 func (p Planner) Reweigh(m expertmap.Map, load []float64, group Group) (expertmap.Map, error) {
-	p.MovesPerLayer = 0
-	plan, err := p.Plan(m, load, group)
-	if err != nil {
+	if err := group.Validate(m.Shape()); err != nil {
 		return expertmap.Map{}, err
 	}
+	plan := &Plan{present: m, planner: p, group: group, load: load, layers: make([][]step, m.Shape().Layers)}
+	plan.forced = make([]int, m.Shape().Layers)
+	plan.points = []point{{}}
 	return plan.Build(0)
 }
--- a/balance/regrowth.go
+++ b/balance/regrowth.go
@@ -19,8 +19,12 @@
 	last  float64
 }
 
-// withSwitch starts a new stretch under another map.
+// withSwitch starts a new stretch under another map, which is expected to bring the slowdown down to a value;
+// 0 expects nothing. What the map does not hold of it counts as regrowth.
 func (g regrowth) withSwitch(at time.Time, slowdown float64) regrowth {
+	if slowdown == 0 {
+		at = time.Time{}
+	}
 	g.at, g.last = at, slowdown
 	return g
 }
@@ -50,9 +54,3 @@
 	seconds := min(gain/rate, rule.MaxLife.Seconds())
 	return max(time.Duration(seconds*float64(time.Second)), rule.MinLife)
 }
-
-// withoutLast forgets the last observation, so that the fall at a switch does not count as regrowth.
-func (g regrowth) withoutLast() regrowth {
-	g.at = time.Time{}
-	return g
-}
--- a/balance/search.go
+++ b/balance/search.go
@@ -8,9 +8,13 @@
 	// rippleLimit bounds the experts that are levelled after one move.
 	rippleLimit = 96
 	// candidates is the number of slots tried for one move.
-	candidates = 4
-	// minImprovement is the least relative fall of the unevenness that keeps a move.
-	minImprovement = 1e-5
+	candidates = 6
+	// tryLimit bounds the experts that are levelled to score one candidate.
+	tryLimit = 16
+	// latestRanks is the number of ranks, the latest first, that a move may help.
+	latestRanks = 6
+	// minImprovement is the least fall of the unevenness that keeps a move, relative to one rank's part.
+	minImprovement = 2e-4
 	// evenEnough is the time of the latest rank over the ideal at which a layer is left alone.
 	evenEnough = 1.002
 )
@@ -32,6 +36,9 @@
 		free     []int
 		best     [candidates]int
 		domainAt []int
+		// holds and domainHolds mark the ranks and failure domains that have the expert looked at.
+		holds       []bool
+		domainHolds []bool
 		// even makes all replicas of an expert take equal parts.
 		even bool
 	}
@@ -48,6 +55,8 @@
 		even:  even,
 	}
 	s.domainAt = domainNumbers(group, shape.Ranks)
+	s.holds = make([]bool, shape.Ranks)
+	s.domainHolds = make([]bool, shape.Ranks)
 	return s
 }
 
@@ -85,14 +94,29 @@
 // improve adds up to limit moves, each of which makes the layer more even.
 func (s *search) improve(steps []step, limit int, ideal float64) []step {
 	for range limit {
-		hot := s.state.latest()
-		if s.state.time[hot] <= ideal*evenEnough || !s.improveRank(hot, &steps) {
+		if !s.improveOnce(ideal, &steps) {
 			break
 		}
 	}
 	return steps
 }
 
+// improveOnce finds one move that takes load off one of the latest ranks.
+func (s *search) improveOnce(ideal float64, steps *[]step) bool {
+	below := maxTime
+	for range latestRanks {
+		hot := s.state.latest(below)
+		if hot == none || s.state.time[hot] <= ideal*evenEnough {
+			return false
+		}
+		if s.improveRank(hot, steps) {
+			return true
+		}
+		below = s.state.time[hot]
+	}
+	return false
+}
+
 // improveRank tries to take load off a rank, its experts in the order of their load there.
 func (s *search) improveRank(rank int, steps *[]step) bool {
 	above := maxTime
@@ -123,16 +147,18 @@
 // tryMoves places another replica of an expert into the best of a few slots, or leaves all as it was.
 func (s *search) tryMoves(e int16, steps *[]step) bool {
 	found := s.slotsFor(e)
-	before := s.state.unevenness()
-	bestSlot, bestScore := none, before*(1-minImprovement)
-	s.saved.copyFrom(s.state)
 	tries := s.best
-	for _, n := range tries[:found] {
-		s.place(n, e)
-		if score := s.state.unevenness(); score < bestScore {
+	s.saved.copyFrom(s.state)
+	limit := s.state.unevenness() * (1 - minImprovement/float64(len(s.state.time)))
+	finalists := s.finalists(tries[:found], e)
+	bestSlot, bestScore := none, limit
+	for _, n := range finalists {
+		if n == none {
+			continue
+		}
+		if score := s.score(n, e, tryLimit); score < bestScore {
 			bestSlot, bestScore = n, score
 		}
-		s.state.copyFrom(s.saved)
 	}
 	if bestSlot == none {
 		return false
@@ -140,23 +166,47 @@
 	if s.state.held[bestSlot] == expertmap.Empty {
 		s.free[bestSlot/s.slots]--
 	}
-	old := s.state.held[bestSlot]
-	s.place(bestSlot, e)
-	if !s.even {
-		s.spread(e, old)
-	}
-	latest := s.state.time[s.state.latest()]
-	*steps = append(*steps, step{slot: int32(bestSlot), expert: e, latest: latest})
+	s.placeAndSpread(bestSlot, e, rippleLimit)
+	*steps = append(*steps, step{slot: int32(bestSlot), expert: e, latest: s.state.latestTime()})
 	return true
 }
 
-// spread levels the experts around a new replica and around the one that gave way to it.
-func (s *search) spread(e, old int16) {
-	if old == expertmap.Empty {
-		s.state.ripple(rippleLimit, int(e))
-		return
+// finalists returns the two slots of those given that score best while only the experts moved are levelled.
+func (s *search) finalists(slots []int, e int16) [2]int {
+	best := [2]int{none, none}
+	scores := [2]float64{maxTime, maxTime}
+	for _, n := range slots {
+		score := s.score(n, e, 0)
+		switch {
+		case score < scores[0]:
+			best[0], best[1] = n, best[0]
+			scores[0], scores[1] = score, scores[0]
+		case score < scores[1]:
+			best[1], scores[1] = n, score
+		}
+	}
+	return best
+}
+
+// score returns the unevenness with a replica of an expert in a slot, and takes it back.
+func (s *search) score(n int, e int16, limit int) float64 {
+	s.placeAndSpread(n, e, limit)
+	score := s.state.unevenness()
+	s.state.copyFrom(s.saved)
+	return score
+}
+
+// placeAndSpread places a replica and levels up to limit experts around it and around the one it replaces.
+func (s *search) placeAndSpread(n int, e int16, limit int) {
+	old := s.state.held[n]
+	s.place(n, e)
+	switch {
+	case s.even || limit == 0:
+	case old == expertmap.Empty:
+		s.state.ripple(limit, int(e))
+	default:
+		s.state.ripple(limit, int(e), int(old))
 	}
-	s.state.ripple(rippleLimit, int(e), int(old))
 }
 
 // place puts a replica into a slot in place of the one there and levels the two experts.
@@ -184,14 +234,15 @@
 // it has another replica. Ranks in failure domains without the expert come before equally loaded others.
 func (s *search) slotsFor(e int16) int {
 	l := s.state
+	s.markHolders(e)
 	var keys [candidates]float64
 	found := 0
 	for r := range l.time {
-		if l.cost[r] == 0 || l.holds(r, e) {
+		if l.cost[r] == 0 || s.holds[r] {
 			continue
 		}
 		spread := 0.0
-		if s.domainHolds(s.domainAt[r], e) {
+		if s.domainHolds[s.domainAt[r]] {
 			spread = domainPenalty
 		}
 		for n := r * s.slots; n < (r+1)*s.slots; n++ {
@@ -236,12 +287,13 @@
 	return found
 }
 
-// domainHolds reports whether a rank of a failure domain has a replica of the expert.
-func (s *search) domainHolds(domain int, e int16) bool {
+// markHolders marks the ranks and the failure domains that have a replica of the expert.
+func (s *search) markHolders(e int16) {
+	clear(s.holds)
+	clear(s.domainHolds)
 	for n := s.state.first[e]; n != none; n = s.state.next[n] {
-		if s.domainAt[int(n)/s.slots] == domain {
-			return true
-		}
+		r := s.state.rankOf[n]
+		s.holds[r] = true
+		s.domainHolds[s.domainAt[r]] = true
 	}
-	return false
 }
--- a/balance/speed.go
+++ b/balance/speed.go
@@ -8,11 +8,14 @@
 
 const (
 	// speedTime is the time constant of the average of a rank's time for a token.
-	speedTime = 3 * time.Minute
-	// speedStep is the step to which speeds are rounded, so that noise does not change them.
-	speedStep = 0.05
-	// speedMargin is how far beyond half a step a speed must move before it is rounded to another one.
-	speedMargin = 0.01
+	speedTime = 6 * time.Minute
+	// speedJump is the relative distance from the average at which a report may show a rank that became slow
+	// or healthy at once; speedJumpReports such reports in a row make a new average.
+	speedJump        = 0.15
+	speedJumpReports = 2
+	// A rank counts as slow or fast once its speed is slowFrom off the median's, until it is within slowUntil.
+	slowFrom  = 0.08
+	slowUntil = 0.04
 	// minSpeed is the least speed of a rank that reports.
 	minSpeed = 0.1
 )
@@ -22,16 +25,19 @@
 type speedEstimator struct {
 	seen    []time.Time
 	perUnit []float64
-	rounded []float64
+	// jumps counts the reports in a row that are far off the average.
+	jumps []int
+	speed []float64
 }
 
 // newSpeedEstimator returns an estimator that takes all ranks as equally fast.
 func newSpeedEstimator(ranks int) speedEstimator {
 	s := speedEstimator{
-		seen: make([]time.Time, ranks), perUnit: make([]float64, ranks), rounded: make([]float64, ranks),
+		seen: make([]time.Time, ranks), perUnit: make([]float64, ranks), jumps: make([]int, ranks),
+		speed: make([]float64, ranks),
 	}
-	for r := range s.rounded {
-		s.rounded[r] = 1
+	for r := range s.speed {
+		s.speed[r] = 1
 	}
 	return s
 }
@@ -43,17 +49,32 @@
 			continue
 		}
 		perUnit := report.RankTime[r] / report.RankTokens[r]
-		if s.seen[r].IsZero() {
+		if s.seen[r].IsZero() || s.jumped(r, perUnit) {
 			s.perUnit[r] = perUnit
 		}
 		s.perUnit[r] += gain(report.At.Sub(s.seen[r]), speedTime) * (perUnit - s.perUnit[r])
 		s.seen[r] = report.At
 	}
-	s.round()
+	s.compare()
+}
+
+// jumped reports whether a rank's time for a token has been far off its average for several reports.
+func (s *speedEstimator) jumped(r int, perUnit float64) bool {
+	if math.Abs(perUnit/s.perUnit[r]-1) < speedJump {
+		s.jumps[r] = 0
+		return false
+	}
+	s.jumps[r]++
+	if s.jumps[r] < speedJumpReports {
+		return false
+	}
+	s.jumps[r] = 0
+	return true
 }
 
-// round derives the speeds from the median time for a token.
-func (s *speedEstimator) round() {
+// compare derives the speeds from the median time for a token. Healthy ranks all have speed 1, so that noise
+// does not move load between them.
+func (s *speedEstimator) compare() {
 	var known []float64
 	for r, perUnit := range s.perUnit {
 		if !s.seen[r].IsZero() {
@@ -70,13 +91,17 @@
 			continue
 		}
 		speed := max(median/perUnit, minSpeed)
-		if math.Abs(speed-s.rounded[r]) > speedStep/2+speedMargin {
-			s.rounded[r] = math.Round(speed/speedStep) * speedStep
+		off := math.Abs(speed - 1)
+		switch {
+		case off > slowFrom || s.speed[r] != 1 && off > slowUntil:
+			s.speed[r] = speed
+		default:
+			s.speed[r] = 1
 		}
 	}
 }
 
 // speeds returns the speed of each rank relative to the median.
 func (s *speedEstimator) speeds() []float64 {
-	return append([]float64(nil), s.rounded...)
+	return append([]float64(nil), s.speed...)
 }
