balance: exchange replicas that are the only ones of their experts

Cause: a late rank and an early one with only single replicas could not trade, so the search stopped early. Change: where no added replica helps, the search tries exchanges with the earliest ranks, as two steps that stay together.

--- a/balance/layer.go
+++ b/balance/layer.go
@@ -1,6 +1,10 @@
 package balance
 
-import "guavahitch.example/guavahitch/expertmap"
+import (
+	"slices"
+
+	"guavahitch.example/guavahitch/expertmap"
+)
 
 const (
 	none = -1
@@ -274,6 +278,22 @@
 	return at
 }
 
+// earliest returns the rank with the least time above a bound that can take load, or none.
+func (l *layer) earliest(above float64) int {
+	at := none
+	for r, time := range l.time {
+		if time > above && l.cost[r] > 0 && (at == none || time < l.time[at]) {
+			at = r
+		}
+	}
+	return at
+}
+
+// rankHolds reports whether a rank has a replica of an expert.
+func (l *layer) rankHolds(rank int, e int16) bool {
+	return slices.Contains(l.held[rank*l.slots:(rank+1)*l.slots], e)
+}
+
 // latestTime returns the time of the latest rank.
 func (l *layer) latestTime() float64 {
 	latest := 0.0
--- a/balance/search.go
+++ b/balance/search.go
@@ -109,7 +109,7 @@
 		if hot == none || s.state.time[hot] <= ideal*evenEnough {
 			return false
 		}
-		if s.improveRank(hot, steps) {
+		if s.improveRank(hot, steps) || s.trySwaps(hot, steps) {
 			return true
 		}
 		below = s.state.time[hot]
@@ -171,6 +171,64 @@
 	return true
 }
 
+// trySwaps exchanges a replica on a late rank with the only replica of an expert on one of the earliest
+// ranks, if that makes the layer more even; tryMoves cannot touch such replicas.
+func (s *search) trySwaps(hot int, steps *[]step) bool {
+	s.saved.copyFrom(s.state)
+	limit := s.state.unevenness() * (1 - minImprovement/float64(len(s.state.time)))
+	bestHere, bestThere, bestScore := none, none, limit
+	above := -1.0
+	for range candidates {
+		cool := s.state.earliest(above)
+		if cool == none || s.state.time[cool] >= s.state.time[hot] {
+			break
+		}
+		above = s.state.time[cool]
+		for here := hot * s.slots; here < (hot+1)*s.slots; here++ {
+			for there := cool * s.slots; there < (cool+1)*s.slots; there++ {
+				if !s.canSwap(here, there) {
+					continue
+				}
+				s.swap(here, there, tryLimit)
+				if score := s.state.unevenness(); score < bestScore {
+					bestHere, bestThere, bestScore = here, there, score
+				}
+				s.state.copyFrom(s.saved)
+			}
+		}
+	}
+	if bestHere == none {
+		return false
+	}
+	moving, coming := s.state.held[bestHere], s.state.held[bestThere]
+	s.swap(bestHere, bestThere, rippleLimit)
+	// Between its two steps a swap has no place for one expert; its first step must never be the last one.
+	*steps = append(*steps,
+		step{slot: int32(bestThere), expert: moving, latest: maxTime},
+		step{slot: int32(bestHere), expert: coming, latest: s.state.latestTime()})
+	return true
+}
+
+// canSwap reports whether the replicas in two slots can change places.
+func (s *search) canSwap(here, there int) bool {
+	l := s.state
+	a, b := l.held[here], l.held[there]
+	if a == expertmap.Empty || b == expertmap.Empty || l.count[b] != 1 || l.part[here] <= l.part[there] {
+		return false
+	}
+	return !l.rankHolds(int(l.rankOf[there]), a) && !l.rankHolds(int(l.rankOf[here]), b)
+}
+
+// swap changes the places of two replicas and levels up to limit experts around them.
+func (s *search) swap(here, there, limit int) {
+	moving, coming := s.state.held[here], s.state.held[there]
+	s.place(there, moving)
+	s.place(here, coming)
+	if !s.even {
+		s.state.ripple(limit, int(moving), int(coming))
+	}
+}
+
 // finalists returns the two slots of those given that score best while only the experts moved are levelled.
 func (s *search) finalists(slots []int, e int16) [2]int {
 	best := [2]int{none, none}
