--- a/routing/account.go
+++ b/routing/account.go
@@ -10,10 +10,8 @@
 )
 
 const (
-	// historySteps is the number of past moments for which an account remembers its own work.
-	historySteps = 64
-	// historyStep is the least time between two remembered moments.
-	historyStep = 25 * time.Millisecond
+	// changeLimit is the number of latest changes of its own work that an account remembers.
+	changeLimit = 128
 	// stepGain is the weight of a new sample in the mean time of a decode step.
 	stepGain = 0.05
 	// stayGain is the weight of a new sample in the mean time of an attempt.
@@ -33,7 +31,6 @@
 	// the work of other entries, from the last report. Traffic goroutines read it without locking.
 	account struct {
 		running  atomic.Int64 // own requests in flight
-		tokens   atomic.Int64 // own tokens in flight, prompt and expected output
 		pending  atomic.Int64 // own prompt tokens whose first token has not come
 		ownThen  atomic.Int64 // own requests in flight when the last report was sampled
 		others   atomic.Int64 // requests of other entries, as of the last report
@@ -43,26 +40,40 @@
 		capacity atomic.Int64
 		failures atomic.Int64 // failures in a row
 		stay     atomic.Int64 // mean time of an own attempt, in nanoseconds; 0 when unknown
-		sampled  atomic.Int64 // time of the last report's sample, Unix nanoseconds; 0 before the first
-		full     atomic.Int64 // time of the last refusal for want of room, Unix nanoseconds; 0 for none
-		closed   atomic.Int64 // time until which failures keep the upstream closed, Unix nanoseconds
+		sampled  instant      // time of the last report's sample
+		full     instant      // time of the last refusal for want of room
+		closed   instant      // time until which failures keep the upstream closed
 		ranks    atomic.Pointer[rankView]
 		rankWork []atomic.Int64 // own tokens in flight on each rank
 		cache    *prefixCache
 
 		mutex    sync.Mutex
 		sequence uint64
-		history  [historySteps]moment
+		changes  [changeLimit]change
 		next     int
 	}
 
-	// moment is the own work in flight from a time on.
-	moment struct {
-		at      time.Time
-		running int64
+	// change is a change of the own work in flight.
+	change struct {
+		at       time.Time
+		requests int64
+		tokens   int64
+		rank     int
 	}
+
+	// instant is a time that goroutines share; it starts as the zero time.
+	instant struct{ value atomic.Pointer[time.Time] }
 )
 
+func (i *instant) set(t time.Time) { i.value.Store(&t) }
+
+func (i *instant) get() time.Time {
+	if t := i.value.Load(); t != nil {
+		return *t
+	}
+	return time.Time{}
+}
+
 func newAccount(u Upstream) *account {
 	a := &account{cache: newPrefixCache(), rankWork: make([]atomic.Int64, u.Ranks)}
 	capacity := u.Capacity
@@ -75,49 +86,45 @@
 
 // begin counts a dispatch.
 func (a *account) begin(now time.Time, w work) {
-	running := a.running.Add(1)
-	a.tokens.Add(w.tokens)
 	a.pending.Add(w.pending)
-	if w.rank >= 0 && w.rank < len(a.rankWork) {
-		a.rankWork[w.rank].Add(w.tokens)
-	}
-	a.remember(now, running)
+	a.add(change{at: now, requests: 1, tokens: w.tokens, rank: w.rank})
 }
 
 // end takes back what begin counted.
 func (a *account) end(now time.Time, w work) {
-	running := a.running.Add(-1)
-	a.tokens.Add(-w.tokens)
-	if w.rank >= 0 && w.rank < len(a.rankWork) {
-		a.rankWork[w.rank].Add(-w.tokens)
-	}
-	a.remember(now, running)
+	a.add(change{at: now, requests: -1, tokens: -w.tokens, rank: w.rank})
 }
 
-func (a *account) remember(now time.Time, running int64) {
+func (a *account) add(c change) {
 	a.mutex.Lock()
 	defer a.mutex.Unlock()
-	last := &a.history[(a.next+historySteps-1)%historySteps]
-	if !last.at.IsZero() && now.Sub(last.at) < historyStep {
-		last.running = running
-		return
+	a.running.Add(c.requests)
+	if c.rank >= 0 && c.rank < len(a.rankWork) {
+		a.rankWork[c.rank].Add(c.tokens)
 	}
-	a.history[a.next] = moment{at: now, running: running}
-	a.next = (a.next + 1) % historySteps
+	a.changes[a.next] = c
+	a.next = (a.next + 1) % changeLimit
 }
 
-// runningAt returns the own work in flight at an earlier time. The caller holds the mutex.
-func (a *account) runningAt(at time.Time) int64 {
-	for n := 1; n <= historySteps; n++ {
-		m := a.history[(a.next+historySteps-n)%historySteps]
-		if m.at.IsZero() {
-			return 0
+// workAt returns the own requests, and the own tokens on each rank, that were in flight at an earlier time. The
+// caller holds the mutex.
+func (a *account) workAt(at time.Time) (requests int64, tokens []int64) {
+	requests = a.running.Load()
+	tokens = make([]int64, len(a.rankWork))
+	for n := range a.rankWork {
+		tokens[n] = a.rankWork[n].Load()
+	}
+	for n := 1; n <= changeLimit; n++ {
+		c := a.changes[(a.next+changeLimit-n)%changeLimit]
+		if c.at.IsZero() || !c.at.After(at) {
+			break
 		}
-		if !m.at.After(at) {
-			return m.running
+		requests -= c.requests
+		if c.rank >= 0 && c.rank < len(tokens) {
+			tokens[c.rank] -= c.tokens
 		}
 	}
-	return a.running.Load()
+	return max(requests, 0), tokens
 }
 
 // observe takes a load report that was sampled at the given time. Reports out of order are dropped.
@@ -128,9 +135,9 @@
 		return
 	}
 	a.sequence = load.Sequence
-	a.sampled.Store(sampled.UnixNano())
+	a.sampled.set(sampled)
 	total := int64(load.Running) + int64(load.Queued)
-	own := a.runningAt(sampled)
+	own, ownTokens := a.workAt(sampled)
 	a.ownThen.Store(own)
 	a.others.Store(max(0, total-own))
 	if load.Capacity > 0 {
@@ -140,7 +147,7 @@
 		a.reported.Store(load.StepUs * int64(time.Microsecond))
 	}
 	if len(load.Ranks) > 0 {
-		a.ranks.Store(newRankView(load.Ranks, len(a.rankWork)))
+		a.ranks.Store(newRankView(load.Ranks, ownTokens))
 	}
 }
 
@@ -163,21 +170,20 @@
 // turnover returns the part of the reported work of others that has ended since the report was sampled; as much
 // new work has come in its place, at upstreams that the report does not tell.
 func (a *account) turnover(now time.Time) float64 {
-	sampled := a.sampled.Load()
-	if sampled == 0 {
+	if a.others.Load() == 0 {
 		return 0
 	}
 	stay := a.stay.Load()
 	if stay == 0 {
 		stay = int64(a.stepTime() * typicalOutput)
 	}
-	return min(1, max(0, float64(now.UnixNano()-sampled)/float64(stay)))
+	return min(1, max(0, float64(now.Sub(a.sampled.get()))/float64(stay)))
 }
 
 // isFull reports whether the upstream refused a request for want of room and nothing newer is known.
 func (a *account) isFull(now time.Time) bool {
-	full := a.full.Load()
-	return full != 0 && a.sampled.Load() < full && now.UnixNano()-full < int64(fullFor)
+	full := a.full.get()
+	return now.Sub(full) < fullFor && a.sampled.get().Before(full)
 }
 
 // prefillTime returns the prefill time of one token.
--- a/routing/attempt.go
+++ b/routing/attempt.go
@@ -66,8 +66,10 @@
 func (a *Attempt) Ended(now time.Time) {
 	if a.close(now) {
 		a.account.failures.Store(0)
-		a.account.full.Store(0)
-		smooth(&a.account.stay, now.Sub(a.dispatched), stayGain)
+		a.account.full.set(time.Time{})
+		if !a.last.IsZero() {
+			smooth(&a.account.stay, now.Sub(a.dispatched), stayGain)
+		}
 		a.settle()
 	}
 }
@@ -75,7 +77,7 @@
 // Refused reports that the upstream proved not to run the attempt for want of room.
 func (a *Attempt) Refused(now time.Time) {
 	if a.close(now) {
-		a.account.full.Store(now.UnixNano())
+		a.account.full.set(now)
 		a.settle()
 	}
 }
@@ -88,7 +90,7 @@
 	failures := a.account.failures.Add(1)
 	if failures >= failuresToClose {
 		length := shortestClosing << min(failures-failuresToClose, 5)
-		a.account.closed.Store(now.Add(min(length, longestClosing)).UnixNano())
+		a.account.closed.set(now.Add(min(length, longestClosing)))
 	}
 	a.settle()
 }
--- a/routing/decision_test.go
+++ b/routing/decision_test.go
@@ -60,3 +60,20 @@
 		queue.GiveUp(now)
 	}
 }
+
+// BenchmarkPickParallel measures choices by several traffic goroutines at once, without admission.
+func BenchmarkPickParallel(b *testing.B) {
+	picker := routing.NewPicker(routing.Settings{Entry: "entry-1"})
+	picker.Use(table(100))
+	b.ReportAllocs()
+	b.RunParallel(func(pb *testing.PB) {
+		for pb.Next() {
+			choice, refused := picker.Pick(start, routing.Request{Service: "match", PromptTokens: 500, OutputTokens: 100})
+			if refused != nil {
+				b.Error(refused)
+				return
+			}
+			choice.Attempt.Ended(start)
+		}
+	})
+}
--- a/routing/mechanism_test.go
+++ b/routing/mechanism_test.go
@@ -3,6 +3,7 @@
 import (
 	"flag"
 	"fmt"
+	"sync"
 	"testing"
 	"time"
 
@@ -69,28 +70,68 @@
 	require.Less(t, float64(slow), 0.7*float64(others)/(modelUpstreams-1))
 }
 
+// rankLoads returns the loads of four ranks that step in 15 ms and 5 us a token, rank 2 twice as slow.
+func rankLoads(tokens ...int64) *wire.Load {
+	load := &wire.Load{Sequence: 1}
+	for n, held := range tokens {
+		step := 15_000 + 5*held
+		if n == 2 {
+			step *= 2
+		}
+		load.Ranks = append(load.Ranks, &wire.RankLoad{Rank: int32(n), RunningTokens: held, StepUs: step})
+	}
+	return load
+}
+
+// place puts 400 requests of 200 tokens on the ranks of one upstream with the given load and returns the tokens held.
+func place(t *testing.T, tokens ...int64) []int64 {
+	picker := routing.NewPicker(routing.Settings{Entry: "entry-1"})
+	u := upstream("a")
+	u.Ranks, u.Capacity = len(tokens), 400
+	picker.Use(routing.Table{}.With(u))
+	picker.Observe(start, "a", 1, rankLoads(tokens...))
+	for range 400 {
+		choice, refused := picker.Pick(start.Add(time.Second), routing.Request{Service: "match", PromptTokens: 100, OutputTokens: 100})
+		require.Nil(t, refused)
+		tokens[choice.Rank] += 200
+	}
+	return tokens
+}
+
 func TestSlowRankGetsLess(t *testing.T) {
+	held := place(t, 1000, 1000, 1000, 1000)
+	require.InDelta(t, 0.5, float64(held[2])/float64(held[0]), 0.05)
+	require.InDelta(t, held[0], held[3], 200)
+}
+
+func TestLoadedRankIsNotTakenForASlowOne(t *testing.T) {
+	held := place(t, 500, 9000, 3000, 6000, 200, 4000)
+	require.InDelta(t, held[0], held[1], 200, "unequal loads are evened out")
+	require.InDelta(t, held[4], held[5], 200)
+	require.Less(t, held[2], held[0]*6/10, "the slow rank is still told")
+}
+
+func TestOwnWorkOnRanksCountsAtOnceBesideReports(t *testing.T) {
 	picker := routing.NewPicker(routing.Settings{Entry: "entry-1"})
 	u := upstream("a")
 	u.Ranks, u.Capacity = 4, 400
 	picker.Use(routing.Table{}.With(u))
+	request := routing.Request{Service: "match", PromptTokens: 100, OutputTokens: 100}
+	counts := make([]int, 4)
+	for range 8 {
+		choice, _ := picker.Pick(start.Add(time.Second), request)
+		counts[choice.Rank]++
+	}
 	load := &wire.Load{Sequence: 1}
 	for n := range int32(4) {
-		step := int64(20_000)
-		if n == 2 {
-			step = 40_000
-		}
-		load.Ranks = append(load.Ranks, &wire.RankLoad{Rank: n, RunningTokens: 1000, StepUs: step})
+		load.Ranks = append(load.Ranks, &wire.RankLoad{Rank: n, RunningTokens: 5000, StepUs: 20_000})
 	}
 	picker.Observe(start, "a", 1, load)
-	tokens := make([]int, 4)
-	for range 200 {
-		choice, refused := picker.Pick(start, routing.Request{Service: "match", PromptTokens: 100, OutputTokens: 100})
-		require.Nil(t, refused)
-		tokens[choice.Rank] += 200
+	for range 8 {
+		choice, _ := picker.Pick(start.Add(time.Second), request)
+		counts[choice.Rank]++
 	}
-	require.InDelta(t, 0.5, float64(tokens[2])/float64(tokens[0]), 0.1)
-	require.InDelta(t, tokens[0], tokens[3], 200)
+	require.Equal(t, []int{4, 4, 4, 4}, counts)
 }
 
 func TestGapMakesAPrefixViewDoubtful(t *testing.T) {
@@ -269,3 +310,30 @@
 		}
 	})
 }
+
+func TestTrafficAndControlAtOnce(t *testing.T) {
+	picker := routing.NewPicker(routing.Settings{Entry: "entry-1", Overcommit: -1})
+	picker.Use(table(20))
+	var group sync.WaitGroup
+	for worker := range 4 {
+		group.Go(func() {
+			for n := range 200 {
+				now := start.Add(time.Duration(n) * time.Millisecond)
+				choice, refused := picker.Pick(now, routing.Request{Service: "match", PrefixHashes: []uint64{uint64(n + 1)}})
+				if refused != nil {
+					continue
+				}
+				picker.Observe(now, choice.Upstream.Name, 1, &wire.Load{Running: int32(worker), Capacity: 16})
+				choice.Attempt.FirstToken(now)
+				choice.Attempt.Tokens(now.Add(time.Millisecond), 3)
+				choice.Attempt.Ended(now.Add(time.Second))
+				choice.Attempt.Failed(now.Add(time.Second))
+			}
+		})
+	}
+	for n := range 50 {
+		picker.Use(table(20 - n%5))
+	}
+	group.Wait()
+	require.True(t, picker.HasRoom(start.Add(time.Minute), "match"))
+}
--- a/routing/picker.go
+++ b/routing/picker.go
@@ -181,6 +181,25 @@
 	return false
 }
 
+// Expected predicts the time from the dispatch of a request to the end of its answer at the upstream that would answer
+// it first. Deadline less Expected is the latest time to start it. Zero means that nothing is known.
+func (p *Picker) Expected(now time.Time, r Request) time.Duration {
+	l, ok := p.plan.Load().services[r.Service]
+	if !ok {
+		return 0
+	}
+	shortest := time.Duration(0)
+	for _, c := range l.subset {
+		if !c.isOpen(now) {
+			continue
+		}
+		if e := c.estimate(now, r, p.settings); shortest == 0 || e.total < shortest {
+			shortest = e.total
+		}
+	}
+	return shortest
+}
+
 // Pick chooses the upstream and rank of one attempt and counts it there at once. The error is always NotRun:
 // reason "no-lease" when the table is too old to act on, "no-upstream" when nothing that serves the request is
 // open, "no-room" when all are full, and "too-late" when no answer can come before the deadline.
@@ -303,7 +322,7 @@
 }
 
 func (c *candidate) isOpen(now time.Time) bool {
-	return c.upstream.IsOpen(now) && c.account.closed.Load() <= now.UnixNano()
+	return c.upstream.IsOpen(now) && !now.Before(c.account.closed.get())
 }
 
 func (c *candidate) running() int64 { return c.account.running.Load() + c.account.others.Load() }
--- a/routing/prefix.go
+++ b/routing/prefix.go
@@ -34,29 +34,46 @@
 	// prefixCache is the view of one upstream's prefix cache: a lossy set of hashes of fixed size, and the trust
 	// in it. A gap in the events lowers the trust; it does not empty the view.
 	prefixCache struct {
-		slots    [prefixSlots]atomic.Uint64
+		slots    atomic.Pointer[prefixSet] // nil until the first hash comes
 		trust    atomic.Int64
 		sequence atomic.Uint64
 	}
 )
 
+type prefixSet [prefixSlots]atomic.Uint64
+
 func newPrefixCache() *prefixCache {
 	c := &prefixCache{}
 	c.trust.Store(trustUnit)
 	return c
 }
 
-func (c *prefixCache) holds(hash uint64) bool { return c.slots[hash%prefixSlots].Load() == hash }
+// set returns the hashes, which it makes room for when there is none yet.
+func (c *prefixCache) set() *prefixSet {
+	if s := c.slots.Load(); s != nil {
+		return s
+	}
+	c.slots.CompareAndSwap(nil, &prefixSet{})
+	return c.slots.Load()
+}
 
 func (c *prefixCache) store(hashes []uint64) {
+	if len(hashes) == 0 {
+		return
+	}
+	s := c.set()
 	for _, hash := range hashes {
-		c.slots[hash%prefixSlots].Store(hash)
+		s[hash%prefixSlots].Store(hash)
 	}
 }
 
 func (c *prefixCache) remove(hashes []uint64) {
+	s := c.slots.Load()
+	if s == nil {
+		return
+	}
 	for _, hash := range hashes {
-		c.slots[hash%prefixSlots].CompareAndSwap(hash, 0)
+		s[hash%prefixSlots].CompareAndSwap(hash, 0)
 	}
 }
 
@@ -76,9 +93,7 @@
 	}
 	c.sequence.Store(e.Sequence)
 	if e.Cleared {
-		for n := range c.slots {
-			c.slots[n].Store(0)
-		}
+		c.slots.Store(nil)
 		c.trust.Store(trustUnit)
 	}
 	c.remove(e.Removed)
@@ -87,11 +102,12 @@
 
 // cachedTokens returns how much of the prompt is believed to be cached, discounted by the trust in the view.
 func (c *prefixCache) cachedTokens(hashes []uint64) int {
+	s := c.slots.Load()
+	if s == nil {
+		return 0
+	}
 	blocks := 0
-	for _, hash := range hashes {
-		if !c.holds(hash) {
-			break
-		}
+	for blocks < len(hashes) && s[hashes[blocks]%prefixSlots].Load() == hashes[blocks] {
 		blocks++
 	}
 	return int(int64(blocks*BlockTokens) * c.trust.Load() / trustUnit)
--- a/routing/rank.go
+++ b/routing/rank.go
@@ -1,71 +1,111 @@
 package routing
 
 import (
+	"cmp"
 	"slices"
 
 	"guavahitch.example/guavahitch/wire"
 )
 
 const (
-	// slowRank is the ratio to the median step time from which a rank counts as slow.
+	// slowRank is the ratio to the step time that its tokens explain from which a rank counts as slow.
 	slowRank = 1.15
 	// worstRank bounds the ratio by which a slow rank is given less.
 	worstRank = 8.0
 )
 
-// rankView is the last report on the ranks of one upstream.
-type rankView struct {
-	tokens []int64   // running tokens of each rank
-	slow   []float64 // step time relative to the median of the group, 1 for a rank that is not slow
-}
+type (
+	// rankView is the last report on the ranks of one upstream.
+	rankView struct {
+		others []int64   // running tokens of other entries on each rank
+		slow   []float64 // step time relative to what the tokens explain, 1 for a rank that is not slow
+	}
+
+	// stepLine is the step time of a rank of the group as a function of its running tokens.
+	stepLine struct {
+		base  float64 // step time without tokens, in microseconds
+		slope float64 // microseconds a token
+	}
+)
 
-func newRankView(loads []*wire.RankLoad, ranks int) *rankView {
-	v := &rankView{tokens: make([]int64, ranks), slow: make([]float64, ranks)}
-	rates := make([]float64, 0, len(loads))
+// newRankView takes the reported loads and the own tokens that were on each rank when they were sampled.
+func newRankView(loads []*wire.RankLoad, own []int64) *rankView {
+	v := &rankView{others: make([]int64, len(own)), slow: make([]float64, len(own))}
 	for n := range v.slow {
 		v.slow[n] = 1
 	}
-	for _, l := range loads {
-		rates = append(rates, rankRate(l))
-	}
-	median := medianOf(rates)
+	line := newStepLine(loads)
 	for _, l := range loads {
 		n := int(l.Rank)
-		if n < 0 || n >= ranks {
+		if n < 0 || n >= len(own) {
 			continue
 		}
-		v.tokens[n] = l.RunningTokens
-		if rate := rankRate(l); median > 0 && rate > slowRank*median {
-			v.slow[n] = min(rate/median, worstRank)
+		v.others[n] = max(0, l.RunningTokens-own[n])
+		if ratio := line.ratio(l); ratio > slowRank {
+			v.slow[n] = min(ratio, worstRank)
 		}
 	}
 	return v
 }
 
-// rankRate returns the step time of a rank for each of its running tokens, so that a loaded rank is told from
-// a slow one.
-func rankRate(l *wire.RankLoad) float64 {
-	return float64(l.StepUs) / float64(max(l.RunningTokens, 1))
+// newStepLine fits a resistant line through the medians of the ranks with fewer and with more tokens, so that a
+// loaded rank is told from a slow one and a few slow ranks do not bend the line.
+func newStepLine(loads []*wire.RankLoad) stepLine {
+	if len(loads) == 0 {
+		return stepLine{}
+	}
+	sorted := slices.Clone(loads)
+	slices.SortFunc(sorted, func(a, b *wire.RankLoad) int {
+		return cmp.Or(cmp.Compare(a.RunningTokens, b.RunningTokens), cmp.Compare(a.StepUs, b.StepUs))
+	})
+	half := (len(sorted) + 1) / 2
+	lowTokens, lowStep := medianLoad(sorted[:half])
+	highTokens, highStep := medianLoad(sorted[len(sorted)-half:])
+	line := stepLine{}
+	if highTokens > lowTokens {
+		line.slope = max(0, (highStep-lowStep)/(highTokens-lowTokens))
+	}
+	rests := make([]float64, len(sorted))
+	for n, l := range sorted {
+		rests[n] = float64(l.StepUs) - line.slope*float64(l.RunningTokens)
+	}
+	line.base = median(rests)
+	return line
 }
 
-func medianOf(values []float64) float64 {
-	if len(values) == 0 {
+// ratio returns the step time of a rank relative to what its tokens explain; 0 when nothing explains it.
+func (l stepLine) ratio(load *wire.RankLoad) float64 {
+	explained := l.base + l.slope*float64(load.RunningTokens)
+	if explained <= 0 {
 		return 0
 	}
+	return float64(load.StepUs) / explained
+}
+
+func medianLoad(loads []*wire.RankLoad) (tokens, step float64) {
+	allTokens, allSteps := make([]float64, len(loads)), make([]float64, len(loads))
+	for n, l := range loads {
+		allTokens[n], allSteps[n] = float64(l.RunningTokens), float64(l.StepUs)
+	}
+	return median(allTokens), median(allSteps)
+}
+
+// median returns the lower median.
+func median(values []float64) float64 {
 	sorted := slices.Sorted(slices.Values(values))
-	return sorted[len(sorted)/2]
+	return sorted[(len(sorted)-1)/2]
 }
 
-// pickRank returns the rank whose share of a step would grow least late, or -1 when the engine places requests.
-// All ranks step together, so the rank with the largest running tokens times its slow factor sets the step time.
+// pickRank returns the rank whose part of a step grows least late, or -1 when the engine places requests. All ranks
+// step together, so the rank with the largest running tokens times its slow factor sets the step time.
 func (a *account) pickRank(tokens int64) int {
 	best, bestTime := -1, 0.0
 	view := a.ranks.Load()
 	for n := range a.rankWork {
 		held := a.rankWork[n].Load()
 		slow := 1.0
-		if view != nil && n < len(view.tokens) {
-			held = max(held, view.tokens[n])
+		if view != nil {
+			held += view.others[n]
 			slow = view.slow[n]
 		}
 		time := float64(held+tokens) * slow
