A leg that loses the race by far counts against its upstream

Cause: a stalled upstream was chosen again and again, since its cancelled attempts counted as ended. Change: a leg far behind counts as failed; a hedge that finds no room looks again.

--- a/dispatch/race.go
+++ b/dispatch/race.go
@@ -19,6 +19,8 @@
 	lateWithoutSamples = 2 * time.Second
 	// stallLimit is the longest pause within an answer of a repeatable request.
 	stallLimit = 2 * time.Second
+	// hedgeAgain is the pause before another look for room and budget for a second attempt.
+	hedgeAgain = 100 * time.Millisecond
 )
 
 type (
@@ -45,7 +47,8 @@
 	legs := []*leg{first}
 	begun := time.Now()
 	go first.run(starts)
-	late := time.NewTimer(j.lateAfter(begun, first.choice))
+	after := j.lateAfter(begun, first.choice)
+	late := time.NewTimer(after)
 	defer late.Stop()
 	for running := 1; ; {
 		select {
@@ -53,7 +56,7 @@
 			running--
 			if s.failure == nil {
 				j.hedge().Observe(time.Since(begun))
-				cancelOthers(legs, s.leg)
+				cancelOthers(legs, s.leg, time.Since(begun) > after+after/2)
 				return s.leg, s.pieces, nil
 			}
 			j.reportFailure(s.leg.choice, s.failure, time.Now())
@@ -62,11 +65,14 @@
 			}
 			j.doubt(s.failure)
 		case <-late.C:
-			if second := j.secondLeg(ctx); second != nil {
-				legs = append(legs, second)
-				running++
-				go second.run(starts)
+			second := j.secondLeg(ctx)
+			if second == nil {
+				late.Reset(hedgeAgain)
+				continue
 			}
+			legs = append(legs, second)
+			running++
+			go second.run(starts)
 		}
 	}
 }
@@ -135,13 +141,18 @@
 	}
 }
 
-// cancelOthers cancels the legs that lost the race. Each tells its sidecar and closes its own stream.
-func cancelOthers(legs []*leg, winner *leg) {
+// cancelOthers cancels the legs that lost the race. Each tells its sidecar and closes its own stream. A leg
+// that is far behind counts as a failure of its upstream, which may have stalled.
+func cancelOthers(legs []*leg, winner *leg, isFarBehind bool) {
 	for _, l := range legs {
-		if l != winner {
-			l.cancel()
-			l.choice.Attempt.Ended(time.Now())
+		if l == winner {
+			continue
 		}
+		l.cancel()
+		if isFarBehind {
+			l.choice.Attempt.Failed(time.Now())
+		}
+		l.choice.Attempt.Ended(time.Now())
 	}
 }
 
