Mutual TLS between processes

Cause: anyone who reached an inner port could speak the inner protocols. Change: package keys; the inner server lets in peers with a certificate of the system's authority only; files that change are read again; dev makes its own keys.

--- a/daemon/inner.go
+++ b/daemon/inner.go
@@ -5,16 +5,20 @@
 import (
 	"context"
 	"errors"
+	"log/slog"
 	"net"
 	"net/http"
 	"time"
 
+	"guavahitch.example/guavahitch/keys"
 	"guavahitch.example/guavahitch/outcome"
 )
 
 const (
 	// innerHeaderTimeout bounds the arrival of a header between processes.
 	innerHeaderTimeout = 5 * time.Second
+	// innerDialTimeout bounds the opening of a connection to control.
+	innerDialTimeout = 500 * time.Millisecond
 	// innerIdleTimeout closes unused connections between processes.
 	innerIdleTimeout = 60 * time.Second
 	// innerBodyLimit is the largest message between processes, in bytes.
@@ -36,15 +40,20 @@
 	}
 )
 
-func newInner(address string) (*inner, error) {
+// newInner binds the address. With keys it lets in peers of the same authority only.
+func newInner(address string, store *keys.Store) (*inner, error) {
 	listener, err := net.Listen("tcp", address)
 	if err != nil {
 		return nil, outcome.Error{Step: "listen", Peer: address, Outcome: outcome.NotRun, Reason: "address"}.WithCause(err)
 	}
+	if store != nil {
+		listener = store.Listener(listener)
+	}
 	i := &inner{listener: listener, mux: http.NewServeMux()}
 	i.http = &http.Server{
 		Handler:           http.MaxBytesHandler(i.mux, innerBodyLimit),
 		ReadHeaderTimeout: innerHeaderTimeout, IdleTimeout: innerIdleTimeout,
+		ErrorLog: slog.NewLogLogger(slog.DiscardHandler, slog.LevelError),
 	}
 	return i, nil
 }
--- a/daemon/process.go
+++ b/daemon/process.go
@@ -3,6 +3,8 @@
 import (
 	"context"
 	"io"
+	"net"
+	"net/http"
 	"sync"
 	"time"
 
@@ -13,6 +15,7 @@
 	"github.com/uber-go/tally/v4"
 
 	"guavahitch.example/guavahitch/event"
+	"guavahitch.example/guavahitch/keys"
 	"guavahitch.example/guavahitch/leader"
 	"guavahitch.example/guavahitch/lease"
 	"guavahitch.example/guavahitch/metric"
@@ -37,6 +40,7 @@
 	entry       *entryRole
 	control     *controlRole
 	sidecar     *sidecarRole
+	keys        *keys.Store
 	aborted     chan struct{}
 	abort       func()
 }
@@ -51,9 +55,10 @@
 	})
 	p.scope, p.metrics, p.closer = metric.NewScope(s.Name)
 	p.events = event.NewRing(s.Name, &event.Clock{})
-	p.transport = sidecar.PlainTransport
-	p.leader = leader.NewClient("http", s.ReplicaAddresses(), nil)
-	in, err := newInner(s.Listen)
+	if err := p.openKeys(); err != nil {
+		return nil, eris.Wrapf(err, "process %s", s.Name)
+	}
+	in, err := newInner(s.Listen, p.keys)
 	if err != nil {
 		return nil, eris.Wrapf(err, "process %s", s.Name)
 	}
@@ -67,6 +72,33 @@
 	return p, nil
 }
 
+// openKeys sets up how the process speaks to others: by mutual TLS when the settings name key files.
+func (p *Process) openKeys() error {
+	p.transport = sidecar.PlainTransport
+	scheme := "http"
+	if k := p.settings.Keys; k != nil {
+		store, err := keys.Open(keys.Files{Certificate: k.Certificate, Key: k.Key, Authority: k.Authority})
+		if err != nil {
+			return err
+		}
+		store.OnReload = p.noteReload
+		p.keys = store
+		p.transport = func(dial sidecar.Dial) *http.Transport { return store.Secure(sidecar.PlainTransport(dial)) }
+		scheme = "https"
+	}
+	dialer := &net.Dialer{Timeout: innerDialTimeout}
+	p.leader = leader.NewClient(scheme, p.settings.ReplicaAddresses(), p.transport(dialer.DialContext))
+	return nil
+}
+
+func (p *Process) noteReload(err error) {
+	if err != nil {
+		p.log.WithError(err).Error("the key files changed and cannot be read; the old keys stay in use")
+		return
+	}
+	p.log.Info("the key files were read again")
+}
+
 func (p *Process) addRoles() error {
 	if p.settings.Control != nil {
 		if err := p.addControl(); err != nil {
--- a/dev/dev.go
+++ b/dev/dev.go
@@ -19,6 +19,7 @@
 	"guavahitch.example/guavahitch/document"
 	"guavahitch.example/guavahitch/fake"
 	"guavahitch.example/guavahitch/inventory"
+	"guavahitch.example/guavahitch/keys"
 	"guavahitch.example/guavahitch/settings"
 	"guavahitch.example/guavahitch/wire"
 )
@@ -69,6 +70,7 @@
 		owned     *inventory.Inventory
 		text      []byte
 		folder    string
+		authority *keys.Authority
 		control   *daemon.Process
 		entry     *daemon.Process
 		sidecars  []*daemon.Process
@@ -119,6 +121,11 @@
 		}
 		d.folder = folder
 	}
+	authority, err := keys.NewAuthority(d.folder)
+	if err != nil {
+		return err
+	}
+	d.authority = authority
 	address, err := freeAddress()
 	if err != nil {
 		return err
@@ -143,6 +150,11 @@
 
 func (d *Dev) process(s *settings.Settings) (*daemon.Process, error) {
 	s.DrainTimeout = settings.DefaultDrainTimeout
+	files, err := d.authority.Issue(s.Name)
+	if err != nil {
+		return nil, err
+	}
+	s.Keys = &settings.Keys{Certificate: files.Certificate, Key: files.Key, Authority: files.Authority}
 	p, err := daemon.NewProcess(s, d.log)
 	if err == nil {
 		d.processes = append(d.processes, p)
--- a/sidecar/link.go
+++ b/sidecar/link.go
@@ -34,7 +34,8 @@
 	// Dial opens a connection to an IP address and port.
 	Dial func(ctx context.Context, network, address string) (net.Conn, error)
 
-	// Transport makes the HTTP transport of a new generation of connections; with TLS it sets the keys.
+	// Transport makes the HTTP transport of a new generation of connections. One that dials TLS is spoken to by
+	// HTTPS.
 	Transport func(Dial) *http.Transport
 
 	// Link speaks to one sidecar. It is safe for concurrent use.
@@ -74,7 +75,7 @@
 	dialer := &net.Dialer{Timeout: dialTimeout}
 	transport := l.transport(dialer.DialContext)
 	base := "http://" + l.address
-	if transport.TLSClientConfig != nil {
+	if transport.DialTLSContext != nil {
 		base = "https://" + l.address
 	}
 	client := &http.Client{Transport: transport}
