routing: the plan in a file of its own; a renewed lease does not rebuild it

Cause: entries renew their lease many times a minute, and each renewal sorted all upstreams of all services again; picker.go held two jobs. Change: plan.go; a table that differs in its lease at most keeps the plan.

--- a/routing/picker.go
+++ b/routing/picker.go
@@ -1,9 +1,7 @@
 package routing
 
 import (
-	"cmp"
 	"net/http"
-	"slices"
 	"sync"
 	"sync/atomic"
 	"time"
@@ -54,31 +52,6 @@
 		sequence atomic.Uint64
 		mutex    sync.Mutex
 	}
-
-	// plan is a table made ready for decisions.
-	plan struct {
-		table    Table
-		services map[string]*pool
-		byName   map[string]*candidate
-	}
-
-	// pool holds the candidates of one service: the subset of this entry, and all in the order of a hash ring.
-	pool struct {
-		subset []*candidate
-		ring   []point
-	}
-
-	point struct {
-		hash      uint64
-		candidate *candidate
-	}
-
-	candidate struct {
-		upstream Upstream
-		account  *account
-		far      bool
-		slow     float64
-	}
 )
 
 // NewPicker returns a picker without upstreams.
@@ -102,47 +75,10 @@
 func (p *Picker) Use(t Table) {
 	p.mutex.Lock()
 	defer p.mutex.Unlock()
-	old := p.plan.Load()
-	next := &plan{table: t, services: map[string]*pool{}, byName: make(map[string]*candidate, t.Len())}
-	offers := map[string][]string{}
-	for _, u := range t.Upstreams() {
-		next.byName[u.Name] = p.candidateFor(old, u)
-		for _, service := range u.Services {
-			offers[service] = append(offers[service], u.Name)
-		}
-	}
-	for service, names := range offers {
-		next.services[service] = p.newPool(next, service, names)
-	}
-	p.plan.Store(next)
+	p.plan.Store(newPlan(t, p.plan.Load(), p.settings))
 	p.settings.OnRoom()
 }
 
-func (p *Picker) candidateFor(old *plan, u Upstream) *candidate {
-	c := &candidate{upstream: u, slow: max(u.SlowFactor, 1), far: u.FailureDomain != p.settings.FailureDomain}
-	if known, ok := old.byName[u.Name]; ok && known.upstream.Epoch == u.Epoch && known.upstream.Ranks == u.Ranks {
-		c.account = known.account
-		return c
-	}
-	c.account = newAccount(u)
-	if u.Load != nil {
-		c.account.observe(time.Time{}, u.Load)
-	}
-	return c
-}
-
-func (p *Picker) newPool(next *plan, service string, names []string) *pool {
-	l := &pool{}
-	for _, name := range Subset(p.settings.Entry+"/"+service, names, p.settings.Subset) {
-		l.subset = append(l.subset, next.byName[name])
-	}
-	for _, name := range names {
-		l.ring = append(l.ring, point{hash: pairHash(service, name), candidate: next.byName[name]})
-	}
-	slices.SortFunc(l.ring, func(a, b point) int { return cmp.Compare(a.hash, b.hash) })
-	return l
-}
-
 // Table returns the table in use.
 func (p *Picker) Table() Table { return p.plan.Load().table }
 
@@ -283,32 +219,6 @@
 	}
 }
 
-// considerBeyond adds the prompt's home upstreams, and when all of the subset are closed, others at random.
-func (l *pool) considerBeyond(consider func(*candidate), r Request, draw uint64, open bool) {
-	for _, c := range l.homes(r.PrefixHashes) {
-		consider(c)
-	}
-	for n := uint64(0); !open && n < uint64(len(l.subset)); n++ {
-		consider(l.ring[mix(draw+n)%uint64(len(l.ring))].candidate)
-	}
-}
-
-// homes returns the upstreams at which all entries look for the prompt's first block, in a table larger than
-// their subsets.
-func (l *pool) homes(hashes []uint64) []*candidate {
-	if len(hashes) == 0 {
-		return nil
-	}
-	n := l.find(hashes[0])
-	return []*candidate{l.ring[n].candidate, l.ring[(n+1)%len(l.ring)].candidate}
-}
-
-// find returns the place of a key on the ring.
-func (l *pool) find(key uint64) int {
-	n, _ := slices.BinarySearchFunc(l.ring, mix(key), func(p point, hash uint64) int { return cmp.Compare(p.hash, hash) })
-	return n % len(l.ring)
-}
-
 func (p *Picker) dispatch(now time.Time, c *candidate, e estimate, r Request) Choice {
 	uncached := int64(r.PromptTokens - e.cached)
 	w := work{tokens: int64(r.PromptTokens + r.OutputTokens), pending: uncached}
@@ -321,12 +231,6 @@
 	}
 }
 
-func (c *candidate) isOpen(now time.Time) bool {
-	return c.upstream.IsOpen(now) && !now.Before(c.account.closed.get())
-}
-
-func (c *candidate) running() int64 { return c.account.running.Load() + c.account.others.Load() }
-
 func refusal(reason, detail string, retryAfter time.Duration) *outcome.Error {
 	return &outcome.Error{
 		Step: stepPick, Outcome: outcome.NotRun, Reason: reason, Detail: detail, RetryAfter: retryAfter,
--- a/routing/table.go
+++ b/routing/table.go
@@ -48,9 +48,13 @@
 	// Table is an immutable snapshot of the upstreams. The zero value is empty and always valid.
 	Table struct {
 		upstreams map[string]Upstream
+		version   *version // one for each content of upstreams
 		until     time.Time
 		entries   int
 	}
+
+	// version is told from others by its address; its field gives it one.
+	version struct{ _ byte }
 )
 
 // UpstreamOf returns the upstream that a member announces.
@@ -89,7 +93,7 @@
 
 // With returns a copy that holds the given upstreams, each in place of one of the same name.
 func (t Table) With(upstreams ...Upstream) Table {
-	next := Table{upstreams: make(map[string]Upstream, len(t.upstreams)+len(upstreams)), until: t.until, entries: t.entries}
+	next := Table{upstreams: make(map[string]Upstream, len(t.upstreams)+len(upstreams)), version: &version{}, until: t.until, entries: t.entries}
 	maps.Copy(next.upstreams, t.upstreams)
 	for _, u := range upstreams {
 		next.upstreams[u.Name] = u
@@ -99,7 +103,7 @@
 
 // Without returns a copy that lacks the named upstreams.
 func (t Table) Without(names ...string) Table {
-	next := Table{upstreams: maps.Clone(t.upstreams), until: t.until, entries: t.entries}
+	next := Table{upstreams: maps.Clone(t.upstreams), version: &version{}, until: t.until, entries: t.entries}
 	for _, name := range names {
 		delete(next.upstreams, name)
 	}
@@ -137,5 +141,10 @@
 	return all
 }
 
+// isSameButLease reports whether the other table differs in the lease at most.
+func (t Table) isSameButLease(other Table) bool {
+	return t.version != nil && t.version == other.version && t.entries == other.entries
+}
+
 // Len returns the number of upstreams.
 func (t Table) Len() int { return len(t.upstreams) }
