--- /dev/null
+++ b/balance/decider_test.go
@@ -0,0 +1,186 @@
+package balance_test
+
+import (
+	"fmt"
+	"testing"
+	"time"
+
+	"github.com/stretchr/testify/require"
+
+	"guavahitch.example/guavahitch/balance"
+	"guavahitch.example/guavahitch/expertmap"
+)
+
+var small = expertmap.Shape{Ranks: 4, Experts: 8, Layers: 2, Slots: 3}
+
+// skewed is a situation in which moves gain much.
+func skewed(t testing.TB, now time.Time) balance.Situation {
+	present, err := expertmap.New("g", small)
+	require.NoError(t, err)
+	load := []float64{8, 1, 1, 1, 6, 1, 1, 1, 1, 1, 7, 1, 1, 1, 5, 1}
+	return balance.Situation{
+		Now: now, Present: present, Group: balance.NewGroup(small.Ranks, 8), StoreRate: costs.StoreRate,
+		Estimate: balance.Estimate{At: now, Current: load, Ahead: load, Covered: 1, LevelWeight: 1},
+	}
+}
+
+// calm is a decider that started long ago.
+func calm(rule balance.Rule) balance.Decider {
+	return balance.NewDecider("g", rule, balance.NewPlanner(costs), midnight.Add(-time.Hour))
+}
+
+func ExampleDecider_Decide() {
+	decision, _ := calm(balance.DefaultRule()).Decide(skewed(nil, midnight))
+	record := decision.Record()
+	fmt.Println(record.Kind, record.Subject, "-", record.Cause)
+	for _, a := range record.Alternatives {
+		fmt.Printf("%s: gain %.0f s, cost %.1f s\n", a.Name, a.Gain, a.Cost)
+	}
+	// Output:
+	// map g - gain worth the cost
+	// move 3 replicas (0.1 GB): gain 3979 s, cost 0.1 s
+	// keep the map: gain 0 s, cost 0.0 s
+	// change weights: gain 2274 s, cost 0.1 s
+}
+
+func TestDecisionLeavesTheGroupAlone(t *testing.T) {
+	const name = "g"
+	rule := balance.DefaultRule()
+	cases := []struct {
+		reason  balance.Reason
+		decider balance.Decider
+		change  func(*balance.Situation)
+	}{
+		{balance.ReasonFailing, calm(rule), func(s *balance.Situation) { s.Failing = true }},
+		{balance.ReasonSwitching, calm(rule), func(s *balance.Situation) { s.Switching = true }},
+		{balance.ReasonStale, calm(rule), func(s *balance.Situation) { s.Estimate.Covered = 0.5 }},
+		{balance.ReasonStale, calm(rule), func(s *balance.Situation) { s.Estimate.At = s.Now.Add(-5 * time.Minute) }},
+		{balance.ReasonInterval, calm(rule).WithSwitch(midnight.Add(-time.Minute)), nil},
+		{balance.ReasonSettling, balance.NewDecider(name, rule, balance.NewPlanner(costs), midnight), nil},
+		{balance.ReasonSettling, calm(rule).WithFailureOver(midnight.Add(-time.Minute)), nil},
+		{balance.ReasonEven, calm(rule), func(s *balance.Situation) { s.Estimate.Current = even(); s.Estimate.Ahead = even() }},
+	}
+	for _, c := range cases {
+		t.Run(string(c.reason), func(t *testing.T) {
+			s := skewed(t, midnight)
+			if c.change != nil {
+				c.change(&s)
+			}
+			decision, _ := c.decider.Decide(s)
+			require.Equal(t, c.reason, decision.Reason)
+			require.False(t, decision.Switch)
+			require.Equal(t, balance.KindNotNow, decision.Record().Kind)
+			require.NotEmpty(t, decision.Record().Figures)
+			without, _ := calm(rule).Decide(skewed(t, midnight))
+			require.True(t, without.Switch, "without the cause the group is rebalanced")
+		})
+	}
+}
+
+// even returns loads that need no map.
+func even() []float64 {
+	load := make([]float64, small.Layers*small.Experts)
+	for n := range load {
+		load[n] = 1 + float64(n%2)*1e-4
+	}
+	return load
+}
+
+func TestOperatorsWeightsDecide(t *testing.T) {
+	shape := expertmap.Shape{Ranks: 8, Experts: 32, Layers: 8, Slots: 5}
+	present, err := expertmap.New("g", shape)
+	require.NoError(t, err)
+	load := zipf(shape, 2)
+	s := balance.Situation{
+		Now: midnight, Present: present, Group: balance.NewGroup(shape.Ranks, 100), StoreRate: costs.StoreRate / 2000,
+		Estimate: balance.Estimate{At: midnight, Current: load, Ahead: load, Covered: 1},
+	}
+	dear, _ := calm(balance.DefaultRule().WithWeights(1, 4)).Decide(s)
+	keen, _ := calm(balance.DefaultRule().WithWeights(4, 1)).Decide(s)
+	require.True(t, keen.Switch)
+	require.Less(t, dear.Chosen.Bytes, keen.Chosen.Bytes)
+}
+
+func TestAGainThatNoMapCanBringIsNotPaidFor(t *testing.T) {
+	shape := expertmap.Shape{Ranks: 4, Experts: 8, Layers: 1, Slots: 2}
+	present, err := expertmap.New("g", shape)
+	require.NoError(t, err)
+	s := skewed(t, midnight)
+	s.Present = present
+	s.Estimate.Current = []float64{8, 1, 1, 1, 1, 1, 1, 1}
+	s.Estimate.Ahead = s.Estimate.Current
+	decision, _ := calm(balance.DefaultRule()).Decide(s)
+	require.Equal(t, balance.ReasonCost, decision.Reason)
+	require.Len(t, decision.Alternatives, 2)
+}
+
+// startStorm lets groups decide each minute from a start of control on, all badly skewed, and returns the
+// largest number of switches that begin in one minute.
+func startStorm(t *testing.T, rule balance.Rule, store balance.Store) int {
+	deciders := make([]balance.Decider, 24)
+	for n := range deciders {
+		deciders[n] = balance.NewDecider(fmt.Sprintf("group-%d", n), rule, balance.NewPlanner(costs), midnight)
+	}
+	done := make([]bool, len(deciders))
+	most := 0
+	for minute := range 30 {
+		now, begun := midnight.Add(time.Duration(minute)*time.Minute), 0
+		for n, d := range deciders {
+			if done[n] {
+				continue
+			}
+			s := skewed(t, now)
+			s.StoreRate = store.RateFor(fmt.Sprint(n), now)
+			decision, next := d.Decide(s)
+			deciders[n] = next
+			if decision.Switch && decision.Chosen.Moves > 0 {
+				store = store.WithLoad(fmt.Sprint(n), now, decision.Chosen.Load)
+				done[n] = true
+				begun++
+			}
+		}
+		most = max(most, begun)
+	}
+	return most
+}
+
+func TestAStartCausesNoStorm(t *testing.T) {
+	rule := balance.DefaultRule()
+	crowded := rule
+	crowded.Spread, crowded.Settle = 0, 0
+	wide := balance.NewStore(24*costs.StoreRate, 24, 0)
+	narrow := balance.NewStore(costs.StoreRate, 2, 10*time.Second)
+	require.Equal(t, 24, startStorm(t, crowded, wide), "with both mechanisms off all groups switch at once")
+	require.LessOrEqual(t, startStorm(t, rule, wide), 10, "the spread alone")
+	require.Equal(t, 1, startStorm(t, crowded, narrow), "the store alone")
+	require.Equal(t, 1, startStorm(t, rule, narrow))
+}
+
+func TestMarginKeepsNoiseFromSwitching(t *testing.T) {
+	switches := func(margin float64) int {
+		rule := balance.DefaultRule().WithWeights(1, 4)
+		rule.Margin = margin
+		return int(replay(record("day", small, 1), newDecided(small, rule)).switches)
+	}
+	require.Less(t, switches(6), switches(0)*3/4)
+}
+
+func TestALostRankIsLeftWhateverItCosts(t *testing.T) {
+	s := skewed(t, midnight)
+	s.Group.Speeds[2] = 0
+	s.StoreRate = 0
+	decision, _ := calm(balance.DefaultRule().WithWeights(1, 1e6)).Decide(s)
+	require.Equal(t, balance.ReasonLostRank, decision.Reason)
+	require.True(t, decision.Switch)
+	for layer := range small.Layers {
+		for slot := range small.Slots {
+			require.Equal(t, expertmap.Empty, decision.Map.Expert(layer, 2, slot))
+		}
+	}
+}
+
+func TestDecisionsAreDeterministic(t *testing.T) {
+	first, _ := calm(tuulai).Decide(skewed(t, midnight))
+	second, _ := calm(tuulai).Decide(skewed(t, midnight))
+	require.Equal(t, first, second)
+}
--- a/balance/planner_test.go
+++ b/balance/planner_test.go
@@ -122,3 +122,73 @@
 		b.ReportMetric(after.Skew, "skew-after")
 	})
 }
+
+func TestMemoryLimitsHold(t *testing.T) {
+	rapid.Check(t, func(t *rapid.T) {
+		p := problems().Draw(t, "problem")
+		s := p.present.Shape()
+		p.group.Capacity = make([]int, s.Ranks)
+		least := (s.Experts + s.Ranks - 1) / s.Ranks * s.Layers
+		for r := range p.group.Capacity {
+			p.group.Capacity[r] = rapid.IntRange(min(least+s.Layers, s.Layers*s.Slots), s.Layers*s.Slots).Draw(t, "capacity")
+		}
+		packed, err := balance.Pack(p.present, p.load, p.group)
+		if err != nil {
+			t.Skip("memory too small for every expert")
+		}
+		plan, err := balance.NewPlanner(costs).Plan(packed, p.load, p.group)
+		require.NoError(t, err)
+		built, err := plan.Build(len(plan.Options) - 1)
+		require.NoError(t, err)
+		held := make([]int, s.Ranks)
+		for n, e := range built.Placed() {
+			if e != expertmap.Empty {
+				held[n/s.Slots%s.Ranks]++
+			}
+		}
+		for r := range held {
+			require.LessOrEqual(t, held[r], p.group.Capacity[r])
+		}
+	})
+}
+
+func TestReplicasSpreadOverFailureDomains(t *testing.T) {
+	shape := expertmap.Shape{Ranks: 12, Experts: 12, Layers: 16, Slots: 2}
+	present, err := expertmap.New("g", shape)
+	require.NoError(t, err)
+	group := balance.NewGroup(shape.Ranks, 100)
+	var domains []string
+	for r := range shape.Ranks {
+		domains = append(domains, []string{"levis", "rimouski", "saguenay"}[r*3/shape.Ranks])
+	}
+	// together counts the experts that got a replica and have several, all in one failure domain.
+	together := func(group balance.Group) int {
+		load := zipf(shape, 4)
+		for n := range load {
+			load[n] *= load[n]
+		}
+		plan, err := balance.NewPlanner(costs).Plan(present, load, group)
+		require.NoError(t, err)
+		built, err := plan.Build(len(plan.Options) - 1)
+		require.NoError(t, err)
+		moves, err := expertmap.Moves(present, built)
+		require.NoError(t, err)
+		count := 0
+		for _, m := range moves {
+			seen := map[string]bool{}
+			replicas := built.Replicas(m.Layer, m.Expert)
+			for _, r := range replicas {
+				seen[domains[r.Rank]] = true
+			}
+			if len(seen) == 1 && len(replicas) > 1 {
+				count++
+			}
+		}
+		return count
+	}
+	without := together(group)
+	group.Domains = domains
+	with := together(group)
+	t.Logf("experts moved and in one failure domain: %d without domains, %d with", without, with)
+	require.Less(t, with, without/2)
+}
--- a/balance/search.go
+++ b/balance/search.go
@@ -36,9 +36,10 @@
 		free     []int
 		best     [candidates]int
 		domainAt []int
-		// holds and domainHolds mark the ranks and failure domains that have the expert looked at.
-		holds       []bool
-		domainHolds []bool
+		// holds marks the ranks that have the expert looked at; onlyDomain is the failure domain of all of
+		// them, none without any, or manyDomains.
+		holds      []bool
+		onlyDomain int
 		// even makes all replicas of an expert take equal parts.
 		even bool
 	}
@@ -56,7 +57,6 @@
 	}
 	s.domainAt = domainNumbers(group, shape.Ranks)
 	s.holds = make([]bool, shape.Ranks)
-	s.domainHolds = make([]bool, shape.Ranks)
 	return s
 }
 
@@ -151,13 +151,14 @@
 	s.saved.copyFrom(s.state)
 	limit := s.state.unevenness() * (1 - minImprovement/float64(len(s.state.time)))
 	finalists := s.finalists(tries[:found], e)
-	bestSlot, bestScore := none, limit
+	bestSlot, bestScore := none, maxTime
 	for _, n := range finalists {
 		if n == none {
 			continue
 		}
-		if score := s.score(n, e, tryLimit); score < bestScore {
-			bestSlot, bestScore = n, score
+		score := s.score(n, e, tryLimit)
+		if together := score + s.penalty(n, limit); score < limit && together < bestScore {
+			bestSlot, bestScore = n, together
 		}
 	}
 	if bestSlot == none {
@@ -235,6 +236,7 @@
 	scores := [2]float64{maxTime, maxTime}
 	for _, n := range slots {
 		score := s.score(n, e, 0)
+		score += s.penalty(n, score)
 		switch {
 		case score < scores[0]:
 			best[0], best[1] = n, best[0]
@@ -246,6 +248,15 @@
 	return best
 }
 
+// penalty returns what is added to the score of a slot whose failure domain holds all replicas of the expert
+// that slotsFor looked for last.
+func (s *search) penalty(n int, unevenness float64) float64 {
+	if !s.inOnlyDomain(int(s.state.rankOf[n])) {
+		return 0
+	}
+	return domainPenalty * unevenness / float64(len(s.state.time))
+}
+
 // score returns the unevenness with a replica of an expert in a slot, and takes it back.
 func (s *search) score(n int, e int16, limit int) float64 {
 	s.placeAndSpread(n, e, limit)
@@ -289,7 +300,7 @@
 
 // slotsFor fills best with the slots that could take a replica of an expert, the least loaded first, and
 // returns how many it found. A slot can be taken when it is empty and memory allows, or when the expert in
-// it has another replica. Ranks in failure domains without the expert come before equally loaded others.
+// it has another replica. A rank outside the only failure domain of the expert comes before others not much less loaded.
 func (s *search) slotsFor(e int16) int {
 	l := s.state
 	s.markHolders(e)
@@ -299,23 +310,26 @@
 		if l.cost[r] == 0 || s.holds[r] {
 			continue
 		}
-		spread := 0.0
-		if s.domainHolds[s.domainAt[r]] {
-			spread = domainPenalty
+		spread := 1.0
+		if s.inOnlyDomain(r) {
+			spread += domainPenalty
 		}
 		for n := r * s.slots; n < (r+1)*s.slots; n++ {
 			if !s.canTake(n) {
 				continue
 			}
-			key := (l.time[r] + l.part[n]*l.cost[r]) * (1 + spread)
+			key := (l.time[r] + l.part[n]*l.cost[r]) * spread
 			found = s.insert(n, key, &keys, found)
 		}
 	}
 	return found
 }
 
-// domainPenalty is how much later a rank looks when its failure domain already holds the expert.
-const domainPenalty = 0.02
+// domainPenalty is how much later a rank looks when its failure domain holds all replicas of the expert.
+const domainPenalty = 0.4
+
+// manyDomains stands for more than one failure domain.
+const manyDomains = -2
 
 // canTake reports whether the replica in a slot can be given up.
 func (s *search) canTake(n int) bool {
@@ -345,13 +359,20 @@
 	return found
 }
 
-// markHolders marks the ranks and the failure domains that have a replica of the expert.
+// markHolders marks the ranks that have a replica of the expert and finds whether one failure domain has all.
 func (s *search) markHolders(e int16) {
 	clear(s.holds)
-	clear(s.domainHolds)
+	s.onlyDomain = none
 	for n := s.state.first[e]; n != none; n = s.state.next[n] {
 		r := s.state.rankOf[n]
 		s.holds[r] = true
-		s.domainHolds[s.domainAt[r]] = true
+		if s.onlyDomain == manyDomains || s.onlyDomain != none && s.onlyDomain != s.domainAt[r] {
+			s.onlyDomain = manyDomains
+			continue
+		}
+		s.onlyDomain = s.domainAt[r]
 	}
 }
+
+// inOnlyDomain reports whether a rank is in the one failure domain that has the expert looked at.
+func (s *search) inOnlyDomain(rank int) bool { return s.domainAt[rank] == s.onlyDomain }
