routing: an upstream that is silent for too long is avoided

Cause: a stalled upstream answers nothing and reports nothing; its cancelled attempts freed its places, so that it was chosen again and again (seen by the test with a stalled engine in dispatch). Change: the time for which requests have waited in vain for a first token adds to the predicted wait, and an attempt cancelled after a second of silence closes the upstream for as long as it was silent. Measured: TestSilentUpstreamIsAvoided fails with the silence switched off and passes with it.

--- a/routing/account.go
+++ b/routing/account.go
@@ -32,6 +32,7 @@
 	account struct {
 		running  atomic.Int64 // own requests in flight
 		pending  atomic.Int64 // own prompt tokens whose first token has not come
+		waiting  atomic.Int64 // own requests whose first token has not come
 		ownThen  atomic.Int64 // own requests in flight when the last report was sampled
 		others   atomic.Int64 // requests of other entries, as of the last report
 		step     atomic.Int64 // mean decode step as own answers show it, in nanoseconds; 0 when unknown
@@ -42,6 +43,7 @@
 		stay     atomic.Int64 // mean time of an own attempt, in nanoseconds; 0 when unknown
 		sampled  instant      // time of the last report's sample
 		full     instant      // time of the last refusal for want of room
+		quiet    instant      // time of the last first token, or from which requests wait for one
 		closed   instant      // time until which failures keep the upstream closed
 		ranks    atomic.Pointer[rankView]
 		rankWork []atomic.Int64 // own tokens in flight on each rank
@@ -87,6 +89,9 @@
 // begin counts a dispatch.
 func (a *account) begin(now time.Time, w work) {
 	a.pending.Add(w.pending)
+	if a.waiting.Add(1) == 1 {
+		a.quiet.set(now)
+	}
 	a.add(change{at: now, requests: 1, tokens: w.tokens, rank: w.rank})
 }
 
@@ -186,6 +191,14 @@
 	return now.Sub(full) < fullFor && a.sampled.get().Before(full)
 }
 
+// silence returns for how long requests have waited in vain for a first token.
+func (a *account) silence(now time.Time) time.Duration {
+	if a.waiting.Load() == 0 {
+		return 0
+	}
+	return max(0, now.Sub(a.quiet.get()))
+}
+
 // prefillTime returns the prefill time of one token.
 func (a *account) prefillTime() time.Duration {
 	if known := a.prefill.Load(); known > 0 {
--- a/routing/attempt.go
+++ b/routing/attempt.go
@@ -10,6 +10,8 @@
 	failuresToClose = 2
 	// shortestClosing is the time for which the first closing lasts; each further failure doubles it.
 	shortestClosing = 250 * time.Millisecond
+	// stalledAfter is the silence after which a cancelled attempt tells of a stalled upstream.
+	stalledAfter = time.Second
 	// longestClosing bounds the time for which failures close an upstream.
 	longestClosing = 8 * time.Second
 )
@@ -46,6 +48,8 @@
 	}
 	a.last = now
 	a.account.pending.Add(-a.work.pending)
+	a.account.waiting.Add(-1)
+	a.account.quiet.set(now)
 	if a.uncached >= BlockTokens {
 		smooth(&a.account.prefill, now.Sub(a.dispatched)/time.Duration(a.uncached), prefillGain)
 	}
@@ -62,16 +66,22 @@
 	a.last = now
 }
 
-// Ended reports that the attempt ended with an answer or was cancelled by no fault of the upstream.
+// Ended reports that the attempt ended with an answer or was cancelled. An upstream that brought no first token to any
+// request for stalledAfter until then is closed for as long as it was silent.
 func (a *Attempt) Ended(now time.Time) {
-	if a.close(now) {
+	silence := a.account.silence(now)
+	if !a.close(now) {
+		return
+	}
+	switch {
+	case !a.last.IsZero():
 		a.account.failures.Store(0)
 		a.account.full.set(time.Time{})
-		if !a.last.IsZero() {
-			smooth(&a.account.stay, now.Sub(a.dispatched), stayGain)
-		}
-		a.settle()
+		smooth(&a.account.stay, now.Sub(a.dispatched), stayGain)
+	case silence >= stalledAfter:
+		a.account.closed.set(now.Add(min(silence, longestClosing)))
 	}
+	a.settle()
 }
 
 // Refused reports that the upstream proved not to run the attempt for want of room.
@@ -104,6 +114,7 @@
 	a.ended = true
 	if a.last.IsZero() {
 		a.account.pending.Add(-a.work.pending)
+		a.account.waiting.Add(-1)
 	}
 	a.account.end(now, a.work)
 	return true
--- a/routing/mechanism_test.go
+++ b/routing/mechanism_test.go
@@ -337,3 +337,34 @@
 	group.Wait()
 	require.True(t, picker.HasRoom(start.Add(time.Minute), "match"))
 }
+
+func TestSilentUpstreamIsAvoided(t *testing.T) {
+	picker := routing.NewPicker(routing.Settings{Entry: "entry-1"})
+	picker.Use(routing.Table{}.With(upstream("a"), upstream("b")))
+	request := routing.Request{Service: "match", PromptTokens: 100, OutputTokens: 10}
+	silent, _ := picker.Pick(start, request)
+	now := start
+	answer := func() string {
+		now = now.Add(100 * time.Millisecond)
+		choice, refused := picker.Pick(now, request)
+		require.Nil(t, refused)
+		if choice.Upstream.Name != silent.Upstream.Name {
+			choice.Attempt.FirstToken(now.Add(20 * time.Millisecond))
+		}
+		choice.Attempt.Ended(now.Add(50 * time.Millisecond))
+		return choice.Upstream.Name
+	}
+	for range 30 {
+		require.NotEqual(t, silent.Upstream.Name, answer())
+	}
+	silent.Attempt.Ended(now)
+	for range 25 {
+		require.NotEqual(t, silent.Upstream.Name, answer(), "its cancelled attempt does not make it free again")
+	}
+	now = now.Add(time.Second)
+	names := map[string]bool{}
+	for range 50 {
+		names[answer()] = true
+	}
+	require.Contains(t, names, silent.Upstream.Name, "it is tried again after a while")
+}
--- a/routing/score.go
+++ b/routing/score.go
@@ -5,6 +5,8 @@
 const (
 	// domainPenalty is what leaving the own failure domain costs, as time of the answer.
 	domainPenalty = 2 * time.Millisecond
+	// usualSilence is a time without a first token that tells nothing.
+	usualSilence = 100 * time.Millisecond
 	// typicalOutput is the length of an answer of unknown length, in tokens.
 	typicalOutput = 128
 )
@@ -47,6 +49,8 @@
 	if over := running + 1 - float64(capacity); over > 0 {
 		e.wait += time.Duration(float64(step*typicalOutput) * over / float64(capacity))
 	}
+	// An upstream that has been silent for longer than it should will probably be so for as long again.
+	e.wait += max(0, a.silence(now)-2*e.wait-usualSilence)
 	decode := time.Duration(output) * step
 	e.total = e.wait + decode
 	// What the request adds to the step time is paid by all that run beside it.
