Control: histories of submissions, claims, settlements and reads are checked

Cause: at-most-once and one winner per revision must be shown on concurrent runs, not asserted in spots.

Reading a segment's end in memory gave an error; mended.

--- a/claim/files.go
+++ b/claim/files.go
@@ -169,7 +169,10 @@
 		return nil, err
 	}
 	defer f.close(s)
-	part := make([]byte, max(0, min(PartBytes, s.length-offset)))
+	if offset >= s.length {
+		return nil, nil
+	}
+	part := make([]byte, min(PartBytes, s.length-offset))
 	_, err = s.file.ReadAt(part, offset)
 	return part, eris.Wrapf(err, "read %s", name)
 }
--- a/control/claims.go
+++ b/control/claims.go
@@ -8,6 +8,7 @@
 )
 
 func (s *State) claim(request *wire.ClaimRequest) *wire.Result {
+	s.keys.AllowRerun, s.keys.AllowBarred = s.Switches.AllowRerun, s.Switches.AllowBarred
 	reply, err := s.keys.Claim(request, s.nowMs)
 	if err != nil {
 		return &wire.Result{Failure: s.fail("claim", err)}
--- a/control/state.go
+++ b/control/state.go
@@ -43,6 +43,8 @@
 		// Fetch returns a part of a sealed file from a peer, for a snapshot that names it. An empty part
 		// is the end.
 		Fetch func(name string, offset int64) ([]byte, error)
+		// SealKeys replaces the number of keys that are sealed together, when set. All replicas must agree.
+		SealKeys int
 	}
 
 	// State is the replicated state. Apply is called by one goroutine; all other methods may be called by
@@ -79,6 +81,10 @@
 		ForgetChanges bool
 		// AnyTerm accepts evidence that a leader of another term gathered.
 		AnyTerm bool
+		// AllowRerun grants a key that is held already.
+		AllowRerun bool
+		// AllowBarred grants a key to an attempt that is proved not to have run.
+		AllowBarred bool
 	}
 )
 
@@ -124,6 +130,9 @@
 // open returns the store of a name.
 func (s StateSettings) open(name string, retention time.Duration, sealKeys int) (*claim.Store, error) {
 	settings := claim.Settings{Retention: retention, SealKeys: sealKeys}
+	if s.SealKeys > 0 {
+		settings.SealKeys = s.SealKeys
+	}
 	if s.Directory != "" {
 		settings.Directory = filepath.Join(s.Directory, name)
 	}
