Consensus: followers with slow disks step aside, and what waits is bounded

Cause: a follower looked at its disk only when its timer fired, which heartbeats put off for ever; the log in memory grew with the state, and committed entries could pile up before a slow state machine. A pre-candidate refused a vote that it was free to give.

--- a/consensus/change.go
+++ b/consensus/change.go
@@ -44,7 +44,7 @@
 	if c.role != leader || c.lead.transfer.isActive {
 		return 0, 0, &NotLeaderError{Leader: c.leader.ID}
 	}
-	if !c.isTermCommitted() || c.history[len(c.history)-1].index > c.commit {
+	if c.isChanging() && !c.settings.Without.OneChange {
 		return 0, 0, &ChangeError{Reason: "in-progress", Detail: "an earlier change is not committed yet"}
 	}
 	changed, err := c.changed(kind, member)
@@ -55,6 +55,11 @@
 	return c.log.last(), c.term, nil
 }
 
+// isChanging reports whether a change of membership, or the entry that opened the term, is not committed yet.
+func (c *Core) isChanging() bool {
+	return !c.isTermCommitted() || c.history[len(c.history)-1].index > c.commit
+}
+
 func (c *Core) changed(kind ChangeKind, member Member) (membership, error) {
 	switch kind {
 	case AddLearner:
--- a/consensus/core.go
+++ b/consensus/core.go
@@ -45,6 +45,8 @@
 		SyncGate bool
 		// CatchUp lets a learner vote only when it holds nearly the whole log.
 		CatchUp bool
+		// OneChange keeps a change of membership waiting until the last one is committed.
+		OneChange bool
 	}
 
 	// Core is the state machine of the protocol. It does no I/O, and the same inputs and seed give the
--- a/consensus/driver.go
+++ b/consensus/driver.go
@@ -16,6 +16,10 @@
 	batchSize = 1024
 	// maxWaitingBytes bounds the proposals without an answer, in bytes.
 	maxWaitingBytes = 32 << 20
+	// maxLogBytes bounds the log in memory when the state is large, in bytes.
+	maxLogBytes = 64 << 20
+	// maxUnapplied is the most committed entries that wait for the state machine while proposals are taken.
+	maxUnapplied = 1 << 16
 )
 
 type (
@@ -62,6 +66,7 @@
 	timer := time.NewTimer(0)
 	defer timer.Stop()
 	for d.wait(timer) {
+		d.checkDisk()
 		d.flush()
 		timer.Reset(time.Until(d.wakeAt()))
 	}
@@ -119,12 +124,14 @@
 	if d.fault != "" {
 		return
 	}
-	now := time.Now()
-	if d.node.disk.isSlow(now, d.node.settings.SlowSync) {
-		d.stepAside("disk: a sync takes longer than " + d.node.settings.SlowSync.String())
-		return
+	d.core.Tick(time.Now())
+}
+
+// checkDisk steps aside when the disk has been at one write for too long.
+func (d *driver) checkDisk() {
+	if limit := d.node.settings.SlowSync; d.node.disk.isSlow(time.Now(), limit) {
+		d.stepAside("disk: a sync takes longer than " + limit.String())
 	}
-	d.core.Tick(now)
 }
 
 func (d *driver) propose(proposals []*proposal) {
@@ -165,6 +172,9 @@
 	if d.waitingBytes > maxWaitingBytes {
 		return refused(step, d.node.settings.ID, "overloaded", "too many proposals are under way")
 	}
+	if d.core.handed > d.node.applier.applied.Load()+maxUnapplied {
+		return refused(step, d.node.settings.ID, "overloaded", "the state machine is behind the log")
+	}
 	return nil
 }
 
@@ -330,7 +340,7 @@
 
 // startSnapshot asks for a snapshot once the log has outgrown the last one.
 func (d *driver) startSnapshot() {
-	limit := max(d.node.settings.SnapshotBytes, int(d.core.snapshot.Bytes))
+	limit := max(d.node.settings.SnapshotBytes, min(int(d.core.snapshot.Bytes), maxLogBytes))
 	if d.fault != "" || d.isSaving || d.core.logBytes() < limit || d.core.IsSendingSnapshot() {
 		return
 	}
--- a/consensus/election.go
+++ b/consensus/election.go
@@ -84,7 +84,7 @@
 	if isPreVote {
 		isGranted = isGranted && m.Term > c.term && !c.hasLeader()
 	} else {
-		isGranted = isGranted && c.role == follower && (c.vote == identity{} || c.vote == sender(m))
+		isGranted = isGranted && (c.vote == identity{} || c.vote == sender(m))
 	}
 	reply := &wire.ReplicaMessage{Kind: m.Kind + 1, Term: m.Term, Reject: !isGranted}
 	if !isGranted {
@@ -95,6 +95,7 @@
 			c.vote = sender(m)
 			c.saveState()
 		}
+		c.role = follower
 		c.resetElection()
 	}
 	c.send(reply, sender(m), c.durability.stateGate)
--- a/consensus/fault_test.go
+++ b/consensus/fault_test.go
@@ -114,18 +114,37 @@
 }
 
 func TestReplicaWithASlowDiskStepsAside(t *testing.T) {
-	c, disks := newFaultyCluster(t, 3)
-	defer c.closeAll()
-	c.propose(t, "before")
-	old := c.leader(t)
-	block := make(chan struct{})
-	disks[old.Status().ID].block.Store(&block)
-	_, _ = old.Propose(context.Background(), []byte("during"))
-	require.Eventually(t, func() bool { return old.Status().Role == "aside" }, 10*time.Second, time.Millisecond)
-	require.Contains(t, old.Status().Fault, "a sync takes longer than 300ms")
-	c.propose(t, "on")
-	disks[old.Status().ID].block.Store(nil)
-	close(block)
+	for _, role := range []string{"leader", "follower"} {
+		t.Run(role, func(t *testing.T) {
+			c, disks := newFaultyCluster(t, 3)
+			defer c.closeAll()
+			c.propose(t, "before")
+			slow := c.leader(t)
+			if role == "follower" {
+				slow = c.follower(t)
+			}
+			block := make(chan struct{})
+			disks[slow.Status().ID].block.Store(&block)
+			go func() { _, _ = c.leader(t).Propose(context.Background(), []byte("during")) }()
+			require.Eventually(t, func() bool { return slow.Status().Role == "aside" }, 10*time.Second, time.Millisecond)
+			require.Contains(t, slow.Status().Fault, "a sync takes longer than 300ms")
+			c.propose(t, "on")
+			disks[slow.Status().ID].block.Store(nil)
+			close(block)
+		})
+	}
+}
+
+// follower returns a replica that does not lead.
+func (c *cluster) follower(tb testing.TB) *consensus.Node {
+	tb.Helper()
+	leading := c.leader(tb)
+	for _, id := range c.ids {
+		if n := c.node(id); n != leading {
+			return n
+		}
+	}
+	return nil
 }
 
 func TestCutOffLeaderTellsThatTheOutcomeIsUnknown(t *testing.T) {
--- a/consensus/mechanism_test.go
+++ b/consensus/mechanism_test.go
@@ -224,3 +224,69 @@
 	require.Equal(t, 10, s.commit(10))
 	require.True(t, (&workload{simulation: s}).isRepaired())
 }
+
+func TestTransferSparesTheElectionTimeout(t *testing.T) {
+	elapsed := func(isTransferring bool) time.Duration {
+		s := calm(t, 3, broken{})
+		require.Equal(t, 20, s.commit(20))
+		old, start := s.leading(), s.now
+		if isTransferring {
+			require.NoError(t, old.core.Transfer(s.now, ""))
+			old.flush()
+			for old.core.Status().Role == "leader" {
+				s.runFor(time.Millisecond)
+			}
+		}
+		old.crash()
+		for s.leading() == nil {
+			s.runFor(time.Millisecond)
+		}
+		return s.now.Sub(start)
+	}
+	require.Less(t, elapsed(true), 50*time.Millisecond)
+	require.Greater(t, elapsed(false), 100*time.Millisecond)
+}
+
+func TestTwoChangesAtOnceWouldSplitTheGroup(t *testing.T) {
+	leaders := func(b broken) int {
+		b.strangers = 2
+		s := calm(t, 5, b)
+		old := s.leading()
+		var added []consensus.Member
+		for _, r := range s.replicas[3:] {
+			member := consensus.Member{ID: r.id, Incarnation: r.core.Status().Incarnation}
+			_, _, err := old.core.Change(s.now, consensus.AddLearner, member)
+			require.NoError(t, err)
+			old.flush()
+			s.runFor(time.Second)
+			added = append(added, member)
+		}
+		// The leader is left with the learners only, and promotes both.
+		for _, r := range s.replicas[:3] {
+			if r != old {
+				s.cutOff(r)
+			}
+		}
+		for _, r := range s.replicas[:3] {
+			for _, other := range s.replicas[:3] {
+				if r != old && other != old {
+					delete(s.blocked, [2]string{r.id, other.id})
+				}
+			}
+		}
+		for _, member := range added {
+			_, _, _ = old.core.Change(s.now, consensus.Promote, member)
+		}
+		old.flush()
+		s.runFor(3 * time.Second)
+		count := 0
+		for _, r := range s.replicas {
+			if r.core.Status().Role == "leader" {
+				count++
+			}
+		}
+		return count
+	}
+	require.Equal(t, 1, leaders(broken{}))
+	require.Equal(t, 2, leaders(broken{core: consensus.Mechanisms{OneChange: true}}))
+}
--- a/consensus/simulation_test.go
+++ b/consensus/simulation_test.go
@@ -35,6 +35,8 @@
 		core           consensus.Mechanisms
 		isLyingDisk    bool
 		isSameIdentity bool
+		// strangers is the number of replicas that do not found the group.
+		strangers int
 	}
 
 	simulation struct {
@@ -151,7 +153,7 @@
 
 func (s *simulation) members() []consensus.Member {
 	var members []consensus.Member
-	for _, r := range s.replicas {
+	for _, r := range s.replicas[:len(s.replicas)-s.broken.strangers] {
 		members = append(members, consensus.Member{ID: r.id})
 	}
 	return members
