The control replica is real: replicated log, state on disk, peers

Cause: dev and tests ran on a state in memory. Change: the control role opens the replicated log and the state in its folder, speaks to other replicas over package peer and fetches sealed files from them.

--- a/daemon/control.go
+++ b/daemon/control.go
@@ -1,22 +1,187 @@
 package daemon
 
 import (
+	"context"
+	"net"
+	"net/http"
+	"path/filepath"
+	"sync"
+	"time"
+
+	"github.com/rotisserie/eris"
+	"github.com/sirupsen/logrus"
+
+	"guavahitch.example/guavahitch/consensus"
 	"guavahitch.example/guavahitch/control"
 	"guavahitch.example/guavahitch/inventory"
+	"guavahitch.example/guavahitch/outcome"
+	"guavahitch.example/guavahitch/peer"
 	"guavahitch.example/guavahitch/wire"
 )
 
+const (
+	// logFolder and stateFolder are the parts of a control replica's folder.
+	logFolder   = "log"
+	stateFolder = "state"
+	// segmentTimeout bounds the reading of one part of a sealed file from another replica.
+	segmentTimeout = 10 * time.Second
+)
+
+// controlRole is one replica of control: the replicated log, the state that it is applied to, and the server
+// of wire.Control over both.
 type controlRole struct {
-	server *control.Server
+	process *Process
+	state   *control.State
+	node    *consensus.Node
+	sender  *peer.Sender
+	server  *control.Server
+	client  *http.Client
+	scheme  string
+	closed sync.Once
 }
 
 func (p *Process) addControl() error {
-	r := &controlRole{server: control.NewLocalServer(p.settings.Name, inventory.Check)}
+	r := &controlRole{process: p, scheme: "http"}
+	if p.keys != nil {
+		r.scheme = "https"
+	}
+	r.client = &http.Client{Transport: p.transport((&net.Dialer{Timeout: innerDialTimeout}).DialContext)}
+	if err := r.open(); err != nil {
+		return err
+	}
 	p.control = r
 	p.inner.add(wire.NewControlServer(r.server))
+	p.inner.add(wire.NewSegmentsServer(control.Segments{State: r.state}))
+	p.inner.mux.Handle("/", peer.NewReceiver(r.node.Step).Handler())
 	p.add(r.server.Run)
+	p.add(func(ctx context.Context) error {
+		<-ctx.Done()
+		r.close()
+		return nil
+	})
+	return nil
+}
+
+func (r *controlRole) open() error {
+	folder := r.process.settings.Control.Folder
+	state, err := control.OpenState(control.StateSettings{Directory: filepath.Join(folder, stateFolder), Fetch: r.fetch})
+	if err != nil {
+		return eris.Wrapf(err, "state in %s", folder)
+	}
+	r.state = state
+	r.sender = peer.NewSender(peer.Settings{URL: r.url, Client: r.client})
+	r.node, err = consensus.Open(consensus.Settings{
+		ID: r.process.settings.Name, Address: r.process.address(), Members: r.founders(),
+		Folder: filepath.Join(folder, logFolder), IsReplacing: true,
+		Apply: func(e consensus.Entry) []byte {
+			return state.Apply(control.Entry{Index: e.Index, Term: e.Term, TimeMs: e.TimeMs, Command: e.Command})
+		},
+		Snapshot: state.Snapshot, Restore: state.Restore, Send: r.sender.Send, OnChange: r.onChange,
+	})
+	if err != nil {
+		r.sender.Close()
+		return eris.Wrapf(err, "replicated log in %s", folder)
+	}
+	r.server = control.NewServer(control.Settings{
+		Name: r.process.settings.Name, State: state, Propose: r.node.Propose, ReadBarrier: r.node.ReadBarrier,
+		Leader: r.leader, Check: inventory.Check, Retention: retentionOf,
+	})
 	return nil
 }
 
+// founders returns the replicas of the settings as the members that found the group.
+func (r *controlRole) founders() []consensus.Member {
+	var members []consensus.Member
+	for _, replica := range r.process.settings.Replicas {
+		members = append(members, consensus.Member{ID: replica.Name, Address: replica.Address, IsVoter: true})
+	}
+	return members
+}
+
+// addressOf returns the address of a replica, by the settings or by the log's membership.
+func (r *controlRole) addressOf(id string) string {
+	for _, replica := range r.process.settings.Replicas {
+		if replica.Name == id {
+			return replica.Address
+		}
+	}
+	if r.node == nil {
+		return ""
+	}
+	for _, member := range r.node.Status().Members {
+		if member.ID == id {
+			return member.Address
+		}
+	}
+	return ""
+}
+
+func (r *controlRole) url(id string) string {
+	address := r.addressOf(id)
+	if address == "" {
+		return ""
+	}
+	return r.scheme + "://" + address
+}
+
+func (r *controlRole) leader() (name, address string) {
+	name = r.node.Status().Leader
+	return name, r.addressOf(name)
+}
+
+func (r *controlRole) onChange(status consensus.Status) {
+	r.process.log.WithFields(logrus.Fields{
+		"role": status.Role, "term": status.Term, "leader": status.Leader, "fault": status.Fault,
+	}).Info("control replica changed")
+	r.process.events.Add(&wire.Event{Kind: "replica-" + status.Role, Peer: status.Leader, Detail: status.Fault})
+}
+
+// retentionOf returns how long answers are kept under an inventory.
+func retentionOf(text []byte) time.Duration {
+	owned, err := inventory.Parse("inventory", text)
+	if err != nil {
+		return 0
+	}
+	return time.Duration(owned.Rules.RetentionHours) * time.Hour
+}
+
+// fetch returns a part of a sealed file from any other replica that holds it.
+func (r *controlRole) fetch(name string, offset int64) ([]byte, error) {
+	var last error
+	for _, replica := range r.process.settings.Replicas {
+		if replica.Name == r.process.settings.Name {
+			continue
+		}
+		ctx, cancel := context.WithTimeout(context.Background(), segmentTimeout)
+		client := wire.NewSegmentsProtobufClient(r.scheme+"://"+replica.Address, r.client)
+		reply, err := client.Read(ctx, &wire.SegmentRequest{Name: name, Offset: offset})
+		cancel()
+		if err == nil && reply.Failure == nil {
+			return reply.Data, nil
+		}
+		if err == nil {
+			err = outcome.FromWire(reply.Failure)
+		}
+		last = eris.Wrapf(err, "segment %s at %s", name, replica.Name)
+	}
+	if last == nil {
+		last = eris.Errorf("segment %s: there is no other replica", name)
+	}
+	return nil, last
+}
+
+// close hands leadership over and closes the log.
+func (r *controlRole) close() {
+	r.closed.Do(func() {
+		if err := r.node.Close(); err != nil {
+			r.process.log.WithError(err).Error("close of the replicated log")
+		}
+		r.sender.Close()
+	})
+}
+
 // ControlServer returns the server of the control role.
 func (p *Process) ControlServer() *control.Server { return p.control.server }
+
+// ControlState returns the state of the control role.
+func (p *Process) ControlState() *control.State { return p.control.state }
--- a/dev/dev.go
+++ b/dev/dev.go
@@ -3,6 +3,7 @@
 package dev
 
 import (
+	"bytes"
 	"context"
 	_ "embed"
 	"fmt"
@@ -15,6 +16,7 @@
 	"github.com/rotisserie/eris"
 	"github.com/sirupsen/logrus"
 
+	"guavahitch.example/guavahitch/control"
 	"guavahitch.example/guavahitch/daemon"
 	"guavahitch.example/guavahitch/document"
 	"guavahitch.example/guavahitch/fake"
@@ -252,15 +254,9 @@
 func (d *Dev) start(ctx context.Context) error {
 	ctx, cancel := context.WithTimeout(ctx, readyTimeout)
 	defer cancel()
-	status, err := d.control.ControlServer().Submit(ctx, &wire.SubmitRequest{
-		ChangeId: "dev-" + uuid.NewString(), Inventory: d.text, Operator: "dev", Reason: "inventory of the dev verb",
-	})
-	if err != nil {
+	if err := d.submit(ctx); err != nil {
 		return err
 	}
-	if status.State == "refused" {
-		return eris.Errorf("the inventory was refused: %s", status.Reason)
-	}
 	for !d.isReady() {
 		select {
 		case <-ctx.Done():
@@ -271,6 +267,29 @@
 	return nil
 }
 
+// submit proposes the inventory unless it is accepted already. Until a leader is elected it is asked again.
+func (d *Dev) submit(ctx context.Context) error {
+	request := &wire.SubmitRequest{
+		ChangeId: "dev-" + uuid.NewString(), Inventory: d.text, Operator: "dev", Reason: "inventory of the dev verb",
+	}
+	for {
+		revision, text := d.control.ControlState().Revision()
+		if bytes.Equal(text, d.text) {
+			return nil
+		}
+		request.ExpectedRevision = revision
+		status, err := d.control.ControlServer().Submit(ctx, request)
+		if err == nil && status.Failure == nil && status.State == control.StateRefused {
+			return eris.Errorf("the inventory was refused: %s", status.Reason)
+		}
+		select {
+		case <-ctx.Done():
+			return eris.Wrap(ctx.Err(), "the inventory was not accepted in time")
+		case <-time.After(readyPause):
+		}
+	}
+}
+
 func (d *Dev) isReady() bool {
 	now := time.Now()
 	for _, up := range d.owned.Upstreams {
