--- a/daemon/cluster_test.go
+++ b/daemon/cluster_test.go
@@ -7,7 +7,6 @@
 	"net"
 	"net/http"
 	"strings"
-	"sync"
 	"testing"
 	"time"
 
@@ -41,9 +40,8 @@
 		t        testing.TB
 		log      *logrus.Logger
 		replicas []settings.Replica
-		control  *daemon.Process
-		stopAll  context.CancelFunc
-		ended    sync.WaitGroup
+		controls []*daemon.Process
+		folders  []string
 		engines  []*fake.Engine
 		services []*fake.Service
 		stops    map[string]context.CancelFunc
@@ -67,33 +65,58 @@
 	return listener.Addr().String()
 }
 
-func newCluster(t testing.TB) *cluster {
+func newCluster(t testing.TB, replicas int) *cluster {
 	log := logrus.New()
 	log.SetOutput(io.Discard)
 	c := &cluster{t: t, log: log, stops: map[string]context.CancelFunc{}, ends: map[string]chan struct{}{}}
-	address := freeAddress(t)
-	c.replicas = []settings.Replica{{Name: "control-1", Address: address}}
+	for n := range replicas {
+		c.replicas = append(c.replicas, settings.Replica{Name: fmt.Sprintf("control-%d", n+1), Address: freeAddress(t)})
+		c.folders = append(c.folders, t.TempDir())
+	}
 	t.Cleanup(c.stop)
-	c.control = c.start(&settings.Settings{
-		Name: "control-1", Listen: address, Replicas: c.replicas, Control: &settings.Control{Folder: t.TempDir()},
-	})
+	for n := range replicas {
+		c.controls = append(c.controls, c.startControl(n))
+	}
 	c.submit(clusterInventory)
 	return c
 }
 
+func (c *cluster) startControl(n int) *daemon.Process {
+	return c.start(&settings.Settings{
+		Name: c.replicas[n].Name, Listen: c.replicas[n].Address, Replicas: c.replicas,
+		Control: &settings.Control{Folder: c.folders[n]},
+	})
+}
+
+// leader returns the number of the replica that leads.
+func (c *cluster) leader() int {
+	found := -1
+	require.Eventually(c.t, func() bool {
+		for n, p := range c.controls {
+			reply, err := p.ControlServer().Records(context.Background(), &wire.RecordsRequest{Limit: 1})
+			if err == nil && reply.Failure == nil {
+				found = n
+				return true
+			}
+		}
+		return false
+	}, patience, 10*time.Millisecond)
+	return found
+}
+
 func (c *cluster) submit(inventory string) {
 	ctx, cancel := context.WithTimeout(context.Background(), patience)
 	defer cancel()
-	revision := uint64(0)
+	request := &wire.SubmitRequest{ChangeId: fmt.Sprintf("change-%d", time.Now().UnixNano()), Inventory: []byte(inventory)}
 	for {
-		status, err := c.control.ControlServer().Submit(ctx, &wire.SubmitRequest{
-			ChangeId: fmt.Sprintf("change-%d", time.Now().UnixNano()), Inventory: []byte(inventory), ExpectedRevision: revision,
-		})
-		require.NoError(c.t, err)
-		if status.Failure == nil && status.State != "refused" {
-			return
+		for _, p := range c.controls {
+			status, err := p.ControlServer().Submit(ctx, request)
+			if err == nil && status.Failure == nil {
+				require.NotEqual(c.t, "refused", status.State, status.Reason)
+				return
+			}
 		}
-		require.NoError(c.t, ctx.Err(), status.String())
+		require.NoError(c.t, ctx.Err())
 		time.Sleep(10 * time.Millisecond)
 	}
 }
@@ -127,17 +150,22 @@
 }
 
 func (c *cluster) stop() {
-	for name := range c.stops {
-		if name != "control-1" {
-			c.stops[name]()
-		}
+	isControl := map[string]bool{}
+	for _, replica := range c.replicas {
+		isControl[replica.Name] = true
 	}
-	for name := range c.stops {
-		if name != "control-1" {
-			<-c.ends[name]
+	for _, wanted := range []bool{false, true} {
+		for name := range c.stops {
+			if isControl[name] == wanted {
+				c.stops[name]()
+			}
+		}
+		for name := range c.stops {
+			if isControl[name] == wanted {
+				<-c.ends[name]
+			}
 		}
 	}
-	c.drain("control-1")
 	for _, e := range c.engines {
 		e.Stop()
 	}
--- a/daemon/entry_benchmark_test.go
+++ b/daemon/entry_benchmark_test.go
@@ -30,7 +30,7 @@
 
 // BenchmarkEntry measures what the way through entry and sidecar adds to calling the engine directly.
 func BenchmarkEntry(b *testing.B) {
-	c := newCluster(b)
+	c := newCluster(b, 1)
 	var step atomic.Int64
 	engine, _ := c.addModel("up-1", fake.EngineSettings{
 		Slots: 64, StepTime: func(int) time.Duration { return time.Duration(step.Load()) },
--- a/daemon/failure_test.go
+++ b/daemon/failure_test.go
@@ -39,8 +39,8 @@
 }
 
 // newSystem starts a system whose model sidecars are reached through relays.
-func newSystem(t *testing.T) *system {
-	s := &system{cluster: newCluster(t), client: &http.Client{Transport: &http.Transport{MaxIdleConnsPerHost: 64}}}
+func newSystem(t *testing.T, replicas int) *system {
+	s := &system{cluster: newCluster(t, replicas), client: &http.Client{Transport: &http.Transport{MaxIdleConnsPerHost: 64}}}
 	t.Cleanup(s.client.CloseIdleConnections)
 	for n := range 2 {
 		name := fmt.Sprintf("up-%d", n+1)
@@ -136,7 +136,7 @@
 const allCalls = callersAtOnce * callsEach
 
 func TestSilentConnectionsUnderLoad(t *testing.T) {
-	s := newSystem(t)
+	s := newSystem(t, 1)
 	s.run(func() {
 		for _, r := range s.relays {
 			require.Positive(t, r.silence())
@@ -146,13 +146,13 @@
 }
 
 func TestEngineDeathUnderLoad(t *testing.T) {
-	s := newSystem(t)
+	s := newSystem(t, 1)
 	s.run(func() { s.engines[0].Stop() })
 	s.requireHistory(allCalls)
 }
 
 func TestPlannedStopUnderLoad(t *testing.T) {
-	s := newSystem(t)
+	s := newSystem(t, 1)
 	s.run(func() {
 		s.drain("up-1")
 		s.drain("ledger-1")
@@ -161,7 +161,7 @@
 }
 
 func TestSidecarRestartUnderLoad(t *testing.T) {
-	s := newSystem(t)
+	s := newSystem(t, 1)
 	s.run(func() {
 		s.restart(0, "up-1", s.engines[0].Address(), "model", "m")
 		s.restart(2, "ledger-1", s.services[0].Address(), "service", "ledger")
@@ -170,13 +170,13 @@
 }
 
 func TestEntryCrashUnderLoad(t *testing.T) {
-	s := newSystem(t)
+	s := newSystem(t, 1)
 	s.run(func() { s.abort(s.entries[0], "entry-1") })
 	s.requireHistory(allCalls / 2)
 }
 
 func TestSilentConnectionsAndSidecarRestart(t *testing.T) {
-	s := newSystem(t)
+	s := newSystem(t, 1)
 	s.run(func() {
 		for _, r := range s.relays {
 			r.silence()
@@ -187,8 +187,48 @@
 }
 
 func TestSlowEngineIsNotAskedForMore(t *testing.T) {
-	s := newSystem(t)
+	s := newSystem(t, 1)
 	s.run(func() { s.engines[1].Pause() })
 	s.requireHistory(allCalls / 2)
 	s.engines[1].Resume()
 }
+
+func TestLeaderCrashUnderLoad(t *testing.T) {
+	s := newSystem(t, 3)
+	s.run(func() {
+		leader := s.leader()
+		s.abort(s.controls[leader], s.replicas[leader].Name)
+	})
+	s.requireHistory(allCalls)
+}
+
+func TestAnswersSurviveTheRestartOfAllReplicas(t *testing.T) {
+	s := newSystem(t, 3)
+	send := func() answer {
+		return send(s.client, s.entries[0].CallerAddress(), "/ledger/entries", "kept", `{"hours":2}`)
+	}
+	first := send()
+	require.Equal(t, http.StatusOK, first.status, first.body)
+	for n, p := range s.controls {
+		s.abort(p, s.replicas[n].Name)
+	}
+	for n := range s.controls {
+		s.controls[n] = s.startControl(n)
+	}
+	require.Eventually(t, func() bool {
+		again := send()
+		return again.status == http.StatusOK && again.body == first.body
+	}, patience, 50*time.Millisecond)
+	require.Equal(t, 1, s.services[0].Runs("kept")+s.services[1].Runs("kept"))
+}
+
+func TestReplicaWithLostDiskIsReplacedUnderLoad(t *testing.T) {
+	s := newSystem(t, 3)
+	s.run(func() {
+		lost := (s.leader() + 1) % 3
+		s.abort(s.controls[lost], s.replicas[lost].Name)
+		s.folders[lost] = t.TempDir()
+		s.controls[lost] = s.startControl(lost)
+	})
+	s.requireHistory(allCalls)
+}
