The hybrid logical clock travels with every exchange between processes

Cause: the events of two processes could only be ordered by their wall clocks. Change: requests and answers between processes carry the clock in a header; a stamp more than an hour ahead is not believed. Conclusion: an event comes after its cause on the merged time line.

--- a/daemon/control.go
+++ b/daemon/control.go
@@ -37,7 +37,7 @@
 	server  *control.Server
 	client  *http.Client
 	scheme  string
-	closed sync.Once
+	closed  sync.Once
 }
 
 func (p *Process) addControl() error {
@@ -45,7 +45,7 @@
 	if p.keys != nil {
 		r.scheme = "https"
 	}
-	r.client = &http.Client{Transport: p.transport((&net.Dialer{Timeout: innerDialTimeout}).DialContext)}
+	r.client = &http.Client{Transport: p.transport.RoundTripper((&net.Dialer{Timeout: innerDialTimeout}).DialContext)}
 	if err := r.open(); err != nil {
 		return err
 	}
--- a/daemon/inner.go
+++ b/daemon/inner.go
@@ -10,6 +10,7 @@
 	"net/http"
 	"time"
 
+	"guavahitch.example/guavahitch/event"
 	"guavahitch.example/guavahitch/keys"
 	"guavahitch.example/guavahitch/outcome"
 )
@@ -41,7 +42,7 @@
 )
 
 // newInner binds the address. With keys it lets in peers of the same authority only.
-func newInner(address string, store *keys.Store) (*inner, error) {
+func newInner(address string, store *keys.Store, clock *event.Clock) (*inner, error) {
 	listener, err := net.Listen("tcp", address)
 	if err != nil {
 		return nil, outcome.Error{Step: "listen", Peer: address, Outcome: outcome.NotRun, Reason: "address"}.WithCause(err)
@@ -51,7 +52,7 @@
 	}
 	i := &inner{listener: listener, mux: http.NewServeMux()}
 	i.http = &http.Server{
-		Handler:           http.MaxBytesHandler(i.mux, innerBodyLimit),
+		Handler:           clock.Handler(http.MaxBytesHandler(i.mux, innerBodyLimit)),
 		ReadHeaderTimeout: innerHeaderTimeout, IdleTimeout: innerIdleTimeout,
 		ErrorLog: slog.NewLogLogger(slog.DiscardHandler, slog.LevelError),
 	}
--- a/daemon/process.go
+++ b/daemon/process.go
@@ -29,6 +29,7 @@
 	settings    *settings.Settings
 	incarnation string
 	log         *logrus.Entry
+	clock       *event.Clock
 	events      *event.Ring
 	scope       tally.Scope
 	metrics     *metric.Reporter
@@ -54,11 +55,12 @@
 		_ = p.inner.http.Close()
 	})
 	p.scope, p.metrics, p.closer = metric.NewScope(s.Name)
-	p.events = event.NewRing(s.Name, &event.Clock{})
+	p.clock = &event.Clock{}
+	p.events = event.NewRing(s.Name, p.clock)
 	if err := p.openKeys(); err != nil {
 		return nil, eris.Wrapf(err, "process %s", s.Name)
 	}
-	in, err := newInner(s.Listen, p.keys)
+	in, err := newInner(s.Listen, p.keys, p.clock)
 	if err != nil {
 		return nil, eris.Wrapf(err, "process %s", s.Name)
 	}
@@ -74,7 +76,7 @@
 
 // openKeys sets up how the process speaks to others: by mutual TLS when the settings name key files.
 func (p *Process) openKeys() error {
-	p.transport = sidecar.PlainTransport
+	p.transport = sidecar.Transport{New: sidecar.PlainTransport, Wrap: p.clock.Transport}
 	scheme := "http"
 	if k := p.settings.Keys; k != nil {
 		store, err := keys.Open(keys.Files{Certificate: k.Certificate, Key: k.Key, Authority: k.Authority})
@@ -83,11 +85,11 @@
 		}
 		store.OnReload = p.noteReload
 		p.keys = store
-		p.transport = func(dial sidecar.Dial) *http.Transport { return store.Secure(sidecar.PlainTransport(dial)) }
+		p.transport.New = func(dial sidecar.Dial) *http.Transport { return store.Secure(sidecar.PlainTransport(dial)) }
 		scheme = "https"
 	}
 	dialer := &net.Dialer{Timeout: innerDialTimeout}
-	p.leader = leader.NewClient(scheme, p.settings.ReplicaAddresses(), p.transport(dialer.DialContext))
+	p.leader = leader.NewClient(scheme, p.settings.ReplicaAddresses(), p.transport.RoundTripper(dialer.DialContext))
 	return nil
 }
 
--- a/event/clock.go
+++ b/event/clock.go
@@ -9,6 +9,9 @@
 	"guavahitch.example/guavahitch/wire"
 )
 
+// furthestAhead is how far ahead of the own wall clock a peer's stamp is believed.
+const furthestAhead = time.Hour
+
 type (
 	// Stamp is a reading of the hybrid logical clock: wall time in microseconds since 1970, and a
 	// counter that orders readings of the same microsecond.
@@ -48,6 +51,9 @@
 	c.mutex.Lock()
 	defer c.mutex.Unlock()
 	next := Stamp{WallUs: time.Now().UnixMicro()}
+	if seen.WallUs > next.WallUs+furthestAhead.Microseconds() {
+		seen = Stamp{}
+	}
 	for _, s := range []Stamp{c.last, seen} {
 		if next.WallUs < s.WallUs {
 			next = s
--- a/sidecar/link.go
+++ b/sidecar/link.go
@@ -34,9 +34,14 @@
 	// Dial opens a connection to an IP address and port.
 	Dial func(ctx context.Context, network, address string) (net.Conn, error)
 
-	// Transport makes the HTTP transport of a new generation of connections. One that dials TLS is spoken to by
-	// HTTPS.
-	Transport func(Dial) *http.Transport
+	// Transport says how connections are made.
+	Transport struct {
+		// New makes the HTTP transport of a new generation of connections. One that dials TLS is spoken to by
+		// HTTPS.
+		New func(Dial) *http.Transport
+		// Wrap adds to each exchange, such as a clock; nil adds nothing.
+		Wrap func(http.RoundTripper) http.RoundTripper
+	}
 
 	// Link speaks to one sidecar. It is safe for concurrent use.
 	Link struct {
@@ -64,6 +69,16 @@
 	}
 }
 
+func (t Transport) wrap(inner http.RoundTripper) http.RoundTripper {
+	if t.Wrap == nil {
+		return inner
+	}
+	return t.Wrap(inner)
+}
+
+// RoundTripper returns a transport for calls to any address.
+func (t Transport) RoundTripper(dial Dial) http.RoundTripper { return t.wrap(t.New(dial)) }
+
 // NewLink returns a link to the sidecar at an IP address and port.
 func NewLink(address string, transport Transport) *Link {
 	l := &Link{address: address, transport: transport}
@@ -73,12 +88,12 @@
 
 func (l *Link) newGeneration() *generation {
 	dialer := &net.Dialer{Timeout: dialTimeout}
-	transport := l.transport(dialer.DialContext)
+	transport := l.transport.New(dialer.DialContext)
 	base := "http://" + l.address
 	if transport.DialTLSContext != nil {
 		base = "https://" + l.address
 	}
-	client := &http.Client{Transport: transport}
+	client := &http.Client{Transport: l.transport.wrap(transport)}
 	return &generation{transport: transport, base: base, http: client, client: wire.NewSidecarProtobufClient(base, client)}
 }
 
