--- a/daemon/control.go
+++ b/daemon/control.go
@@ -52,7 +52,7 @@
 	p.control = r
 	p.inner.add(wire.NewControlServer(r.server))
 	p.inner.add(wire.NewSegmentsServer(control.Segments{State: r.state}))
-	p.inner.mux.Handle("/", peer.NewReceiver(r.node.Step).Handler())
+	p.inner.mux.Handle(peer.Path, peer.NewReceiver(r.node.Step).Handler())
 	p.add(r.server.Run)
 	p.add(func(ctx context.Context) error {
 		<-ctx.Done()
