balance: try more slots and more of the latest ranks

Cause: the search ended at 1.02 to 1.03 of even ranks at 128x128 while budget was left. Change: 10 candidate slots in place of 6, 20 of the latest ranks in place of 6, moves kept from a fourth of the gain.

--- a/balance/search.go
+++ b/balance/search.go
@@ -8,13 +8,13 @@
 	// rippleLimit bounds the experts that are levelled after one move.
 	rippleLimit = 96
 	// candidates is the number of slots tried for one move.
-	candidates = 6
+	candidates = 10
 	// tryLimit bounds the experts that are levelled to score one candidate.
 	tryLimit = 16
 	// latestRanks is the number of ranks, the latest first, that a move may help.
-	latestRanks = 6
+	latestRanks = 20
 	// minImprovement is the least fall of the unevenness that keeps a move, relative to one rank's part.
-	minImprovement = 2e-4
+	minImprovement = 5e-5
 	// evenEnough is the time of the latest rank over the ideal at which a layer is left alone.
 	evenEnough = 1.002
 )
