--- a/balance/rebalance_test.go
+++ b/balance/rebalance_test.go
@@ -3,16 +3,25 @@
 import (
 	"flag"
 	"fmt"
+	"os"
+	"path/filepath"
 	"runtime"
 	"sync"
 	"testing"
 
+	"github.com/stretchr/testify/require"
+
 	"guavahitch.example/guavahitch/balance"
 	"guavahitch.example/guavahitch/expertmap"
+	"guavahitch.example/guavahitch/measure"
 )
 
-// seedSet chooses the days of BenchmarkRebalance: those that rules were tuned on, or those kept apart.
-var seedSet = flag.String("seeds", "held-out", "days of BenchmarkRebalance: tuned or held-out")
+var (
+	// seedSet chooses the days of BenchmarkRebalance: those that rules were tuned on, or those kept apart.
+	seedSet = flag.String("seeds", "held-out", "days of BenchmarkRebalance: tuned or held-out")
+	// plotFolder is where BenchmarkRebalance writes a plot of the first day of each trace.
+	plotFolder = flag.String("plots", "", "folder for the plots of BenchmarkRebalance; none for no plots")
+)
 
 var (
 	seeds  = map[string][]uint64{"tuned": {1, 2, 3}, "held-out": {1001, 1002, 1003}}
@@ -126,6 +135,9 @@
 						for _, seed := range seeds[*seedSet][:s.seeds] {
 							days = append(days, dayResults(kind, s.shape, seed))
 						}
+						if *plotFolder != "" {
+							plotDay(b, fmt.Sprintf("%s-%s", kind, s.name), days[0])
+						}
 					}
 					report(b, days, name)
 				})
@@ -153,3 +165,27 @@
 	b.ReportMetric(lost/n, "lost-share")
 	b.ReportMetric(0, "ns/op")
 }
+
+// plotDay writes the plot of a day under all policies.
+func plotDay(b *testing.B, name string, results map[string]result) {
+	const minutes = 5
+	var days []measure.Day
+	for _, policy := range policyNames {
+		r := results[policy]
+		day := measure.Day{Policy: policy}
+		for at := 0; at+minutes <= len(r.skews); at += minutes {
+			sum := 0.0
+			for _, s := range r.skews[at : at+minutes] {
+				sum += s
+			}
+			day.Skew = append(day.Skew, sum/minutes)
+			day.MovedGB = append(day.MovedGB, r.moved[at+minutes-1])
+		}
+		days = append(days, day)
+	}
+	require.NoError(b, os.MkdirAll(*plotFolder, 0o755))
+	file, err := os.Create(filepath.Join(*plotFolder, "rebalance-"+name+".svg"))
+	require.NoError(b, err)
+	require.NoError(b, measure.PlotDay(file, "trace and size "+name, days))
+	require.NoError(b, file.Close())
+}
--- /dev/null
+++ b/measure/plot.go
@@ -0,0 +1,91 @@
+package measure
+
+import (
+	"image/color"
+	"io"
+
+	"github.com/rotisserie/eris"
+	"gonum.org/v1/plot"
+	"gonum.org/v1/plot/plotter"
+	"gonum.org/v1/plot/vg"
+	"gonum.org/v1/plot/vg/draw"
+	"gonum.org/v1/plot/vg/vgsvg"
+)
+
+const (
+	plotWidth  = 9 * vg.Inch
+	plotHeight = 6 * vg.Inch
+	panelGap   = 6
+)
+
+// colours are told apart by most readers, and dashes tell the policies apart in print.
+var (
+	colours = []color.RGBA{
+		{R: 0x80, G: 0x80, B: 0x80, A: 0xff},
+		{R: 0xe6, G: 0x9f, B: 0x00, A: 0xff},
+		{R: 0xcc, G: 0x79, B: 0xa7, A: 0xff},
+		{R: 0x00, G: 0x72, B: 0xb2, A: 0xff},
+		{R: 0x00, G: 0x9e, B: 0x73, A: 0xff},
+		{R: 0x00, G: 0x00, B: 0x00, A: 0xff},
+	}
+	dashes = [][]vg.Length{nil, {6, 2}, {2, 2}, nil, nil, {1, 2}}
+)
+
+// Day is one policy's course over a day, with values at even times.
+type Day struct {
+	Policy string
+	// Skew is the time of the latest rank over the mean; MovedGB is what was moved up to each time.
+	Skew    []float64
+	MovedGB []float64
+}
+
+// PlotDay writes an SVG with two panels over the hours of a day, skew above and moved bytes below, with a
+// line for each policy.
+func PlotDay(w io.Writer, title string, days []Day) error {
+	skew, moved := plot.New(), plot.New()
+	skew.Title.Text = title
+	skew.Y.Label.Text = "skew (max over mean)"
+	moved.Y.Label.Text = "moved, GB (log)"
+	moved.X.Label.Text = "hour of the day"
+	moved.Y.Scale = plot.LogScale{}
+	moved.Y.Tick.Marker = plot.LogTicks{Prec: -1}
+	moved.Y.Min = 1
+	for n, d := range days {
+		if err := addLine(skew, n, d.Policy, d.Skew, 0); err != nil {
+			return err
+		}
+		if err := addLine(moved, n, "", d.MovedGB, 1); err != nil {
+			return err
+		}
+	}
+	skew.Legend.Top = true
+	moved.Y.Max = max(moved.Y.Max, 10)
+	canvas := vgsvg.New(plotWidth, plotHeight)
+	tiles := draw.Tiles{Rows: 2, Cols: 1, PadY: panelGap}
+	panels := plot.Align([][]*plot.Plot{{skew}, {moved}}, tiles, draw.New(canvas))
+	skew.Draw(panels[0][0])
+	moved.Draw(panels[1][0])
+	_, err := canvas.WriteTo(w)
+	return eris.Wrap(err, "plot of a day")
+}
+
+// addLine draws the values of one policy, none below least, over 24 hours.
+func addLine(p *plot.Plot, n int, name string, values []float64, least float64) error {
+	const hours = 24
+	points := make(plotter.XYs, len(values))
+	for at, v := range values {
+		points[at].X = hours * float64(at) / float64(len(values))
+		points[at].Y = max(v, least)
+	}
+	line, err := plotter.NewLine(points)
+	if err != nil {
+		return eris.Wrapf(err, "plot of a day: policy %s", name)
+	}
+	line.Color = colours[n%len(colours)]
+	line.Dashes = dashes[n%len(dashes)]
+	p.Add(line)
+	if name != "" {
+		p.Legend.Add(name, line)
+	}
+	return nil
+}
