Configuration: inventories go out as deltas; leases checked over clocks of different rates

Change: a reply carries the stretch that changed with a checksum; a holder that cannot apply it asks for the whole. rapid runs of granter and holders with clock rates at the bound, delayed, repeated and crossed replies. Measured: go test ./lease: no holder acted on a revision older than the one in force; with leases ignored or older revisions taken, the check fails. Conclusion: a change costs what it changes.

--- a/control/configuration.go
+++ b/control/configuration.go
@@ -12,6 +12,7 @@
 
 	"google.golang.org/protobuf/proto"
 
+	"guavahitch.example/guavahitch/lease"
 	"guavahitch.example/guavahitch/wire"
 )
 
@@ -46,9 +47,11 @@
 type revisionText struct {
 	revision  uint64
 	inventory []byte
+	// delta leads from this revision to the newest.
+	delta *wire.InventoryDelta
 }
 
-// recentRevisions is the number of inventories kept for deltas.
+// recentRevisions is the number of inventories kept for deltas, the newest included.
 const recentRevisions = 4
 
 // ContentOf returns the hash that tells a resend from another change under the same id.
@@ -144,10 +147,33 @@
 }
 
 func (c *configuration) keepRecent() {
-	c.recent = append(c.recent, revisionText{c.revision, c.inventory})
+	c.recent = append(c.recent, revisionText{revision: c.revision, inventory: c.inventory})
 	if len(c.recent) > recentRevisions {
 		c.recent = append([]revisionText(nil), c.recent[1:]...)
 	}
+	c.findDeltas()
+}
+
+// findDeltas makes the deltas to the newest revision.
+func (c *configuration) findDeltas() {
+	for n := range c.recent[:max(0, len(c.recent)-1)] {
+		c.recent[n].delta = lease.NewDelta(c.recent[n].revision, c.recent[n].inventory, c.inventory)
+	}
+}
+
+// fill puts into the reply what a process lacks that holds a revision.
+func (c *configuration) fill(reply *wire.WatchReply, held uint64) {
+	reply.Revision = c.revision
+	if held == c.revision {
+		return
+	}
+	for _, r := range c.recent {
+		if r.revision == held && r.delta != nil && len(r.delta.Insert) < len(c.inventory)/2 {
+			reply.Delta = r.delta
+			return
+		}
+	}
+	reply.Inventory = c.inventory
 }
 
 // inForce notes that every process holds a revision, or holds no lease. The evidence counts only in the
--- a/control/members.go
+++ b/control/members.go
@@ -180,10 +180,7 @@
 	s.mutex.RLock()
 	defer s.mutex.RUnlock()
 	s.members.view.Fill(reply, request.View)
-	reply.Revision = s.configuration.revision
-	if request.Revision != reply.Revision {
-		reply.Inventory = s.configuration.inventory
-	}
+	s.configuration.fill(reply, request.Revision)
 	reply.Quarantine = s.verdicts
 	if request.Quarantine != reply.Quarantine {
 		reply.Quarantined = s.quarantinedLocked()
--- a/control/snapshot.go
+++ b/control/snapshot.go
@@ -107,9 +107,10 @@
 	c := &s.configuration
 	c.revision, c.inForce, c.recent, c.inventory = snapshot.Revision, snapshot.InForce, nil, nil
 	for _, r := range snapshot.Recent {
-		c.recent = append(c.recent, revisionText{r.Revision, r.Inventory})
+		c.recent = append(c.recent, revisionText{revision: r.Revision, inventory: r.Inventory})
 		c.inventory = r.Inventory
 	}
+	c.findDeltas()
 }
 
 // allQuarantined returns the verdicts in the order of their fingerprints.
--- a/lease/holder.go
+++ b/lease/holder.go
@@ -23,13 +23,19 @@
 	members     map[string]*wire.Member
 	quarantine  uint64
 	quarantined []*wire.Quarantine
+	// needsWhole is true after a delta that did not fit.
+	needsWhole bool
 }
 
 // Request returns the next WatchRequest of the process.
 func (h Holder) Request(process string, wait time.Duration) *wire.WatchRequest {
-	return &wire.WatchRequest{
+	request := &wire.WatchRequest{
 		Process: process, View: h.view, Revision: h.revision, WaitMs: wait.Milliseconds(), Quarantine: h.quarantine,
 	}
+	if h.needsWhole {
+		request.Revision = 0
+	}
+	return request
 }
 
 // With returns the holder after a reply to a request that was sent at sent. A reply that failed, or that
@@ -39,10 +45,12 @@
 		return h
 	}
 	if reply.Revision != h.revision {
-		if len(reply.Inventory) == 0 {
+		inventory, ok := h.next(reply)
+		if !ok {
+			h.needsWhole = true
 			return h
 		}
-		h.revision, h.inventory = reply.Revision, reply.Inventory
+		h.revision, h.inventory, h.needsWhole = reply.Revision, inventory, false
 	}
 	lease := time.Duration(reply.LeaseMs) * time.Millisecond
 	if expires := HolderExpiry(sent, lease); lease > 0 && expires.After(h.expires) {
@@ -54,6 +62,17 @@
 	return h.withView(reply)
 }
 
+// next returns the inventory of the reply, or ok false when the holder cannot make it out.
+func (h Holder) next(reply *wire.WatchReply) (inventory []byte, ok bool) {
+	if reply.Delta == nil {
+		return reply.Inventory, len(reply.Inventory) > 0
+	}
+	if reply.Delta.Base != h.revision {
+		return nil, false
+	}
+	return ApplyDelta(h.inventory, reply.Delta)
+}
+
 // withView returns the holder with the members of the reply. An older view changes nothing: replies may
 // cross on their way.
 func (h Holder) withView(reply *wire.WatchReply) Holder {
--- /dev/null
+++ b/lease/lease_test.go
@@ -0,0 +1,138 @@
+package lease_test
+
+import (
+	"fmt"
+	"testing"
+	"time"
+
+	"github.com/stretchr/testify/require"
+	"pgregory.net/rapid"
+
+	"guavahitch.example/guavahitch/lease"
+	"guavahitch.example/guavahitch/wire"
+)
+
+func ExampleHolder() {
+	sent := time.Unix(0, 0)
+	holder := lease.Holder{}.With(&wire.WatchReply{Revision: 7, Inventory: []byte("{}"), LeaseMs: 3500}, sent)
+	late := holder.With(&wire.WatchReply{Revision: 6, Inventory: []byte("old"), LeaseMs: 3500}, sent.Add(time.Second))
+	fmt.Println(late.Revision(), late.Refuses(sent.Add(3*time.Second)), late.Refuses(sent.Add(4*time.Second)))
+	// Output: 7 false true
+}
+
+func TestDeltaLeadsFromOneInventoryToTheOther(t *testing.T) {
+	rapid.Check(t, func(t *rapid.T) {
+		from, to := rapid.SliceOf(rapid.ByteRange(0, 2)).Draw(t, "from"), rapid.SliceOf(rapid.ByteRange(0, 2)).Draw(t, "to")
+		found, ok := lease.ApplyDelta(from, lease.NewDelta(1, from, to))
+		require.True(t, ok)
+		require.Equal(t, string(to), string(found))
+	})
+}
+
+func TestDeltaThatDoesNotFitAsksForTheWhole(t *testing.T) {
+	now := time.Unix(0, 0)
+	h := lease.Holder{}.With(&wire.WatchReply{Revision: 1, Inventory: []byte("abc"), LeaseMs: 1000}, now)
+	delta := lease.NewDelta(1, []byte("abd"), []byte("xbd"))
+	h = h.With(&wire.WatchReply{Revision: 2, Delta: delta, LeaseMs: 1000}, now.Add(time.Second))
+	require.EqualValues(t, 1, h.Revision())
+	require.True(t, h.Refuses(now.Add(time.Second)))
+	require.EqualValues(t, 0, h.Request("entry-1", 0).Revision)
+	h = h.With(&wire.WatchReply{Revision: 2, Inventory: []byte("xbd"), LeaseMs: 1000}, now.Add(time.Second))
+	require.EqualValues(t, 2, h.Request("entry-1", 0).Revision)
+}
+
+func FuzzApplyDelta(f *testing.F) {
+	f.Add([]byte("abc"), int64(1), int64(1), []byte("x"), uint64(3))
+	f.Fuzz(func(_ *testing.T, from []byte, offset, removed int64, insert []byte, checksum uint64) {
+		lease.ApplyDelta(from, &wire.InventoryDelta{Offset: offset, Removed: removed, Insert: insert, Checksum: checksum})
+	})
+}
+
+// world is a granter and holders whose clocks run at rates of their own, within the bound. The network
+// delays, loses, repeats and reorders replies.
+type world struct {
+	now      time.Duration
+	revision uint64
+	inForce  uint64
+	table    *lease.Table
+	holders  []lease.Holder
+	rates    []float64
+	replies  []reply
+}
+
+type reply struct {
+	holder  int
+	sent    time.Time
+	message *wire.WatchReply
+}
+
+// clock returns a process's own time: process 0 is the granter.
+func (w *world) clock(process int) time.Time {
+	return time.Unix(int64(process)*1000, 0).Add(time.Duration(float64(w.now) * w.rates[process]))
+}
+
+func (w *world) watch(holder int) {
+	w.table.Renew(fmt.Sprint(holder), w.holders[holder].Revision(), w.clock(0))
+	message := &wire.WatchReply{
+		Revision: w.revision, Inventory: fmt.Append(nil, w.revision), LeaseMs: lease.Duration.Milliseconds(),
+	}
+	w.replies = append(w.replies, reply{holder, w.clock(holder + 1), message})
+}
+
+func (w *world) deliver(n int) {
+	r := w.replies[n]
+	w.holders[r.holder] = w.holders[r.holder].With(r.message, r.sent)
+}
+
+// runWorld returns how often a holder acted on a revision older than the one that was declared in force.
+func runWorld(t *rapid.T, ignoreExpiry, allowOlder bool) int {
+	const holders = 3
+	w := &world{revision: 1, table: lease.NewTable(), holders: make([]lease.Holder, holders)}
+	w.table.IgnoreExpiry = ignoreExpiry
+	const deviation = lease.RateErrorPPM / 1e6
+	for range holders + 1 {
+		w.rates = append(w.rates, rapid.SampledFrom([]float64{1 - deviation, 1, 1 + deviation}).Draw(t, "rate"))
+	}
+	for n := range w.holders {
+		w.holders[n].AllowOlder = allowOlder
+	}
+	violations := 0
+	for range 60 {
+		switch rapid.IntRange(0, 4).Draw(t, "action") {
+		case 0:
+			w.watch(rapid.IntRange(0, holders-1).Draw(t, "holder"))
+		case 1, 2:
+			if len(w.replies) > 0 {
+				w.deliver(rapid.IntRange(0, len(w.replies)-1).Draw(t, "reply"))
+			}
+		case 3:
+			w.now += time.Duration(rapid.IntRange(1, 3600).Draw(t, "ms")) * time.Millisecond
+		case 4:
+			w.revision++
+		}
+		if len(w.table.Waiting(w.revision, w.clock(0))) == 0 {
+			w.inForce = w.revision
+		}
+		for n, h := range w.holders {
+			if !h.Refuses(w.clock(n+1)) && h.Revision() < w.inForce {
+				violations++
+			}
+		}
+	}
+	return violations
+}
+
+func TestNoHolderActsOnAnOlderRevisionThanTheOneInForce(t *testing.T) {
+	rapid.Check(t, func(t *rapid.T) { require.Zero(t, runWorld(t, false, false)) })
+}
+
+func TestTheCheckNoticesIgnoredLeasesAndOlderRevisions(t *testing.T) {
+	for name, off := range map[string][2]bool{"expiry ignored": {true, false}, "older taken": {false, true}} {
+		violations := 0
+		for seed := range 300 {
+			generator := rapid.Custom(func(t *rapid.T) int { return runWorld(t, off[0], off[1]) })
+			violations += generator.Example(seed)
+		}
+		require.Positive(t, violations, name)
+	}
+}
