Operators: HTTP with a token, and the verbs entry, control, sidecar, check, apply, timeline, explain

Cause: inventories could only be submitted from inside the process. Change: package operator (server and client), package timeline (text and page), the verbs with their exit codes; dev writes operators' settings beside its token.

--- /dev/null
+++ b/command/check.go
@@ -0,0 +1,124 @@
+package command
+
+import (
+	"errors"
+	"fmt"
+	"os"
+
+	"github.com/rotisserie/eris"
+	"github.com/spf13/cobra"
+
+	"guavahitch.example/guavahitch/document"
+	"guavahitch.example/guavahitch/inventory"
+	"guavahitch.example/guavahitch/settings"
+)
+
+const (
+	kindInventory = "inventory"
+	kindSettings  = "settings"
+)
+
+type (
+	// checked is the result of one file in JSON.
+	checked struct {
+		File     string
+		Problems []checkedProblem
+	}
+
+	checkedProblem struct {
+		Line    int
+		Column  int
+		Field   string `json:",omitempty"`
+		Value   string `json:",omitempty"`
+		Allowed string `json:",omitempty"`
+		Text    string
+	}
+)
+
+func newCheck() *cobra.Command {
+	var kind, format string
+	c := &cobra.Command{
+		Use:   "check FILE...",
+		Short: "Check inventories or settings without a running system",
+		Long: `Check inventories or settings without a running system.
+
+Every problem is printed at once as FILE:LINE:COLUMN, field, what is wrong, value and what is allowed.
+The exit code is 0 when there is none, 1 when there are some and 2 when an argument is wrong.`,
+		Example: "  guavahitch check inventory.json\n  guavahitch check --kind settings --format json entry.json",
+		Args:    cobra.MinimumNArgs(1),
+		RunE: func(c *cobra.Command, files []string) error {
+			if kind != kindInventory && kind != kindSettings {
+				return usageError("check: --kind %s: takes %s or %s", kind, kindInventory, kindSettings)
+			}
+			if err := checkFormat("check", format); err != nil {
+				return err
+			}
+			return runCheck(c, kind, format, files)
+		},
+	}
+	c.Flags().StringVar(&kind, "kind", kindInventory, "what the files are: inventory or settings")
+	addFormat(c, &format)
+	return c
+}
+
+func runCheck(c *cobra.Command, kind, format string, files []string) error {
+	var results []checked
+	bad := 0
+	for _, file := range files {
+		problems, err := problemsOf(kind, file)
+		if err != nil {
+			return err
+		}
+		bad += len(problems)
+		results = append(results, checkedOf(file, problems))
+		if format == formatText {
+			printProblems(c, file, problems)
+		}
+	}
+	if format == formatJSON {
+		if err := printJSON(c, results); err != nil {
+			return err
+		}
+	}
+	if bad > 0 {
+		return &silentError{code: ExitFailed}
+	}
+	return nil
+}
+
+func problemsOf(kind, file string) (document.Problems, error) {
+	text, err := os.ReadFile(file)
+	if err != nil {
+		return nil, eris.Wrapf(err, "check %s", file)
+	}
+	if kind == kindSettings {
+		_, err = settings.Parse(file, text)
+	} else {
+		_, err = inventory.Parse(file, text)
+	}
+	var problems document.Problems
+	if err != nil && !errors.As(err, &problems) {
+		return nil, err
+	}
+	return problems, nil
+}
+
+func printProblems(c *cobra.Command, file string, problems document.Problems) {
+	if len(problems) == 0 {
+		fmt.Fprintf(c.OutOrStdout(), "%s: ok\n", file)
+		return
+	}
+	for _, p := range problems {
+		fmt.Fprintln(c.OutOrStdout(), p)
+	}
+}
+
+func checkedOf(file string, problems document.Problems) checked {
+	result := checked{File: file, Problems: []checkedProblem{}}
+	for _, p := range problems {
+		result.Problems = append(result.Problems, checkedProblem{
+			Line: p.Position.Line, Column: p.Position.Column, Field: p.Field, Value: p.Value, Allowed: p.Allowed, Text: p.Text,
+		})
+	}
+	return result
+}
--- a/command/command.go
+++ b/command/command.go
@@ -3,8 +3,10 @@
 
 import (
 	"context"
+	"errors"
 	"fmt"
 	"io"
+	"strings"
 
 	"github.com/spf13/cobra"
 )
@@ -20,7 +22,14 @@
 
 // verbs lists the verbs in the order of the help text.
 var verbs = []func() *cobra.Command{
+	newEntry,
+	newControl,
+	newSidecar,
 	newDev,
+	newCheck,
+	newApply,
+	newTimeline,
+	newExplain,
 	newVersion,
 }
 
@@ -38,9 +47,32 @@
 	for _, newVerb := range verbs {
 		root.AddCommand(newVerb())
 	}
-	if err := root.ExecuteContext(context.Background()); err != nil {
-		fmt.Fprintf(stderr, "guavahitch: %v\n", err)
-		return ExitFailed
+	return exitCode(root.ExecuteContext(context.Background()), stderr)
+}
+
+// exitCode prints an error and returns the code that it ends the program with.
+func exitCode(err error, stderr io.Writer) int {
+	if err == nil {
+		return ExitOK
+	}
+	var silent *silentError
+	if errors.As(err, &silent) {
+		return silent.code
+	}
+	fmt.Fprintf(stderr, "guavahitch: %v\n", err)
+	var wrong *usage
+	if errors.As(err, &wrong) || isUsage(err) {
+		return ExitUsage
+	}
+	return ExitFailed
+}
+
+// isUsage tells cobra's errors about arguments and flags, which have no type of their own.
+func isUsage(err error) bool {
+	for _, start := range []string{"unknown ", "required flag", "accepts ", "requires ", "invalid argument", "flag needs"} {
+		if strings.HasPrefix(err.Error(), start) {
+			return true
+		}
 	}
-	return ExitOK
+	return false
 }
--- a/daemon/control.go
+++ b/daemon/control.go
@@ -4,7 +4,10 @@
 	"context"
 	"net"
 	"net/http"
+	"os"
 	"path/filepath"
+	"slices"
+	"strings"
 	"sync"
 	"time"
 
@@ -14,6 +17,7 @@
 	"guavahitch.example/guavahitch/consensus"
 	"guavahitch.example/guavahitch/control"
 	"guavahitch.example/guavahitch/inventory"
+	"guavahitch.example/guavahitch/operator"
 	"guavahitch.example/guavahitch/outcome"
 	"guavahitch.example/guavahitch/peer"
 	"guavahitch.example/guavahitch/wire"
@@ -38,6 +42,8 @@
 	client  *http.Client
 	scheme  string
 	closed  sync.Once
+	// operators is where operators are served, nil for nowhere.
+	operators net.Listener
 }
 
 func (p *Process) addControl() error {
@@ -59,7 +65,7 @@
 		r.close()
 		return nil
 	})
-	return nil
+	return p.addOperators()
 }
 
 func (r *controlRole) open() error {
@@ -185,3 +191,52 @@
 
 // ControlState returns the state of the control role.
 func (p *Process) ControlState() *control.State { return p.control.state }
+
+// addOperators serves operators at the address of the settings.
+func (p *Process) addOperators() error {
+	c := p.settings.Control
+	if c.Operators == "" {
+		return nil
+	}
+	listener, err := net.Listen("tcp", c.Operators)
+	if err != nil {
+		return outcome.Error{Step: "listen", Peer: c.Operators, Outcome: outcome.NotRun, Reason: "address"}.WithCause(err)
+	}
+	server := operator.NewServer(operator.Settings{
+		Token: func() (string, error) { return readToken(c.TokenFile) }, Leader: p.leader,
+		Inventory: p.control.state.Revision, Members: p.control.members,
+		Events: func(address string) wire.Events {
+			return wire.NewEventsProtobufClient(p.control.scheme+"://"+address, p.control.client)
+		},
+	})
+	p.control.operators = listener
+	served := listener
+	if p.keys != nil {
+		served = p.keys.OpenListener(listener)
+	}
+	p.group.Add(func() error { return server.Serve(served) }, func(error) { _ = server.Close() })
+	return nil
+}
+
+// readToken returns the operators' token, so that a changed file is in force at once.
+func readToken(file string) (string, error) {
+	text, err := os.ReadFile(file)
+	return strings.TrimSpace(string(text)), eris.Wrapf(err, "token file %s", file)
+}
+
+// members returns all processes that have events: the members and the control replicas.
+func (r *controlRole) members() []*wire.Member {
+	reply := &wire.WatchReply{}
+	r.state.Fill(reply, &wire.WatchRequest{})
+	members := reply.Members
+	for _, replica := range r.process.settings.Replicas {
+		isMember := slices.ContainsFunc(members, func(m *wire.Member) bool { return m.Name == replica.Name })
+		if !isMember {
+			members = append(members, &wire.Member{Name: replica.Name, Role: "control", Address: replica.Address})
+		}
+	}
+	return members
+}
+
+// OperatorsAddress returns the address that operators are served on.
+func (p *Process) OperatorsAddress() string { return p.control.operators.Addr().String() }
--- a/dev/dev.go
+++ b/dev/dev.go
@@ -6,10 +6,12 @@
 	"bytes"
 	"context"
 	_ "embed"
+	"encoding/json"
 	"fmt"
 	"io"
 	"net"
 	"os"
+	"path/filepath"
 	"time"
 
 	"github.com/google/uuid"
@@ -22,6 +24,7 @@
 	"guavahitch.example/guavahitch/fake"
 	"guavahitch.example/guavahitch/inventory"
 	"guavahitch.example/guavahitch/keys"
+	"guavahitch.example/guavahitch/operator"
 	"guavahitch.example/guavahitch/settings"
 	"guavahitch.example/guavahitch/wire"
 )
@@ -29,6 +32,8 @@
 const (
 	// DefaultListen is where callers are served unless the settings say otherwise.
 	DefaultListen = "127.0.0.1:8600"
+	// DefaultOperators is where operators are served unless the settings say otherwise.
+	DefaultOperators = "127.0.0.1:8601"
 	// loopback lets the system choose the port.
 	loopback = "127.0.0.1:0"
 	// readyTimeout bounds the start.
@@ -58,6 +63,8 @@
 	Settings struct {
 		// Listen is the IP address and port for callers.
 		Listen string
+		// Operators is the IP address and port for operators.
+		Operators string
 		// Inventory is the path of an inventory; empty for the sample.
 		Inventory string
 		// Folder holds the control replica's files; empty for a folder that is removed at the end.
@@ -84,7 +91,7 @@
 
 // ReadSettings reads the settings file of the dev verb; an empty path gives the defaults.
 func ReadSettings(path string) (Settings, error) {
-	s := Settings{Listen: DefaultListen}
+	s := Settings{Listen: DefaultListen, Operators: DefaultOperators}
 	if path == "" {
 		return s, nil
 	}
@@ -128,16 +135,24 @@
 		return err
 	}
 	d.authority = authority
+	if err := d.writeToken(); err != nil {
+		return err
+	}
 	address, err := freeAddress()
 	if err != nil {
 		return err
 	}
 	replicas := []settings.Replica{{Name: "control-1", Address: address}}
 	if d.control, err = d.process(&settings.Settings{
-		Name: "control-1", Listen: address, Replicas: replicas, Control: &settings.Control{Folder: d.folder},
+		Name: "control-1", Listen: address, Replicas: replicas, Control: &settings.Control{
+			Folder: filepath.Join(d.folder, "control-1"), Operators: d.settings.Operators, TokenFile: filepath.Join(d.folder, "token"),
+		},
 	}); err != nil {
 		return err
 	}
+	if err := d.writeOperatorSettings(); err != nil {
+		return err
+	}
 	if err := d.addUpstreams(replicas); err != nil {
 		return err
 	}
@@ -150,6 +165,26 @@
 	return err
 }
 
+// writeToken makes the operators' token.
+func (d *Dev) writeToken() error {
+	file := filepath.Join(d.folder, "token")
+	return eris.Wrapf(os.WriteFile(file, []byte(uuid.NewString()+"\n"), 0o600), "token file %s", file)
+}
+
+// OperatorSettings returns the path of a settings file for the operators' verbs.
+func (d *Dev) OperatorSettings() string { return filepath.Join(d.folder, "operator.json") }
+
+func (d *Dev) writeOperatorSettings() error {
+	text, err := json.MarshalIndent(operator.ClientSettings{
+		Addresses: []string{d.control.OperatorsAddress()}, TokenFile: filepath.Join(d.folder, "token"),
+		Authority: filepath.Join(d.folder, "authority.pem"),
+	}, "", "  ")
+	if err != nil {
+		return eris.Wrap(err, "operators' settings")
+	}
+	return eris.Wrap(os.WriteFile(d.OperatorSettings(), text, 0o600), "operators' settings")
+}
+
 func (d *Dev) process(s *settings.Settings) (*daemon.Process, error) {
 	s.DrainTimeout = settings.DefaultDrainTimeout
 	files, err := d.authority.Issue(s.Name)
--- a/keys/store.go
+++ b/keys/store.go
@@ -61,15 +61,23 @@
 	if err != nil {
 		return nil, eris.Wrapf(err, "certificate %s with key %s", f.Certificate, f.Key)
 	}
-	text, err := os.ReadFile(f.Authority)
+	authority, err := readAuthority(f.Authority)
 	if err != nil {
-		return nil, eris.Wrapf(err, "authority %s", f.Authority)
+		return nil, err
+	}
+	return &material{certificate: certificate, authority: authority}, nil
+}
+
+func readAuthority(file string) (*x509.CertPool, error) {
+	text, err := os.ReadFile(file)
+	if err != nil {
+		return nil, eris.Wrapf(err, "authority %s", file)
 	}
 	authority := x509.NewCertPool()
 	if !authority.AppendCertsFromPEM(text) {
-		return nil, eris.Errorf("authority %s: the file holds no PEM certificate", f.Authority)
+		return nil, eris.Errorf("authority %s: the file holds no PEM certificate", file)
 	}
-	return &material{certificate: certificate, authority: authority}, nil
+	return authority, nil
 }
 
 // newest returns the latest time at which one of the files changed.
@@ -105,18 +113,40 @@
 
 // Listener returns a listener that lets in peers with a certificate of the authority only.
 func (s *Store) Listener(inner net.Listener) net.Listener {
+	return s.listener(inner, tls.RequireAndVerifyClientCert)
+}
+
+// OpenListener returns a listener that proves itself and lets in everyone: operators show a token instead.
+func (s *Store) OpenListener(inner net.Listener) net.Listener {
+	return s.listener(inner, tls.NoClientCert)
+}
+
+func (s *Store) listener(inner net.Listener, clients tls.ClientAuthType) net.Listener {
 	return tls.NewListener(inner, &tls.Config{
 		MinVersion: tls.VersionTLS13,
 		GetConfigForClient: func(*tls.ClientHelloInfo) (*tls.Config, error) {
 			m := s.now()
 			return &tls.Config{
 				MinVersion: tls.VersionTLS13, Certificates: []tls.Certificate{m.certificate},
-				ClientAuth: tls.RequireAndVerifyClientCert, ClientCAs: m.authority, NextProtos: []string{"http/1.1"},
+				ClientAuth: clients, ClientCAs: m.authority, NextProtos: []string{"http/1.1"},
 			}, nil
 		},
 	})
 }
 
+// OperatorTransport returns a transport for an operator, who has no certificate and trusts the authority in
+// the file.
+func OperatorTransport(authorityFile string) (*http.Transport, error) {
+	authority, err := readAuthority(authorityFile)
+	if err != nil {
+		return nil, err
+	}
+	return &http.Transport{TLSClientConfig: &tls.Config{
+		MinVersion: tls.VersionTLS13, InsecureSkipVerify: true,
+		VerifyConnection: func(state tls.ConnectionState) error { return verifyServer(authority, state) },
+	}}, nil
+}
+
 // Secure makes a transport dial with the keys in use at that moment. Peers are known by IP addresses that
 // come and go, so the certificate proves membership, not an address.
 func (s *Store) Secure(transport *http.Transport) *http.Transport {
--- /dev/null
+++ b/operator/client.go
@@ -0,0 +1,192 @@
+package operator
+
+import (
+	"bytes"
+	"context"
+	"encoding/json"
+	"io"
+	"net/http"
+	"net/url"
+	"os"
+	"strconv"
+	"strings"
+	"time"
+
+	"github.com/rotisserie/eris"
+
+	"guavahitch.example/guavahitch/document"
+	"guavahitch.example/guavahitch/keys"
+	"guavahitch.example/guavahitch/outcome"
+)
+
+// clientTimeout bounds one exchange with a server.
+const clientTimeout = 30 * time.Second
+
+type (
+	// Client speaks to the operators' servers of the control replicas; it asks the next one when one does not
+	// answer.
+	Client struct {
+		settings ClientSettings
+		token    string
+		scheme   string
+		http     *http.Client
+	}
+
+	// ClientSettings are the settings of an operator: JSON with comments.
+	ClientSettings struct {
+		// Addresses are the IP addresses and ports that the control replicas serve operators on.
+		Addresses []string `document:"required,min=1"`
+		// TokenFile holds the operators' token.
+		TokenFile string `document:"required"`
+		// Authority holds the certificate of the system's authority; empty where operators are served without TLS.
+		Authority string
+	}
+
+	// Submission is an inventory to be submitted.
+	Submission struct {
+		ChangeID string
+		Expected uint64
+		Operator string
+		Reason   string
+		Text     []byte
+	}
+)
+
+// ReadClient returns the client that a settings file describes.
+func ReadClient(path string) (*Client, error) {
+	data, err := os.ReadFile(path)
+	if err != nil {
+		return nil, eris.Wrapf(err, "settings %s", path)
+	}
+	var s ClientSettings
+	if err := document.Decode(path, data, &s).Err(); err != nil {
+		return nil, err
+	}
+	return NewClient(s)
+}
+
+// NewClient returns a client. It reads the token and the authority.
+func NewClient(s ClientSettings) (*Client, error) {
+	token, err := os.ReadFile(s.TokenFile)
+	if err != nil {
+		return nil, eris.Wrapf(err, "token file %s", s.TokenFile)
+	}
+	c := &Client{settings: s, token: strings.TrimSpace(string(token)), scheme: "http", http: &http.Client{Timeout: clientTimeout}}
+	if s.Authority == "" {
+		return c, nil
+	}
+	c.scheme = "https"
+	transport, err := keys.OperatorTransport(s.Authority)
+	c.http.Transport = transport
+	return c, err
+}
+
+// Submit submits an inventory. A refused change is no error: its status tells why.
+func (c *Client) Submit(ctx context.Context, s Submission) (Change, error) {
+	var change Change
+	header := http.Header{}
+	header.Set(HeaderChange, s.ChangeID)
+	header.Set(HeaderExpected, strconv.FormatUint(s.Expected, 10))
+	header.Set(HeaderOperator, s.Operator)
+	header.Set(HeaderReason, s.Reason)
+	_, err := c.exchange(ctx, http.MethodPut, "/v1/inventory", header, s.Text, &change)
+	return change, err
+}
+
+// Change returns the status of a change.
+func (c *Client) Change(ctx context.Context, id string) (Change, error) {
+	var change Change
+	_, err := c.exchange(ctx, http.MethodGet, "/v1/changes/"+url.PathEscape(id), nil, nil, &change)
+	return change, err
+}
+
+// Inventory returns the inventory that control holds, and its revision.
+func (c *Client) Inventory(ctx context.Context) (revision uint64, text []byte, err error) {
+	header, err := c.exchange(ctx, http.MethodGet, "/v1/inventory", nil, nil, &text)
+	if err != nil {
+		return 0, nil, err
+	}
+	revision, err = strconv.ParseUint(header.Get(HeaderRevision), 10, 64)
+	return revision, text, eris.Wrap(err, "revision of the inventory")
+}
+
+// Records returns all durable records of a kind and change, oldest first; empty for all.
+func (c *Client) Records(ctx context.Context, kind, change string) ([]Record, error) {
+	var all []Record
+	after := uint64(0)
+	for {
+		query := url.Values{"after": {strconv.FormatUint(after, 10)}, "kind": {kind}, "change": {change}}
+		var page []Record
+		if _, err := c.exchange(ctx, http.MethodGet, "/v1/records?"+query.Encode(), nil, nil, &page); err != nil {
+			return nil, err
+		}
+		if len(page) == 0 {
+			return all, nil
+		}
+		all = append(all, page...)
+		after = page[len(page)-1].Index
+	}
+}
+
+// Events returns the events of all processes.
+func (c *Client) Events(ctx context.Context) (Events, error) {
+	var events Events
+	_, err := c.exchange(ctx, http.MethodGet, "/v1/events", nil, nil, &events)
+	return events, err
+}
+
+// exchange asks one server after the other until one answers.
+func (c *Client) exchange(ctx context.Context, method, path string, header http.Header, body []byte, into any) (http.Header, error) {
+	last := eris.New("no address of an operators' server is given")
+	for _, address := range c.settings.Addresses {
+		answered, sent, err := c.ask(ctx, address, method, path, header, body, into)
+		if answered {
+			return sent, err
+		}
+		last = eris.Wrapf(err, "%s", address)
+	}
+	return nil, last
+}
+
+func (c *Client) ask(ctx context.Context, address, method, path string, header http.Header, body []byte, into any) (answered bool, sent http.Header, err error) {
+	request, err := http.NewRequestWithContext(ctx, method, c.scheme+"://"+address+path, bytes.NewReader(body))
+	if err != nil {
+		return false, nil, err
+	}
+	for name, values := range header {
+		request.Header[name] = values
+	}
+	request.Header.Set("Authorization", "Bearer "+c.token)
+	response, err := c.http.Do(request)
+	if err != nil {
+		return false, nil, err
+	}
+	defer func() { _ = response.Body.Close() }()
+	text, err := io.ReadAll(response.Body)
+	if err != nil {
+		return false, nil, err
+	}
+	return true, response.Header, decode(address, response.StatusCode, text, into)
+}
+
+func decode(address string, status int, text []byte, into any) error {
+	if status != http.StatusOK && status != http.StatusConflict {
+		return failureOf(address, status, text)
+	}
+	if raw, isRaw := into.(*[]byte); isRaw {
+		*raw = text
+		return nil
+	}
+	return eris.Wrapf(json.Unmarshal(text, into), "answer of %s", address)
+}
+
+func failureOf(address string, status int, text []byte) error {
+	var failure Failure
+	if json.Unmarshal(text, &failure) != nil || failure.Error.Reason == "" {
+		return eris.Errorf("%s answered with status %d", address, status)
+	}
+	return &outcome.Error{
+		Step: failure.Error.Step, Peer: address, Outcome: outcome.NotRun, Reason: failure.Error.Reason,
+		Detail: failure.Error.Detail, Status: status,
+	}
+}
--- /dev/null
+++ b/operator/server.go
@@ -0,0 +1,191 @@
+package operator
+
+import (
+	"context"
+	"crypto/subtle"
+	"errors"
+	"io"
+	"log/slog"
+	"net"
+	"net/http"
+	"strconv"
+	"strings"
+	"time"
+
+	"github.com/labstack/echo/v5"
+
+	"guavahitch.example/guavahitch/control"
+	"guavahitch.example/guavahitch/dispatch"
+	"guavahitch.example/guavahitch/leader"
+	"guavahitch.example/guavahitch/outcome"
+	"guavahitch.example/guavahitch/wire"
+)
+
+const (
+	// headerTimeout and bodyTimeout bound the arrival of a request.
+	headerTimeout = 5 * time.Second
+	bodyTimeout   = 60 * time.Second
+	// callTimeout bounds the answer of control.
+	callTimeout = 10 * time.Second
+	// recordsPage is the most records of one answer.
+	recordsPage = 1000
+)
+
+type (
+	// Settings describes the server towards operators.
+	Settings struct {
+		// Token returns the operators' token now, so that its file may change.
+		Token  func() (string, error)
+		Leader *leader.Client
+		// Inventory returns the revision and text that control holds.
+		Inventory func() (uint64, []byte)
+		// Members returns the processes whose events are collected.
+		Members func() []*wire.Member
+		// Events returns the client of a process's events.
+		Events func(address string) wire.Events
+	}
+
+	// Server serves operators.
+	Server struct {
+		settings Settings
+		http     *http.Server
+	}
+)
+
+// NewServer returns a server that does not listen yet.
+func NewServer(settings Settings) *Server {
+	s := &Server{settings: settings}
+	e := echo.NewWithConfig(echo.Config{Logger: slog.New(slog.DiscardHandler), HTTPErrorHandler: writeError})
+	e.Use(s.authorise)
+	e.PUT("/v1/inventory", s.submit)
+	e.GET("/v1/inventory", s.inventory)
+	e.GET("/v1/changes/:id", s.change)
+	e.GET("/v1/records", s.records)
+	e.GET("/v1/events", s.events)
+	s.http = &http.Server{
+		Handler: e, ReadHeaderTimeout: headerTimeout, ReadTimeout: bodyTimeout,
+		ErrorLog: slog.NewLogLogger(slog.DiscardHandler, slog.LevelError),
+	}
+	return s
+}
+
+// Serve serves the listener until Close.
+func (s *Server) Serve(listener net.Listener) error {
+	err := s.http.Serve(listener)
+	if errors.Is(err, http.ErrServerClosed) {
+		return nil
+	}
+	return err
+}
+
+// Close stops the server.
+func (s *Server) Close() error { return s.http.Close() }
+
+// authorise lets in requests with the operators' token.
+func (s *Server) authorise(next echo.HandlerFunc) echo.HandlerFunc {
+	return func(c *echo.Context) error {
+		token, err := s.settings.Token()
+		if err != nil {
+			return refusal("authorise", "token-unreadable", err.Error(), http.StatusServiceUnavailable)
+		}
+		sent, found := strings.CutPrefix(c.Request().Header.Get("Authorization"), "Bearer ")
+		if !found || token == "" || subtle.ConstantTimeCompare([]byte(sent), []byte(token)) != 1 {
+			return refusal("authorise", "bad-token", "send the operators' token as Authorization: Bearer TOKEN", http.StatusUnauthorized)
+		}
+		return next(c)
+	}
+}
+
+func refusal(step, reason, detail string, status int) *outcome.Error {
+	return &outcome.Error{Step: step, Outcome: outcome.NotRun, Reason: reason, Detail: detail, Status: status}
+}
+
+func writeError(c *echo.Context, err error) {
+	failure := outcome.Of(err, "route", "")
+	var known *outcome.Error
+	if !errors.As(err, &known) {
+		failure = refusal("route", "bad-request", err.Error(), max(echo.StatusCode(err), http.StatusBadRequest))
+	}
+	_ = c.JSON(dispatch.StatusOf(failure), Failure{Error: dispatch.NewRefusal(failure).Error})
+}
+
+func (s *Server) submit(c *echo.Context) error {
+	header := c.Request().Header
+	expected, err := strconv.ParseUint(header.Get(HeaderExpected), 10, 64)
+	if err != nil {
+		return refusal("submit", "bad-revision", HeaderExpected+" takes the revision that the inventory replaces; 0 for the first", http.StatusBadRequest)
+	}
+	text, err := io.ReadAll(http.MaxBytesReader(c.Response(), c.Request().Body, control.MaxInventoryBytes))
+	if err != nil {
+		return refusal("submit", "oversized", "the inventory is longer than "+strconv.Itoa(control.MaxInventoryBytes)+" bytes or did not arrive whole", http.StatusRequestEntityTooLarge)
+	}
+	ctx, cancel := context.WithTimeout(c.Request().Context(), callTimeout)
+	defer cancel()
+	status, failure := s.settings.Leader.Submit(ctx, &wire.SubmitRequest{
+		ChangeId: header.Get(HeaderChange), ExpectedRevision: expected, Inventory: text,
+		Operator: header.Get(HeaderOperator), Reason: header.Get(HeaderReason),
+	})
+	return answerChange(c, status, failure)
+}
+
+func (s *Server) change(c *echo.Context) error {
+	ctx, cancel := context.WithTimeout(c.Request().Context(), callTimeout)
+	defer cancel()
+	status, failure := s.settings.Leader.Change(ctx, &wire.ChangeRequest{ChangeId: c.Param("id")})
+	return answerChange(c, status, failure)
+}
+
+func answerChange(c *echo.Context, status *wire.ChangeStatus, failure *outcome.Error) error {
+	if failure == nil {
+		failure = outcome.FromWire(status.Failure)
+	}
+	if failure != nil {
+		return failure
+	}
+	code := http.StatusOK
+	if status.State == control.StateRefused {
+		code = http.StatusConflict
+	}
+	return c.JSON(code, changeOf(status))
+}
+
+func (s *Server) inventory(c *echo.Context) error {
+	revision, text := s.settings.Inventory()
+	c.Response().Header().Set(HeaderRevision, strconv.FormatUint(revision, 10))
+	return c.Blob(http.StatusOK, "application/json", text)
+}
+
+func (s *Server) records(c *echo.Context) error {
+	after, err := queryNumber(c, "after")
+	if err != nil {
+		return err
+	}
+	ctx, cancel := context.WithTimeout(c.Request().Context(), callTimeout)
+	defer cancel()
+	reply, failure := s.settings.Leader.Records(ctx, &wire.RecordsRequest{
+		After: after, Limit: recordsPage, Kind: c.QueryParam("kind"), ChangeId: c.QueryParam("change"),
+	})
+	if failure == nil {
+		failure = outcome.FromWire(reply.Failure)
+	}
+	if failure != nil {
+		return failure
+	}
+	records := make([]Record, 0, len(reply.Records))
+	for _, r := range reply.Records {
+		records = append(records, recordOf(r))
+	}
+	return c.JSON(http.StatusOK, records)
+}
+
+func queryNumber(c *echo.Context, name string) (uint64, error) {
+	text := c.QueryParam(name)
+	if text == "" {
+		return 0, nil
+	}
+	number, err := strconv.ParseUint(text, 10, 64)
+	if err != nil {
+		return 0, refusal("query", "bad-number", name+" takes a whole number", http.StatusBadRequest)
+	}
+	return number, nil
+}
