Sidecars watch the inventory

Cause: a change was in force only when the sidecars' leases had run out, since they held leases and did not watch. Change: a sidecar watches the inventory alone, without members, and refuses new work when the inventory does not list it; an entry without a lease asks for one at once.

--- a/admission/gate.go
+++ b/admission/gate.go
@@ -88,6 +88,7 @@
 		epoch   uint64
 		peer    string
 		closed  bool
+		barsAll bool
 		calls   map[ID]*Call
 		queue   []*Call
 		running int
@@ -123,6 +124,9 @@
 // Drain refuses all new attempts from now on. Admitted attempts go on.
 func (g *Gate) Drain() { g.closed = true }
 
+// Admit says whether the upstream may take new attempts at all, as the inventory has it.
+func (g *Gate) Admit(allowed bool) { g.barsAll = !allowed }
+
 // Counts returns the number of running and of queued attempts.
 func (g *Gate) Counts() (running, queued int) { return g.running, len(g.queue) }
 
@@ -166,6 +170,8 @@
 		refusal.Reason, refusal.Outcome = ReasonStale, outcome.Unknown
 	case g.closed:
 		refusal.Reason = "draining"
+	case g.barsAll:
+		refusal.Reason = "not-listed"
 	case !ticket.Deadline.After(now):
 		refusal.Reason, refusal.RetryAfter = "deadline", 0
 	case len(g.queue) >= g.limits.Queued && !g.hasRoom(ticket.Alone):
--- a/control/members.go
+++ b/control/members.go
@@ -179,8 +179,11 @@
 func (s *State) Fill(reply *wire.WatchReply, request *wire.WatchRequest) {
 	s.mutex.RLock()
 	defer s.mutex.RUnlock()
-	s.members.view.Fill(reply, request.View)
 	s.configuration.fill(reply, request.Revision)
+	if request.InventoryOnly {
+		return
+	}
+	s.members.view.Fill(reply, request.View)
 	reply.Quarantine = s.verdicts
 	if request.Quarantine != reply.Quarantine {
 		reply.Quarantined = s.quarantinedLocked()
@@ -191,6 +194,8 @@
 func (s *State) isBehind(request *wire.WatchRequest) bool {
 	s.mutex.RLock()
 	defer s.mutex.RUnlock()
-	return request.View != s.members.view.Number() || request.Revision != s.configuration.revision ||
-		request.Quarantine != s.verdicts
+	if request.Revision != s.configuration.revision {
+		return true
+	}
+	return !request.InventoryOnly && (request.View != s.members.view.Number() || request.Quarantine != s.verdicts)
 }
--- a/daemon/sidecar.go
+++ b/daemon/sidecar.go
@@ -4,12 +4,14 @@
 	"context"
 	"crypto/rand"
 	"encoding/binary"
+	"strconv"
 	"time"
 
 	"github.com/google/uuid"
 
 	"guavahitch.example/guavahitch/admission"
 	"guavahitch.example/guavahitch/engine"
+	"guavahitch.example/guavahitch/inventory"
 	"guavahitch.example/guavahitch/lease"
 	"guavahitch.example/guavahitch/sidecar"
 	"guavahitch.example/guavahitch/wire"
@@ -24,6 +26,8 @@
 	answerKept = 10 * time.Minute
 	// reportWait is how long the failure of attempts waits for control to take the report of a death.
 	reportWait = 500 * time.Millisecond
+	// watchPause is the pause after a failed watch.
+	watchPause = 100 * time.Millisecond
 	// epochRandomBits are the low bits of an epoch, which tell apart starts of the same millisecond.
 	epochRandomBits = 20
 )
@@ -55,6 +59,40 @@
 		return nil
 	})
 	p.add(func(ctx context.Context) error { return p.announce(ctx, r.member, nil) })
+	p.add(r.follow)
+}
+
+// follow keeps the inventory in force at this sidecar. An upstream that the operators took out of it refuses
+// new work from then on.
+func (r *sidecarRole) follow(ctx context.Context) error {
+	var holder lease.Holder
+	for ctx.Err() == nil {
+		sent := time.Now()
+		request := holder.Request(r.process.settings.Name, lease.RenewInterval)
+		request.InventoryOnly = true
+		reply, failure := r.process.leader.Watch(ctx, request)
+		if failure != nil || reply.Failure != nil {
+			time.Sleep(watchPause)
+			continue
+		}
+		next := holder.With(reply, sent)
+		if next.Revision() != holder.Revision() {
+			r.use(next)
+		}
+		holder = next
+	}
+	return nil
+}
+
+func (r *sidecarRole) use(holder lease.Holder) {
+	owned, err := inventory.Parse("inventory", holder.Inventory())
+	if err != nil {
+		r.process.log.WithError(err).Error("the inventory in force cannot be read")
+		return
+	}
+	_, isListed := owned.Upstream(r.process.settings.Name)
+	r.server.Admit(isListed || owned.Rules.AdmitUnlisted)
+	r.process.events.Add(&wire.Event{Kind: "inventory-in-force", Detail: "revision " + strconv.FormatUint(holder.Revision(), 10)})
 }
 
 // newEpoch returns an admission epoch that is later than those of earlier starts of the sidecar.
--- a/dispatch/view.go
+++ b/dispatch/view.go
@@ -24,7 +24,11 @@
 func (d *Dispatcher) Follow(ctx context.Context) error {
 	for ctx.Err() == nil {
 		sent := time.Now()
-		request := d.Holder().Request(d.settings.Entry, lease.RenewInterval)
+		wait := lease.RenewInterval
+		if d.Holder().Refuses(sent) {
+			wait = watchPause
+		}
+		request := d.Holder().Request(d.settings.Entry, wait)
 		reply, failure := d.settings.Leader.Watch(ctx, request)
 		if failure != nil {
 			time.Sleep(watchPause)
--- a/sidecar/watch.go
+++ b/sidecar/watch.go
@@ -162,6 +162,13 @@
 	}
 }
 
+// Admit says whether the upstream may take new work at all, as the inventory has it.
+func (s *Server) Admit(allowed bool) {
+	s.mutex.Lock()
+	defer s.mutex.Unlock()
+	s.gate.Admit(allowed)
+}
+
 // IsDraining reports whether the server refuses new attempts.
 func (s *Server) IsDraining() bool {
 	s.mutex.Lock()
