Consensus: a learner whose change was overwritten asks to join again

Cause: 1 of 1000 seeds (203) ended with a disk that was not replaced: the new learner had joined the group by the leader's append of its own admission, that entry was overwritten after the leader lost its place, and a replica that is no longer blank did not ask to join. Ruled out: a lost hello (the learner sent none) and the joiners' expiry (the leader knew of none). Change: a replica without a vote that hears from no leader says hello to all it knows; seed 203 runs with the plain ones, and a test of its own brings the case about. Measured: both fail before and pass after. Conclusion: mended.

--- a/consensus/core.go
+++ b/consensus/core.go
@@ -221,6 +221,8 @@
 		c.resetElection()
 		if c.canStand() {
 			c.stand()
+		} else {
+			c.sayHello()
 		}
 	}
 }
--- a/consensus/founding.go
+++ b/consensus/founding.go
@@ -6,6 +6,7 @@
 // its incarnation, and a blank one among founded ones waits to be added as a learner.
 
 import (
+	"slices"
 	"time"
 
 	"guavahitch.example/guavahitch/wire"
@@ -51,12 +52,21 @@
 	if c.group != 0 {
 		return
 	}
-	for _, member := range c.settings.Founders {
-		if member.ID != c.self.ID {
-			c.send(&wire.ReplicaMessage{
-				Kind: wire.ReplicaKind_REPLICA_KIND_HELLO, Address: c.settings.Address,
-			}, identity{ID: member.ID}, 0)
+	c.sayHello()
+}
+
+// sayHello makes the replica known to all others that it knows of. One without a vote that hears from no
+// leader does so too: the change that made it a learner may have been overwritten before it was committed.
+func (c *Core) sayHello() {
+	said := map[string]bool{c.self.ID: true}
+	for _, member := range slices.Concat(c.members(), c.settings.Founders) {
+		if said[member.ID] {
+			continue
 		}
+		said[member.ID] = true
+		c.send(&wire.ReplicaMessage{
+			Kind: wire.ReplicaKind_REPLICA_KIND_HELLO, Address: c.settings.Address,
+		}, identity{ID: member.ID}, c.durability.stateGate)
 	}
 }
 
--- a/consensus/mechanism_test.go
+++ b/consensus/mechanism_test.go
@@ -290,3 +290,30 @@
 	require.Equal(t, 1, leaders(broken{}))
 	require.Equal(t, 2, leaders(broken{core: consensus.Mechanisms{OneChange: true}}))
 }
+
+// TestLearnerOfAnOverwrittenChangeAsksAgain adds a learner by a change that is never committed.
+func TestLearnerOfAnOverwrittenChangeAsksAgain(t *testing.T) {
+	s := calm(t, 4, broken{strangers: 1})
+	old, learner := s.leading(), s.replicas[3]
+	for _, r := range s.replicas[:3] {
+		if r != old {
+			s.blocked[[2]string{old.id, r.id}] = true
+		}
+	}
+	member := consensus.Member{ID: learner.id, Incarnation: learner.core.Status().Incarnation}
+	_, _, err := old.core.Change(s.now, consensus.AddLearner, member)
+	require.NoError(t, err)
+	old.flush()
+	s.runFor(2 * time.Second)
+	require.Len(t, learner.core.Status().Members, 4)
+	clear(s.blocked)
+	s.runFor(2 * time.Second)
+	require.Len(t, s.leading().core.Status().Members, 3)
+	require.Equal(t, []consensus.Member{{ID: learner.id, Incarnation: member.Incarnation, Address: learner.id}},
+		s.leading().core.Status().Joining)
+	_, _, err = s.leading().core.Change(s.now, consensus.AddLearner, member)
+	require.NoError(t, err)
+	s.leading().flush()
+	s.runFor(2 * time.Second)
+	require.Equal(t, s.leading().core.Status().Commit, learner.core.Status().Commit)
+}
--- a/consensus/torture_test.go
+++ b/consensus/torture_test.go
@@ -292,9 +292,16 @@
 	return count
 }
 
+// found are seeds beyond the plain ones that have shown a fault.
+var found = []uint64{203}
+
 func TestTorture(t *testing.T) {
 	var crashes, replaced, installed int
+	run := slices.Clone(found)
 	for seed := uint64(1); seed <= seeds(t); seed++ {
+		run = append(run, seed)
+	}
+	for _, seed := range run {
 		t.Run(fmt.Sprint("seed=", seed), func(t *testing.T) {
 			w := torture(seed, broken{})
 			require.NoError(t, w.err)
--- a/peer/bench_test.go
+++ b/peer/bench_test.go
@@ -6,6 +6,7 @@
 	"net"
 	"net/http"
 	"net/http/httptest"
+	"sync"
 	"sync/atomic"
 	"syscall"
 	"testing"
@@ -123,27 +124,48 @@
 	}
 }
 
-// BenchmarkCommitOverConnections gives the time of single commits over loopback connections.
+// BenchmarkCommitOverConnections gives time and cost of commits over loopback connections; the cost is that of
+// all replicas together.
 func BenchmarkCommitOverConnections(b *testing.B) {
-	for _, count := range []int{3, 5} {
-		b.Run(fmt.Sprint("replicas=", count), func(b *testing.B) {
-			for b.Loop() {
-				g := newGroup(b, count)
-				n := g.leader()
-				times := hdrhistogram.New(1, int64(time.Minute/time.Microsecond), 3)
-				const commits = 2000
-				cpu, bytes := cpuTime(), g.bytes.Load()
-				for range commits {
-					start := time.Now()
-					_, err := n.Propose(context.Background(), make([]byte, 128))
-					require.NoError(b, err)
-					_ = times.RecordValue(time.Since(start).Microseconds())
+	for _, count := range []int{3, 5, 7} {
+		for _, callers := range []int{1, 8, 64} {
+			b.Run(fmt.Sprintf("replicas=%d/callers=%d", count, callers), func(b *testing.B) {
+				for b.Loop() {
+					commitOnce(b, count, callers)
+				}
+			})
+		}
+	}
+}
+
+func commitOnce(b *testing.B, count, callers int) {
+	g := newGroup(b, count)
+	n := g.leader()
+	commits := 2000 * callers
+	var (
+		mutex sync.Mutex
+		work  sync.WaitGroup
+	)
+	times := hdrhistogram.New(1, int64(time.Minute/time.Microsecond), 3)
+	cpu, bytes, start := cpuTime(), g.bytes.Load(), time.Now()
+	for range callers {
+		work.Go(func() {
+			for range commits / callers {
+				begun := time.Now()
+				if _, err := n.Propose(context.Background(), make([]byte, 128)); err != nil {
+					b.Error(err)
+					return
 				}
-				b.ReportMetric(float64(times.ValueAtQuantile(50))/1000, "p50-ms")
-				b.ReportMetric(float64(times.ValueAtQuantile(99))/1000, "p99-ms")
-				b.ReportMetric(float64((cpuTime()-cpu).Microseconds())/commits, "cpu-us/commit")
-				b.ReportMetric(float64(g.bytes.Load()-bytes)/commits, "B/commit")
+				mutex.Lock()
+				_ = times.RecordValue(time.Since(begun).Microseconds())
+				mutex.Unlock()
 			}
 		})
 	}
+	work.Wait()
+	b.ReportMetric(float64(commits)/time.Since(start).Seconds(), "commits/s")
+	b.ReportMetric(float64(times.ValueAtQuantile(50))/1000, "p50-ms")
+	b.ReportMetric(float64(times.ValueAtQuantile(99))/1000, "p99-ms")
+	b.ReportMetric(float64((cpuTime()-cpu).Microseconds())/float64(commits), "cpu-us/commit")
+	b.ReportMetric(float64(g.bytes.Load()-bytes)/float64(commits), "B/commit")
 }
