--- a/consensus/fuzz_test.go
+++ b/consensus/fuzz_test.go
@@ -29,7 +29,7 @@
 		if proto.Unmarshal(data, m) != nil {
 			return
 		}
-		s := newSimulation(5, 3, broken{})
+		s := newSimulation(5, 3, setup{})
 		s.isCalm = true
 		s.runFor(time.Second)
 		for _, r := range s.replicas {
--- a/consensus/mechanism_test.go
+++ b/consensus/mechanism_test.go
@@ -13,7 +13,7 @@
 )
 
 // calm returns a simulation without random faults that has a leader.
-func calm(t *testing.T, count int, b broken) *simulation {
+func calm(t *testing.T, count int, b setup) *simulation {
 	t.Helper()
 	s := newSimulation(5, count, b)
 	s.isCalm = true
@@ -79,7 +79,7 @@
 }
 
 func TestReturningReplicaDoesNotDeposeTheLeader(t *testing.T) {
-	isDeposed := func(b broken) bool {
+	isDeposed := func(b setup) bool {
 		s := calm(t, 3, b)
 		before := s.leading().core.Status()
 		s.cutOff(s.follower())
@@ -89,12 +89,12 @@
 		after := s.leading().core.Status()
 		return after.Term != before.Term
 	}
-	require.False(t, isDeposed(broken{}))
-	require.True(t, isDeposed(broken{core: consensus.Mechanisms{PreVote: true}}))
+	require.False(t, isDeposed(setup{}))
+	require.True(t, isDeposed(setup{core: consensus.Mechanisms{PreVote: true}}))
 }
 
 func TestCutOffLeaderStopsLeading(t *testing.T) {
-	isLeading := func(b broken) bool {
+	isLeading := func(b setup) bool {
 		s := calm(t, 3, b)
 		old := s.leading()
 		s.cutOff(old)
@@ -102,12 +102,12 @@
 		require.NotEqual(t, old, s.leading())
 		return old.core.Status().Role == "leader"
 	}
-	require.False(t, isLeading(broken{}))
-	require.True(t, isLeading(broken{core: consensus.Mechanisms{CheckQuorum: true}}))
+	require.False(t, isLeading(setup{}))
+	require.True(t, isLeading(setup{core: consensus.Mechanisms{CheckQuorum: true}}))
 }
 
 func TestReplacementHasNoVoteBeforeItHasCaughtUp(t *testing.T) {
-	answered := func(b broken) int {
+	answered := func(b setup) int {
 		s := calm(t, 3, b)
 		s.commit(100)
 		r := s.follower()
@@ -123,12 +123,12 @@
 		s.runFor(100 * time.Millisecond)
 		return s.commit(20)
 	}
-	require.Equal(t, 20, answered(broken{}))
-	require.Zero(t, answered(broken{core: consensus.Mechanisms{CatchUp: true}}))
+	require.Equal(t, 20, answered(setup{}))
+	require.Zero(t, answered(setup{core: consensus.Mechanisms{CatchUp: true}}))
 }
 
 func TestSecondLossRightAfterARepair(t *testing.T) {
-	s := calm(t, 3, broken{})
+	s := calm(t, 3, setup{})
 	w := &workload{simulation: s}
 	require.Equal(t, 100, s.commit(100))
 	first := s.follower()
@@ -148,7 +148,7 @@
 }
 
 func TestRestartAfterHundredsOfCommands(t *testing.T) {
-	s := calm(t, 3, broken{})
+	s := calm(t, 3, setup{})
 	r := s.follower()
 	r.crash()
 	require.Equal(t, 600, s.commit(600))
@@ -161,7 +161,7 @@
 }
 
 func TestWholeGroupRestarts(t *testing.T) {
-	s := calm(t, 5, broken{})
+	s := calm(t, 5, setup{})
 	require.Equal(t, 300, s.commit(300))
 	want := s.leading().stateText()
 	for _, r := range s.replicas {
@@ -178,7 +178,7 @@
 }
 
 func TestOneChangeOfMembershipAtATime(t *testing.T) {
-	s := calm(t, 3, broken{})
+	s := calm(t, 3, setup{})
 	r := s.leading()
 	_, _, err := r.core.Change(s.now, consensus.AddLearner, consensus.Member{ID: "r9", Incarnation: 9})
 	require.NoError(t, err)
@@ -196,7 +196,7 @@
 }
 
 func TestReplicaThatLostItsDiskIsNotAskedForItsOldVote(t *testing.T) {
-	s := calm(t, 3, broken{})
+	s := calm(t, 3, setup{})
 	require.Equal(t, 100, s.commit(100))
 	// One follower misses a part, the other one loses its disk, and the leader goes away with the rest.
 	leading := s.leading()
@@ -227,7 +227,7 @@
 
 func TestTransferSparesTheElectionTimeout(t *testing.T) {
 	elapsed := func(isTransferring bool) time.Duration {
-		s := calm(t, 3, broken{})
+		s := calm(t, 3, setup{})
 		require.Equal(t, 20, s.commit(20))
 		old, start := s.leading(), s.now
 		if isTransferring {
@@ -248,7 +248,7 @@
 }
 
 func TestTwoChangesAtOnceWouldSplitTheGroup(t *testing.T) {
-	leaders := func(b broken) int {
+	leaders := func(b setup) int {
 		b.strangers = 2
 		s := calm(t, 5, b)
 		old := s.leading()
@@ -287,13 +287,13 @@
 		}
 		return count
 	}
-	require.Equal(t, 1, leaders(broken{}))
-	require.Equal(t, 2, leaders(broken{core: consensus.Mechanisms{OneChange: true}}))
+	require.Equal(t, 1, leaders(setup{}))
+	require.Equal(t, 2, leaders(setup{core: consensus.Mechanisms{OneChange: true}}))
 }
 
 // TestLearnerOfAnOverwrittenChangeAsksAgain adds a learner by a change that is never committed.
 func TestLearnerOfAnOverwrittenChangeAsksAgain(t *testing.T) {
-	s := calm(t, 4, broken{strangers: 1})
+	s := calm(t, 4, setup{strangers: 1})
 	old, learner := s.leading(), s.replicas[3]
 	for _, r := range s.replicas[:3] {
 		if r != old {
--- a/consensus/memory_disk_test.go
+++ b/consensus/memory_disk_test.go
@@ -18,8 +18,9 @@
 		live, durable map[string]*memoryFile
 		// isLying drops the later syncs of a file, loses all that they should have kept, and reports success.
 		isLying bool
-		// isFailing makes the next sync lose the power halfway.
+		// isFailing makes a sync lose the power halfway, after some that work.
 		isFailing bool
+		syncsLeft int
 	}
 
 	memoryFile struct {
@@ -66,8 +67,17 @@
 	}, nil
 }
 
+// fails reports whether the power is lost with this sync.
+func (d *memoryDisk) fails() bool {
+	if !d.isFailing {
+		return false
+	}
+	d.syncsLeft--
+	return d.syncsLeft < 0
+}
+
 func (d *memoryDisk) syncFile(f *memoryFile) error {
-	if d.isFailing {
+	if d.fails() {
 		return errPowerLost
 	}
 	if d.isLying && f.isSynced {
@@ -90,7 +100,7 @@
 
 // lose takes away what is not synced, but for sectors that happened to be written.
 func (d *memoryDisk) lose(random *rand.Rand) {
-	d.isFailing = false
+	d.isFailing, d.syncsLeft = false, 0
 	live := map[string]*memoryFile{}
 	names := make([]string, 0, len(d.durable))
 	for name := range d.durable {
@@ -135,6 +145,9 @@
 }
 
 func (d *memoryDisk) sync() error {
+	if d.fails() {
+		return errPowerLost
+	}
 	d.durable = map[string]*memoryFile{}
 	for name, f := range d.live {
 		d.durable[name] = f
--- a/consensus/simulation_test.go
+++ b/consensus/simulation_test.go
@@ -30,13 +30,15 @@
 
 	agenda []event
 
-	// broken switches mechanisms off.
-	broken struct {
+	// setup switches mechanisms off and chooses the faults.
+	setup struct {
 		core           consensus.Mechanisms
 		isLyingDisk    bool
 		isSameIdentity bool
 		// strangers is the number of replicas that do not found the group.
 		strangers int
+		// isHarsh adds frozen replicas, and power lost between the syncs of one write.
+		isHarsh bool
 	}
 
 	simulation struct {
@@ -47,7 +49,7 @@
 		replicas []*simReplica
 		blocked  map[[2]string]bool
 		isCalm   bool
-		broken   broken
+		setup    setup
 		drawn    uint64
 		err      error
 		// What the schedule brought about.
@@ -64,14 +66,16 @@
 		run       int
 		isUp      bool
 		isSyncing bool
-		writes    []*consensus.Write
-		state     map[string]string
-		applied   uint64
-		saved     uint64
-		wake      time.Time
-		calls     map[uint64]*call
-		reads     map[uint64]*call
-		nextRead  uint64
+		// thaw is the end of a freeze: until then nothing is handled.
+		thaw     time.Time
+		writes   []*consensus.Write
+		state    map[string]string
+		applied  uint64
+		saved    uint64
+		wake     time.Time
+		calls    map[uint64]*call
+		reads    map[uint64]*call
+		nextRead uint64
 	}
 
 	// call is a client's operation on its way.
@@ -107,10 +111,10 @@
 	return last
 }
 
-func newSimulation(seed uint64, count int, b broken) *simulation {
+func newSimulation(seed uint64, count int, b setup) *simulation {
 	s := &simulation{
 		random: rand.New(rand.NewPCG(seed, 1)), now: time.UnixMilli(1_000_000),
-		blocked: map[[2]string]bool{}, broken: b,
+		blocked: map[[2]string]bool{}, setup: b,
 	}
 	for i := range count {
 		r := &simReplica{simulation: s, id: fmt.Sprintf("r%d", i+1), disk: newMemoryDisk()}
@@ -153,7 +157,7 @@
 
 func (s *simulation) members() []consensus.Member {
 	var members []consensus.Member
-	for _, r := range s.replicas[:len(s.replicas)-s.broken.strangers] {
+	for _, r := range s.replicas[:len(s.replicas)-s.setup.strangers] {
 		members = append(members, consensus.Member{ID: r.id})
 	}
 	return members
@@ -171,18 +175,25 @@
 			delay = s.between(0, 150*time.Millisecond)
 		}
 		sent := proto.Clone(m).(*wire.ReplicaMessage)
-		s.after(delay, func() {
-			to := s.replica(sent.To)
-			if to != nil && to.isUp && !s.blocked[[2]string{sent.From, sent.To}] {
-				to.core.Step(s.now, sent)
-				to.flush()
-			}
-		})
+		s.after(delay, func() { s.deliver(sent) })
+	}
+}
+
+func (s *simulation) deliver(m *wire.ReplicaMessage) {
+	to := s.replica(m.To)
+	if to == nil || !to.isUp || s.blocked[[2]string{m.From, m.To}] {
+		return
+	}
+	if s.now.Before(to.thaw) {
+		to.at(to.thaw.Sub(s.now), func() { s.deliver(m) })
+		return
 	}
+	to.core.Step(s.now, m)
+	to.flush()
 }
 
 func (s *simulation) incarnation() uint64 {
-	if s.broken.isSameIdentity {
+	if s.setup.isSameIdentity {
 		return 7
 	}
 	s.drawn++
@@ -208,7 +219,7 @@
 	r.core = consensus.NewCore(r.now, consensus.CoreSettings{
 		ID: r.id, Address: r.id, Founders: r.members(), Seed: r.random.Uint64(),
 		Heartbeat: 20 * time.Millisecond, ElectionTimeout: 150 * time.Millisecond,
-		RetainedBytes: 4 << 10, IsReplacing: true, Without: r.broken.core,
+		RetainedBytes: 4 << 10, IsReplacing: true, Without: r.setup.core,
 	}, recovered)
 	r.wake = time.Time{}
 	r.flush()
@@ -248,7 +259,11 @@
 func (r *simReplica) at(d time.Duration, f func()) {
 	run := r.run
 	r.after(d, func() {
-		if r.run == run && r.isUp {
+		switch {
+		case r.run != run || !r.isUp:
+		case r.now.Before(r.thaw):
+			r.at(r.thaw.Sub(r.now), f)
+		default:
 			f()
 		}
 	})
@@ -327,7 +342,7 @@
 
 func (r *simReplica) sync(writes []*consensus.Write) {
 	if !r.isCalm && r.random.IntN(400) == 0 {
-		r.disk.isFailing = true
+		r.loseAt()
 	}
 	for _, w := range writes {
 		if err := r.storage.Write(w); err != nil {
@@ -343,6 +358,14 @@
 	r.flush()
 }
 
+// loseAt makes the power fail with one of the next syncs.
+func (r *simReplica) loseAt() {
+	r.disk.isFailing = true
+	if r.setup.isHarsh {
+		r.disk.syncsLeft = r.random.IntN(5)
+	}
+}
+
 func (r *simReplica) powerLost(error) {
 	r.crash()
 	r.after(r.between(50*time.Millisecond, time.Second), func() { r.restart() })
@@ -394,6 +417,14 @@
 
 // submit starts an operation and reports false when the replica does not lead.
 func (r *simReplica) submit(c *call) bool {
+	if r.now.Before(r.thaw) {
+		r.at(r.thaw.Sub(r.now), func() {
+			if !r.submit(c) {
+				c.done(simOutput{}, false, false)
+			}
+		})
+		return true
+	}
 	if c.input.Kind == "get" {
 		r.nextRead++
 		r.reads[r.nextRead] = c
--- a/consensus/torture_test.go
+++ b/consensus/torture_test.go
@@ -145,7 +145,7 @@
 }
 
 // torture lets faults loose on a cluster for some virtual seconds.
-func torture(seed uint64, b broken) *workload {
+func torture(seed uint64, b setup) *workload {
 	w := &workload{simulation: newSimulation(seed, 3+2*int(seed%2), b)}
 	for _, r := range w.replicas {
 		r.disk.isLying = b.isLyingDisk
@@ -182,6 +182,10 @@
 			}
 		}
 	}
+	if w.setup.isHarsh && w.random.IntN(4) == 0 {
+		r.thaw = w.now.Add(w.between(100*time.Millisecond, time.Second))
+		return
+	}
 	switch w.random.IntN(8) {
 	case 0, 1:
 		w.isolate(r)
@@ -295,7 +299,12 @@
 // found are seeds beyond the plain ones that have shown a fault.
 var found = []uint64{203}
 
-func TestTorture(t *testing.T) {
+func TestTorture(t *testing.T) { testTorture(t, setup{}) }
+
+func TestTortureWithFreezes(t *testing.T) { testTorture(t, setup{isHarsh: true}) }
+
+func testTorture(t *testing.T, b setup) {
+	t.Helper()
 	var crashes, replaced, installed int
 	run := slices.Clone(found)
 	for seed := uint64(1); seed <= seeds(t); seed++ {
@@ -303,7 +312,7 @@
 	}
 	for _, seed := range run {
 		t.Run(fmt.Sprint("seed=", seed), func(t *testing.T) {
-			w := torture(seed, broken{})
+			w := torture(seed, b)
 			require.NoError(t, w.err)
 			require.Equal(t, porcupine.Ok, w.check(t), "the history of %d answers is not linearizable", w.answers)
 			require.Greater(t, w.answers, 300)
@@ -321,7 +330,7 @@
 }
 
 func TestTortureIsDeterministic(t *testing.T) {
-	first, second := torture(3, broken{}), torture(3, broken{})
+	first, second := torture(3, setup{}), torture(3, setup{})
 	require.Equal(t, first.history, second.history)
 }
 
@@ -329,17 +338,17 @@
 func TestTortureBites(t *testing.T) {
 	const enough = 60
 	for _, b := range []struct {
-		name   string
-		broken broken
+		name  string
+		setup setup
 	}{
-		{"sync", broken{isLyingDisk: true}},
-		{"incarnation", broken{isSameIdentity: true}},
-		{"read-barrier", broken{core: consensus.Mechanisms{ReadBarrier: true}}},
-		{"sync-gate", broken{core: consensus.Mechanisms{SyncGate: true}}},
+		{"sync", setup{isLyingDisk: true}},
+		{"incarnation", setup{isSameIdentity: true}},
+		{"read-barrier", setup{core: consensus.Mechanisms{ReadBarrier: true}}},
+		{"sync-gate", setup{core: consensus.Mechanisms{SyncGate: true}}},
 	} {
 		t.Run("without="+b.name, func(t *testing.T) {
 			for seed := uint64(1); seed <= enough; seed++ {
-				if torture(seed, b.broken).check(t) == porcupine.Illegal {
+				if torture(seed, b.setup).check(t) == porcupine.Illegal {
 					t.Logf("seed %d shows it", seed)
 					return
 				}
