balance: follow drift without lag, switch at once after a jump, search for moves every six minutes

Change: the slowest average is doubled (30 minutes, its lag behind a steady drift taken off); a slowdown that grew by 0.08 since the last switch ends the least interval; moves are searched every six minutes or after such a jump.

--- a/balance/current.go
+++ b/balance/current.go
@@ -4,7 +4,7 @@
 
 // averageTimes are the time constants of the averages that the present load is told from, slowest first; the
 // last one is the newest count itself.
-var averageTimes = [...]time.Duration{20 * time.Minute, 6 * time.Minute, 2 * time.Minute, 0}
+var averageTimes = [...]time.Duration{30 * time.Minute, 6 * time.Minute, 2 * time.Minute, 0}
 
 const (
 	// fastAverage is the place of the average that follows within minutes.
@@ -24,6 +24,9 @@
 type current struct {
 	averages [len(averageTimes)][]float64
 	gains    [len(averageTimes)]float64
+	// smoothed is the slowest average of the slowest average. The distance between the two tells how far
+	// both lag behind a steady drift.
+	smoothed []float64
 	// variance is the summed variance of the counts of one report, from differences of successive counts.
 	variance float64
 	// seen and squares are the experts counted in this report and their squared differences.
@@ -33,7 +36,7 @@
 
 // newCurrent returns the state for a number of experts.
 func newCurrent(size int) current {
-	c := current{}
+	c := current{smoothed: make([]float64, size)}
 	for n := range c.averages {
 		c.averages[n] = make([]float64, size)
 	}
@@ -45,6 +48,7 @@
 	for at := range c.averages {
 		c.averages[at][n] = part
 	}
+	c.smoothed[n] = part
 }
 
 // startLayer sets how far the averages follow the counts of a layer after some time without any.
@@ -65,6 +69,7 @@
 	for at := range c.averages {
 		c.averages[at][n] += c.gains[at] * (part - c.averages[at][n])
 	}
+	c.smoothed[n] += c.gains[0] * (c.averages[0][n] - c.smoothed[n])
 }
 
 // endReport renews the variance after the counts of a report.
@@ -82,7 +87,10 @@
 
 // estimate returns the present load of each expert.
 func (c *current) estimate() []float64 {
-	estimate := append([]float64(nil), c.averages[0]...)
+	estimate := make([]float64, len(c.smoothed))
+	for n, smoothed := range c.smoothed {
+		estimate[n] = max(2*c.averages[0][n]-smoothed, 0)
+	}
 	for at := 1; at < len(c.averages); at++ {
 		average, distance := c.averages[at], 0.0
 		for n, v := range average {
--- a/balance/decider.go
+++ b/balance/decider.go
@@ -28,6 +28,10 @@
 		// expected holds the slowdowns that the decision under way expects; 0 for none.
 		expectedCurrent float64
 		expectedAhead   float64
+		// planned is when moves were last searched.
+		planned time.Time
+		// promised is the slowdown that the last switch was to bring; 0 for none.
+		promised float64
 	}
 
 	// Situation is what a decision looks at.
@@ -73,6 +77,7 @@
 	d.switched = at
 	d.current = d.current.withSwitch(at, d.expectedCurrent)
 	d.ahead = d.ahead.withSwitch(at, d.expectedAhead)
+	d.promised = d.expectedCurrent
 	d.expectedCurrent, d.expectedAhead = 0, 0
 	return d
 }
@@ -101,7 +106,7 @@
 		withFigure("slowdown", present.Slowdown, "times the ideal step").
 		withFigure("suspected burst", s.Estimate.Burst, "part of the load").
 		withFigure("weight of the latest level", s.Estimate.LevelWeight, "part")
-	if reason := d.barred(s, forced); reason != "" {
+	if reason := d.barred(s, present.Slowdown, forced); reason != "" {
 		decision.Reason = reason
 		return decision, d
 	}
@@ -126,18 +131,23 @@
 }
 
 // barred returns the reason for which the group is left alone now whatever its load, or nothing.
-func (d Decider) barred(s Situation, forced bool) Reason {
+func (d Decider) barred(s Situation, slowdown float64, forced bool) Reason {
 	switch {
 	case s.Now.Before(d.quietTo):
 		return ReasonSettling
 	case forced:
 		return ""
-	case s.Now.Sub(d.switched) < d.Rule.MinInterval:
+	case s.Now.Sub(d.switched) < d.Rule.MinInterval && !d.jumped(slowdown):
 		return ReasonInterval
 	}
 	return ""
 }
 
+// jumped reports whether the slowdown has grown so much since the last switch that its map is of no use now.
+func (d Decider) jumped(slowdown float64) bool {
+	return d.promised > 0 && slowdown-d.promised > d.Rule.Jump
+}
+
 // holdsOnLostRank reports whether the map has experts on a lost rank.
 func holdsOnLostRank(m expertmap.Map, group Group) bool {
 	shape := m.Shape()
@@ -166,8 +176,14 @@
 
 // weigh makes a plan and chooses the option whose gain exceeds its cost most.
 func (d Decider) weigh(decision Decision, s Situation, present Figures, forced bool) (Decision, Decider) {
-	d.Planner.Costs.StoreRate = max(s.StoreRate, 1)
-	plan, err := d.Planner.Plan(s.Present, s.Estimate.Ahead, s.Group)
+	planner := d.Planner
+	planner.Costs.StoreRate = max(s.StoreRate, 1)
+	if forced || d.jumped(present.Slowdown) || s.Now.Sub(d.planned) >= d.Rule.PlanInterval {
+		d.planned = s.Now
+	} else {
+		planner.MovesPerLayer = 0
+	}
+	plan, err := planner.Plan(s.Present, s.Estimate.Ahead, s.Group)
 	if err != nil {
 		decision.Reason = ReasonNoPlan
 		decision.Alternatives = []Alternative{{Name: err.Error()}}
--- a/balance/rule.go
+++ b/balance/rule.go
@@ -17,8 +17,13 @@
 	StoreShare float64
 	// Margin is how many times the cost the gain must be, so that a change that hardly pays is not made.
 	Margin float64
-	// MinInterval is the least time between two switches of one group.
+	// MinInterval is the least time between two switches of one group, unless the slowdown has grown by Jump
+	// since the last one.
 	MinInterval time.Duration
+	Jump        float64
+	// PlanInterval is the least time between two searches for moves, unless the slowdown has grown by Jump;
+	// in between only weights change.
+	PlanInterval time.Duration
 	// MaxLife and MinLife bound how long a gain is believed to last.
 	MinLife time.Duration
 	MaxLife time.Duration
@@ -36,7 +41,7 @@
 func DefaultRule() Rule {
 	return Rule{
 		SkewWeight: 1, RebalanceCostWeight: 1, StoreShare: 0.02, Margin: 1.5,
-		MinInterval: 2 * time.Minute, MinLife: 2 * time.Minute, MaxLife: 2 * time.Hour,
+		MinInterval: 2 * time.Minute, Jump: 0.08, PlanInterval: 6 * time.Minute, MinLife: 2 * time.Minute, MaxLife: 2 * time.Hour,
 		Settle: 2 * time.Minute, Spread: 4 * time.Minute, MaxAge: 3 * time.Minute, MinCovered: 0.8,
 	}
 }
