routing: BenchmarkRoutingDomainLoss

Cause: what the loss of a failure domain does to those that are left was not measured. Change: the model can lose a third of its upstreams; entries learn of it a second later. Lost calls go back to the fair queue as the next of their organisation, within the retry budget.

--- a/routing/benchmark_test.go
+++ b/routing/benchmark_test.go
@@ -23,12 +23,12 @@
 }
 
 // measure runs a policy at a load over the seeds and pools what they answered.
-func measure(p policy, seeds []uint64, load float64, stalls bool) result {
+func measure(p policy, seeds []uint64, load float64, f fault) result {
 	var times, firsts, floors []float64
 	r := result{minFair: 10}
 	for _, seed := range seeds {
 		perSecond := capacity(seed)
-		m := simulate(p, seed, load, perSecond, stalls)
+		m := simulate(p, seed, load, perSecond, f)
 		times = append(times, m.times...)
 		firsts = append(firsts, m.firsts...)
 		floors = append(floors, m.floors...)
@@ -68,7 +68,7 @@
 func BenchmarkRouting(b *testing.B) {
 	for _, load := range []float64{0.5, 0.8, 1.0, 1.5} {
 		for _, p := range append(baselines(), guavahitch("guavahitch", func(*entry) {})) {
-			b.Run(fmt.Sprintf("load=%.1f/policy=%s", load, p.name), func(b *testing.B) { report(b, p, load, false) })
+			b.Run(fmt.Sprintf("load=%.1f/policy=%s", load, p.name), func(b *testing.B) { report(b, p, load, noFault) })
 		}
 	}
 }
@@ -76,13 +76,21 @@
 // BenchmarkRoutingStall is BenchmarkRouting at 0.8 while one upstream is slowed eightfold for 50 s.
 func BenchmarkRoutingStall(b *testing.B) {
 	for _, p := range append(baselines(), guavahitch("guavahitch", func(*entry) {})) {
-		b.Run("load=0.8/policy="+p.name, func(b *testing.B) { report(b, p, 0.8, true) })
+		b.Run("load=0.8/policy="+p.name, func(b *testing.B) { report(b, p, 0.8, stall) })
 	}
 }
 
-func report(b *testing.B, p policy, load float64, stalls bool) {
+// BenchmarkRoutingDomainLoss is BenchmarkRouting at 0.6 while a third of the upstreams is lost for good, which leaves a
+// load of about 0.86: the slow upstream is among the lost.
+func BenchmarkRoutingDomainLoss(b *testing.B) {
+	for _, p := range append(baselines(), guavahitch("guavahitch", func(*entry) {})) {
+		b.Run("load=0.6/policy="+p.name, func(b *testing.B) { report(b, p, 0.6, domainLoss) })
+	}
+}
+
+func report(b *testing.B, p policy, load float64, f fault) {
 	for range b.N {
-		r := measure(p, heldOutSeeds, load, stalls)
+		r := measure(p, heldOutSeeds, load, f)
 		b.ReportMetric(r.p50, "p50-ms")
 		b.ReportMetric(r.p99, "p99-ms")
 		b.ReportMetric(r.first99, "first-p99-ms")
--- a/routing/mechanism_test.go
+++ b/routing/mechanism_test.go
@@ -28,7 +28,7 @@
 func try(fleet int, load float64, adjust func(e *entry)) result {
 	p := guavahitch("guavahitch", adjust)
 	p.fleet = fleet
-	return measure(p, tuningSeed, load, false)
+	return measure(p, tuningSeed, load, noFault)
 }
 
 func asIs(*entry) {}
@@ -62,7 +62,7 @@
 }
 
 func TestSlowUpstreamGetsLess(t *testing.T) {
-	m := simulate(guavahitch("guavahitch", asIs), 1, 0.8, capacity(1), false)
+	m := simulate(guavahitch("guavahitch", asIs), 1, 0.8, capacity(1), noFault)
 	slow, others := m.engines[0].accepted, 0
 	for _, g := range m.engines[1:] {
 		others += g.accepted
--- a/routing/model_test.go
+++ b/routing/model_test.go
@@ -11,6 +11,7 @@
 	"time"
 
 	"guavahitch.example/guavahitch/fairness"
+	"guavahitch.example/guavahitch/retry"
 	"guavahitch.example/guavahitch/routing"
 	"guavahitch.example/guavahitch/wire"
 )
@@ -35,12 +36,24 @@
 	stallFrom      = 50 * time.Second
 	stallUntil     = 100 * time.Second
 	stallFactor    = 8.0
+	lossAt         = 60 * time.Second
+	lossKnown      = time.Second // from the loss to the table without the lost upstreams
+	lostPause      = 50 * time.Millisecond
 )
 
 // demand is the share of the offered load of each organisation; all have the same weight.
 var demand = []float64{0.30, 0.20, 0.12, 0.10, 0.08, 0.06, 0.05, 0.04, 0.03, 0.02}
 
+const (
+	noFault fault = iota
+	stall
+	domainLoss
+)
+
 type (
+	// fault is what goes wrong in a run.
+	fault int
+
 	event struct {
 		at  time.Duration
 		seq int
@@ -61,6 +74,8 @@
 		onEnd          func()
 		onCancel       func()
 		onRefused      func() // nil when the upstream must queue the call
+		onLost         func() // the upstream died
+		started        bool
 	}
 
 	engine struct {
@@ -75,6 +90,7 @@
 		clock    int
 		reports  uint64
 		accepted int
+		dead     bool
 	}
 
 	model struct {
@@ -110,6 +126,8 @@
 		queue    *fairness.Queue
 		settings routing.Settings
 		pumping  bool
+		budget   *retry.Budget
+		table    routing.Table
 		isUnfair bool // one queue for all organisations
 		isAloof  bool // the picker does not know that there are other entries
 	}
@@ -188,6 +206,10 @@
 }
 
 func (g *engine) accept(c *call) {
+	if g.dead {
+		g.m.after(network, c.onLost)
+		return
+	}
 	if c.onRefused != nil && len(g.running)+len(g.queue) >= modelSlots+modelQueue {
 		g.m.after(network, c.onRefused)
 		return
@@ -234,7 +256,22 @@
 	return g.slow
 }
 
+// die loses all that runs and waits at the upstream.
+func (g *engine) die() {
+	g.dead = true
+	for _, c := range append(g.running, g.queue...) {
+		if !c.finished {
+			c.done, c.prefilled = 0, 0
+			g.m.after(network, c.onLost)
+		}
+	}
+	g.running, g.queue = nil, nil
+}
+
 func (g *engine) finishStep() {
+	if g.dead {
+		return
+	}
 	kept := g.running[:0]
 	for _, c := range g.running {
 		if c.finished {
@@ -278,6 +315,9 @@
 }
 
 func (g *engine) report() {
+	if g.dead {
+		return
+	}
 	g.reports++
 	load := &wire.Load{
 		Running: int32(len(g.running)), Queued: int32(len(g.queue)), Capacity: modelSlots,
@@ -302,7 +342,8 @@
 	c.onToken = func() {
 		if c.done == 1 {
 			onFirst()
-			if c.born > warmUp {
+			if c.born > warmUp && !c.started {
+				c.started = true
 				m.firsts = append(m.firsts, float64(m.now-c.born)/1e6)
 			}
 			return
@@ -372,9 +413,12 @@
 }
 
 // simulate runs a policy at a load, relative to the capacity in calls a second.
-func simulate(p policy, seed uint64, load, perSecond float64, stalls bool) *model {
+func simulate(p policy, seed uint64, load, perSecond float64, f fault) *model {
 	m := newModel(seed)
-	m.stalls = stalls
+	m.stalls = f == stall
+	if f == domainLoss {
+		m.loseDomain()
+	}
 	for n := range p.entries() {
 		e := &entry{m: m, id: n, policy: p, reported: make([]int, modelUpstreams)}
 		m.entries = append(m.entries, e)
@@ -388,10 +432,31 @@
 	return m
 }
 
+// loseDomain takes a third of the upstreams away, and later the entries' knowledge of them.
+func (m *model) loseDomain() {
+	m.after(lossAt, func() {
+		for n := 0; n < modelUpstreams; n += 3 {
+			m.engines[n].die()
+		}
+	})
+	m.after(lossAt+lossKnown, func() {
+		for _, e := range m.entries {
+			for n := 0; n < modelUpstreams; n += 3 {
+				e.reported[n] = math.MaxInt
+				e.table = e.table.Without(upstreamName(n))
+			}
+			if e.picker != nil {
+				e.picker.Use(e.table)
+			}
+		}
+	})
+}
+
 // immediate is a policy that sends each call at once to the upstream that it chooses.
 func immediate(name string, choose func(e *entry) int) policy {
 	nothing := func() {}
 	return policy{name: name, start: func(*entry) {}, arrive: func(e *entry, c *call) {
+		c.onLost = func() { e.m.after(lostPause, func() { e.policy.arrive(e, c) }) }
 		e.m.send(c, choose(e), nothing, nothing, nothing)
 	}}
 }
@@ -434,7 +499,9 @@
 			for n := range modelUpstreams {
 				table = table.With(routing.Upstream{Name: upstreamName(n), Services: []string{"match"}, Capacity: modelSlots, Epoch: 1})
 			}
+			e.table = table
 			e.picker.Use(table)
+			e.budget = retry.NewBudget(0.1, 5, 100)
 		},
 		arrive: func(e *entry, c *call) {
 			t := &fairness.Ticket{
@@ -444,6 +511,7 @@
 			if e.isUnfair {
 				t.Organisation = "all"
 			}
+			e.budget.Attempted(e.m.time())
 			e.queue.Push(e.m.time(), t)
 			e.pump()
 		},
@@ -476,6 +544,16 @@
 			return
 		}
 		t := e.queue.Pop(e.m.time())
+		c.onLost = func() {
+			choice.Attempt.Failed(e.m.time())
+			if e.budget.Spend(e.m.time()) {
+				e.queue.Return(t)
+			} else {
+				c.finished = true
+				e.queue.Release(t, 0)
+			}
+			e.wake()
+		}
 		c.onRefused = func() {
 			if !c.finished {
 				e.queue.Return(t)
