--- a/consensus/applier.go
+++ b/consensus/applier.go
@@ -6,6 +6,8 @@
 import (
 	"sync/atomic"
 
+	"github.com/rotisserie/eris"
+
 	"guavahitch.example/guavahitch/wire"
 )
 
@@ -47,24 +49,38 @@
 }
 
 func (a *applier) run(stop <-chan struct{}) {
+	isFailed := false
 	for {
 		select {
 		case <-stop:
-			a.abandon()
+			abandon(a.settings.ID, a.items.takeAll())
 			return
 		case <-a.items.signal:
 		}
-		for _, item := range a.items.takeAll() {
-			if err := a.do(item); err != nil {
+		items := a.items.takeAll()
+		for len(items) > 0 && !isFailed {
+			if err := a.guarded(items[0]); err != nil {
 				a.failed <- err
-				<-stop
-				a.abandon()
-				return
+				isFailed = true
+				break
 			}
+			items = items[1:]
 		}
+		abandon(a.settings.ID, items)
 	}
 }
 
+// guarded turns a panic of the state machine into an error: the replica steps aside, and what else runs in
+// its process goes on.
+func (a *applier) guarded(item applyItem) (err error) {
+	defer func() {
+		if cause := recover(); cause != nil {
+			err = eris.Errorf("panic: %v", cause)
+		}
+	}()
+	return a.do(item)
+}
+
 func (a *applier) do(item applyItem) error {
 	switch {
 	case item.read != nil:
@@ -74,8 +90,9 @@
 	case item.isSnapshot:
 		a.taken <- takenSnapshot{index: a.applied.Load(), state: a.settings.Snapshot()}
 	default:
-		for _, c := range item.committed {
+		for i, c := range item.committed {
 			a.apply(c)
+			item.committed[i].proposal = nil
 		}
 	}
 	return nil
@@ -113,14 +130,14 @@
 }
 
 // abandon answers those who wait for work that is no longer done.
-func (a *applier) abandon() {
-	for _, item := range a.items.takeAll() {
+func abandon(id string, items []applyItem) {
+	for _, item := range items {
 		if item.read != nil {
-			item.read.answer <- refused(stepRead, a.settings.ID, "closed", "")
+			item.read.answer <- refused(stepRead, id, "stopped", "")
 		}
 		for _, c := range item.committed {
 			if c.proposal != nil {
-				c.proposal.fail(unknown(c.proposal.step, a.settings.ID, "closed"))
+				c.proposal.fail(unknown(c.proposal.step, id, "stopped"))
 			}
 		}
 	}
--- a/consensus/fault_test.go
+++ b/consensus/fault_test.go
@@ -241,3 +241,26 @@
 	require.Equal(t, "closed", n.Status().Role)
 	require.NoError(t, n.Close())
 }
+
+func TestReplicaWhoseStateMachinePanicsStepsAside(t *testing.T) {
+	var isBroken atomic.Bool
+	c := newCluster(t, 1, func(s *consensus.Settings) {
+		apply := s.Apply
+		s.Apply = func(e consensus.Entry) []byte {
+			if isBroken.Load() {
+				panic("no space for the answers")
+			}
+			return apply(e)
+		}
+	})
+	c.start(t)
+	defer c.closeAll()
+	c.propose(t, "before")
+	isBroken.Store(true)
+	_, err := c.node("r1").Propose(context.Background(), []byte("during"))
+	require.Equal(t, outcome.Unknown, outcome.Of(err, "", "").Outcome)
+	require.Eventually(t, func() bool { return c.node("r1").Status().Role == "aside" }, 10*time.Second, time.Millisecond)
+	require.Equal(t, "state machine: panic: no space for the answers", c.node("r1").Status().Fault)
+	_, err = c.node("r1").Propose(context.Background(), []byte("after"))
+	require.Equal(t, outcome.NotRun, outcome.Of(err, "", "").Outcome)
+}
