--- a/balance/decider.go
+++ b/balance/decider.go
@@ -82,6 +82,14 @@
 	return d
 }
 
+// WithoutSwitch returns the decider after the switch under way was given up; the next try waits as long as
+// after a switch.
+func (d Decider) WithoutSwitch(at time.Time) Decider {
+	d.switched = at
+	d.expectedCurrent, d.expectedAhead = 0, 0
+	return d
+}
+
 // WithFailureOver returns the decider after a failure of the group ended.
 func (d Decider) WithFailureOver(at time.Time) Decider {
 	d.quietTo = at.Add(d.Rule.Settle)
--- a/balance/decider_test.go
+++ b/balance/decider_test.go
@@ -77,6 +77,41 @@
 	}
 }
 
+func TestAJumpEndsTheIntervalAndNoiseDoesNot(t *testing.T) {
+	// again decides a minute after a switch, when the load is as before it or as the switch expected.
+	again := func(rule balance.Rule, back bool) balance.Reason {
+		s := skewed(t, midnight)
+		decision, d := calm(rule).Decide(s)
+		require.True(t, decision.Switch)
+		d = d.WithSwitch(midnight)
+		s = skewed(t, midnight.Add(time.Minute))
+		if !back {
+			s.Present = decision.Map
+		}
+		decision, _ = d.Decide(s)
+		return decision.Reason
+	}
+	rule := balance.DefaultRule()
+	require.Equal(t, balance.ReasonGain, again(rule, true))
+	require.Equal(t, balance.ReasonInterval, again(rule, false))
+	rule.Jump = 100
+	require.Equal(t, balance.ReasonInterval, again(rule, true))
+}
+
+func TestMovesAreSearchedAtMostEveryPlanInterval(t *testing.T) {
+	rule := balance.DefaultRule()
+	rule.MinInterval = 0
+	moves := func(after time.Duration) int {
+		rule.Jump = 100
+		_, d := calm(rule).Decide(skewed(t, midnight))
+		decision, _ := d.Decide(skewed(t, midnight.Add(after)))
+		require.True(t, decision.Switch)
+		return decision.Chosen.Moves
+	}
+	require.Zero(t, moves(time.Minute), "weights only")
+	require.Positive(t, moves(rule.PlanInterval))
+}
+
 // even returns loads that need no map.
 func even() []float64 {
 	load := make([]float64, small.Layers*small.Experts)
--- a/balance/decision.go
+++ b/balance/decision.go
@@ -93,6 +93,12 @@
 	return record
 }
 
+// IsDurable reports whether the decision deserves a durable record. Waiting for a switch that has its own
+// record does not, so that records stay few.
+func (d Decision) IsDurable() bool {
+	return d.Switch || d.Reason != ReasonSwitching && d.Reason != ReasonInterval
+}
+
 // withFigure adds a number that the decision rests on.
 func (d Decision) withFigure(name string, value float64, unit string) Decision {
 	d.Figures = append(d.Figures[:len(d.Figures):len(d.Figures)], Figure{Name: name, Value: value, Unit: unit})
--- a/balance/estimate_test.go
+++ b/balance/estimate_test.go
@@ -69,6 +69,16 @@
 	require.Less(t, e20, 0.7*newest)
 }
 
+func TestSteadyDriftIsFollowedWithoutLag(t *testing.T) {
+	e := balance.NewEstimator(one)
+	load := func(minute int) float64 { return 100 + float64(minute)/4 }
+	feed(t, e, 0, 400, load)
+	truth := load(399) / (300 + load(399))
+	// An average over 30 minutes alone would be where the load was 30 minutes ago.
+	lagging := load(369) / (300 + load(369))
+	require.InDelta(t, truth, e.Estimate().Current[0], (truth-lagging)/2)
+}
+
 func TestOldRepeatedAndIncompleteReports(t *testing.T) {
 	e := balance.NewEstimator(expertmap.Shape{Ranks: 2, Experts: 2, Layers: 2, Slots: 2})
 	report := balance.Report{Sequence: 5, At: midnight, Tokens: []float64{1, 3, 0, 0}, Missing: []bool{false, true}}
