routing: answers in one piece and queues at the engine are not taken for stalls or slow prefill

Cause: read as a newcomer: a first token and the end at the same moment made the prefill time of a token that of the whole answer and the usual answer one token long; an attempt cancelled while the engine was busy with others could close a healthy upstream. Change: prefill is learned only from answers that came in pieces, the usual length from the whole attempt, and a stalled upstream is one that brought nothing to any request.

--- a/routing/account.go
+++ b/routing/account.go
@@ -46,6 +46,7 @@
 		sampled  instant      // time of the last report's sample
 		full     instant      // time of the last refusal for want of room
 		quiet    instant      // time of the last first token, or from which requests wait for one
+		alive    instant      // time at which anything last came
 		closed   instant      // time until which failures keep the upstream closed
 		ranks    atomic.Pointer[rankView]
 		rankWork []atomic.Int64 // own tokens in flight on each rank
--- a/routing/attempt.go
+++ b/routing/attempt.go
@@ -53,9 +53,7 @@
 	a.account.pending.Add(-a.work.pending)
 	a.account.waiting.Add(-1)
 	a.account.quiet.set(now)
-	if a.uncached >= BlockTokens {
-		smooth(&a.account.prefill, now.Sub(a.dispatched)/time.Duration(a.uncached), prefillGain)
-	}
+	a.account.alive.set(now)
 }
 
 // Tokens reports that further tokens came.
@@ -67,12 +65,13 @@
 	}
 	smooth(&a.account.step, now.Sub(a.last)/time.Duration(count), stepGain)
 	a.last = now
+	a.account.alive.set(now)
 }
 
-// Ended reports that the attempt ended with an answer or was cancelled. An upstream that brought no first token to any
-// request for stalledAfter until then is closed for as long as it was silent.
+// Ended reports that the attempt ended with an answer or was cancelled. An upstream that brought nothing to any request
+// for stalledAfter until then is closed for as long as it was silent.
 func (a *Attempt) Ended(now time.Time) {
-	silence := a.account.silence(now)
+	silence := min(a.account.silence(now), now.Sub(a.account.alive.get()))
 	if !a.close(now) {
 		return
 	}
@@ -80,14 +79,25 @@
 	case !a.last.IsZero():
 		a.account.failures.Store(0)
 		a.account.full.set(time.Time{})
-		smooth(&a.account.stay, now.Sub(a.dispatched), stayGain)
-		smooth(a.output, now.Sub(a.first)/a.account.stepTime(), outputGain)
+		a.account.alive.set(now)
+		a.learn(now)
 	case silence >= stalledAfter:
 		a.account.closed.set(now.Add(min(silence, longestClosing)))
 	}
 	a.settle()
 }
 
+// learn takes what a whole answer tells of the upstream and of the service.
+func (a *Attempt) learn(now time.Time) {
+	step := a.account.stepTime()
+	smooth(&a.account.stay, now.Sub(a.dispatched), stayGain)
+	smooth(a.output, now.Sub(a.dispatched)/step, outputGain)
+	// An answer that came in one piece does not tell when its first token was ready.
+	if a.uncached >= BlockTokens && now.Sub(a.first) >= step {
+		smooth(&a.account.prefill, a.first.Sub(a.dispatched)/time.Duration(a.uncached), prefillGain)
+	}
+}
+
 // Refused reports that the upstream proved not to run the attempt for want of room.
 func (a *Attempt) Refused(now time.Time) {
 	if a.close(now) {
--- a/routing/picker.go
+++ b/routing/picker.go
@@ -41,7 +41,8 @@
 		IgnorePrefixes bool
 		// IgnoreUnseen turns off the allowance for what other entries have sent since their last report.
 		IgnoreUnseen bool
-		// OnRoom is called when a place at an upstream came free; it may be nil and must not block.
+		// OnRoom is called when a place at an upstream came free; it may be nil. It must not block, nor call a
+		// fairness.Gate on the same goroutine, for it may be called from within the gate.
 		OnRoom func()
 	}
 
--- a/routing/picker_test.go
+++ b/routing/picker_test.go
@@ -76,3 +76,21 @@
 	request.OutputTokens = 100_000
 	require.Equal(t, start.Add(5*time.Second), picker.Latest(start, request))
 }
+
+func TestAnswersInOnePieceTeachNothingOfPrefill(t *testing.T) {
+	picker := routing.NewPicker(routing.Settings{Entry: "entry-1"})
+	picker.Use(routing.Table{}.With(upstream("a")))
+	request := routing.Request{Service: "match", PromptTokens: 200, OutputTokens: 4096}
+	wait := time.Duration(0)
+	for n := range 20 {
+		now := start.Add(time.Duration(n) * time.Minute)
+		choice, refused := picker.Pick(now, request)
+		require.Nil(t, refused)
+		wait = choice.Wait
+		choice.Attempt.FirstToken(now.Add(3 * time.Second))
+		choice.Attempt.Ended(now.Add(3 * time.Second))
+	}
+	require.Less(t, wait, 100*time.Millisecond)
+	choice, _ := picker.Pick(start.Add(time.Hour), request)
+	require.InDelta(t, 3*time.Second, choice.Total, float64(time.Second), "the usual length, not the longest")
+}
