--- /dev/null
+++ b/consensus/driver_effects.go
@@ -0,0 +1,154 @@
+package consensus
+
+// Carrying out the core's effects: messages and writes leave, committed entries go to the state machine,
+// callers get their answers, and the published status follows.
+
+import "guavahitch.example/guavahitch/wire"
+
+// flush carries out the core's effects until there are none.
+func (d *driver) flush() {
+	for isFirst := true; d.fault == "" && (isFirst || d.core.HasMore()); isFirst = false {
+		d.carryOut(d.core.Take())
+	}
+	if d.fault == "" && d.core.fault != "" {
+		d.stepAside(d.core.fault)
+	}
+	d.settleTransfers()
+	d.startSnapshot()
+	d.node.commit.Store(d.core.commit)
+	d.publish()
+}
+
+func (d *driver) carryOut(e Effects) {
+	for _, m := range e.Messages {
+		d.node.settings.Send(m.To, m)
+	}
+	if e.Write != nil {
+		d.node.disk.writes.push(e.Write)
+	}
+	for _, r := range e.Chunks {
+		d.helpers.Go(func() { d.node.sendChunk(r) })
+	}
+	if e.Restore {
+		d.node.applier.items.push(applyItem{isRestore: true})
+	}
+	if len(e.Committed) > 0 {
+		d.handOver(e.Committed)
+	}
+	for _, r := range e.Reads {
+		d.answerRead(r)
+	}
+	if e.IsLeadershipLost {
+		d.failWaiting("leadership-lost")
+	}
+}
+
+// sendChunk fills a snapshot message from the disk and sends it; what cannot be read is asked for again.
+func (n *Node) sendChunk(r ChunkRequest) {
+	data, isThere, err := n.storage.ReadChunk(r.Message.Index, r.Message.IndexTerm, r.Offset)
+	if err != nil || !isThere {
+		return
+	}
+	r.Message.Chunk.Data = data
+	n.settings.Send(r.Message.To, r.Message)
+}
+
+func (d *driver) handOver(entries []*wire.LogEntry) {
+	item := applyItem{committed: make([]committed, 0, len(entries))}
+	for _, e := range entries {
+		p := d.waiting[e.Index]
+		if p != nil {
+			delete(d.waiting, e.Index)
+			d.waitingBytes -= len(p.command)
+		}
+		item.committed = append(item.committed, committed{entry: e, proposal: p})
+	}
+	d.node.applier.items.push(item)
+}
+
+func (d *driver) answerRead(r ReadResult) {
+	call := d.readCalls[r.ID]
+	delete(d.readCalls, r.ID)
+	if r.IsLost {
+		call.answer <- notLeader(stepRead, d.node.settings.ID, d.core.leader.ID)
+		return
+	}
+	d.node.applier.items.push(applyItem{read: call})
+}
+
+func (d *driver) failWaiting(reason string) {
+	for _, p := range d.waiting {
+		p.fail(unknown(p.step, d.node.settings.ID, reason))
+	}
+	clear(d.waiting)
+	d.waitingBytes = 0
+}
+
+func (d *driver) settleTransfers() {
+	if len(d.transfers) == 0 || d.fault == "" && d.core.isTransferring() {
+		return
+	}
+	var err error
+	if d.core.role == leader {
+		err = refused(stepTransfer, d.node.settings.ID, "timeout", "the other replica did not take over")
+	}
+	for _, done := range d.transfers {
+		done <- err
+	}
+	d.transfers = nil
+}
+
+// startSnapshot asks for a snapshot once the log has outgrown the last one.
+func (d *driver) startSnapshot() {
+	limit := max(d.node.settings.SnapshotBytes, min(int(d.core.snapshot.Bytes), maxLogBytes))
+	if d.fault != "" || d.isSaving || d.core.logBytes() < limit || d.core.IsSendingSnapshot() {
+		return
+	}
+	if d.node.applier.applied.Load() <= d.core.snapshot.Index {
+		return
+	}
+	d.isSaving = true
+	d.node.applier.items.push(applyItem{isSnapshot: true})
+}
+
+func (d *driver) saveSnapshot(s takenSnapshot) {
+	if d.fault != "" || s.index <= d.core.snapshot.Index {
+		d.isSaving = false
+		return
+	}
+	info := d.core.SnapshotInfoAt(s.index)
+	d.helpers.Go(func() {
+		bytes, err := d.node.storage.SaveSnapshot(info, s.state)
+		d.snapshots <- savedSnapshot{index: s.index, bytes: bytes, err: err}
+	})
+}
+
+func (d *driver) snapshotSaved(s savedSnapshot) {
+	d.isSaving = false
+	switch {
+	case s.err != nil:
+		d.stepAside("snapshot: " + s.err.Error())
+	case d.fault == "":
+		d.core.SnapshotSaved(s.index, s.bytes)
+	}
+}
+
+// publish replaces the status when something in it has changed.
+func (d *driver) publish() {
+	key := publishedKey{
+		term: d.core.term, changed: d.core.history[len(d.core.history)-1].index, role: d.core.role,
+		leader: d.core.leader, joining: len(d.core.joining()), group: d.core.group, fault: d.fault,
+	}
+	if d.node.status.Load() != nil && key == d.published {
+		return
+	}
+	d.published = key
+	status := d.core.Status()
+	if d.fault != "" {
+		status.Role, status.Leader, status.Fault = roleAside, "", d.fault
+	}
+	d.node.status.Store(&status)
+	if d.node.settings.OnChange != nil {
+		d.node.settings.OnChange(status)
+	}
+}
