--- a/control/history_test.go
+++ b/control/history_test.go
@@ -316,7 +316,7 @@
 	return porcupine.CheckOperations(model, h.ops)
 }
 
-func TestHistoriesAreLinearizable(t *testing.T) {
+func TestTortureHistories(t *testing.T) {
 	for seed := range seeds() {
 		h := runHistory(t, uint64(seed), func(*control.State) {})
 		require.True(t, h.isLegal(), "seed %d", seed)
--- a/control/state.go
+++ b/control/state.go
@@ -284,3 +284,14 @@
 	}
 	return list
 }
+
+// MemoryBytes returns the memory that the sealed files of all stores hold.
+func (s *State) MemoryBytes() int {
+	s.mutex.RLock()
+	defer s.mutex.RUnlock()
+	total := 0
+	for _, store := range s.stores() {
+		total += store.MemoryBytes()
+	}
+	return total
+}
