routing: a request that runs alone has an upstream of its own, with or without a key

Change: without a key one is taken from service, organisation and prompt. Measured: TestTrialsOfOneRequestMeetAtOneUpstream covers both.

--- a/routing/mechanism_test.go
+++ b/routing/mechanism_test.go
@@ -254,7 +254,7 @@
 	first.Use(table(100))
 	second.Use(table(100))
 	for key := range uint64(50) {
-		request := routing.Request{Service: "match", Alone: true, AloneKey: key + 1}
+		request := routing.Request{Service: "match", Alone: true, AloneKey: key / 2, PrefixHashes: []uint64{key}}
 		a, refused := first.Pick(start, request)
 		require.Nil(t, refused)
 		b, refused := second.Pick(start, request)
--- a/routing/picker.go
+++ b/routing/picker.go
@@ -162,7 +162,7 @@
 	if !ok {
 		return Choice{}, refusal("no-upstream", "no upstream offers "+r.Service, absentRetry)
 	}
-	if r.Alone && r.AloneKey != 0 {
+	if r.Alone {
 		return p.pickAlone(now, l, r)
 	}
 	chosen, open := p.best(now, current.table.entries, l, r)
@@ -180,7 +180,7 @@
 
 // pickAlone chooses the open upstream that comes first on the ring from the key on, whether it has room or not.
 func (p *Picker) pickAlone(now time.Time, l *pool, r Request) (Choice, *outcome.Error) {
-	first := l.find(r.AloneKey)
+	first := l.find(r.aloneKey())
 	for n := range l.ring {
 		c := l.ring[(first+n)%len(l.ring)].candidate
 		if c.isOpen(now) && !r.isExcluded(c.upstream.Name) {
@@ -201,9 +201,6 @@
 		}
 		open = true
 		e := c.estimate(now, l, r, p.settings)
-		if r.Alone {
-			e.score *= float64(1 + c.running())
-		}
 		if r.Admitted || e.room+int64(p.settings.Overcommit) > 0 {
 			found = append(found, scored{candidate: c, estimate: e})
 			return
--- a/routing/request.go
+++ b/routing/request.go
@@ -25,7 +25,7 @@
 		// Alone is true when the request must share its batch with no other.
 		Alone bool
 		// AloneKey selects the upstream of a request that is to run alone: every entry sends those of one key to
-		// the same upstream, which runs them one after the other. Zero leaves the choice to the score.
+		// the same upstream, which runs them one after the other. Zero takes a key from the request's other fields.
 		AloneKey uint64
 		// Admitted is true for a later attempt of a request that holds its admission: it is not refused for want of room.
 		Admitted bool
@@ -49,3 +49,16 @@
 )
 
 func (r Request) isExcluded(name string) bool { return slices.Contains(r.Exclude, name) }
+
+// aloneKey returns the key by which the upstream of a request that is to run alone is selected.
+func (r Request) aloneKey() uint64 {
+	if r.AloneKey != 0 {
+		return r.AloneKey
+	}
+	key := pairHash(r.Service, r.Organisation)
+	key = mix(key ^ uint64(r.PromptTokens))
+	for _, hash := range r.PrefixHashes {
+		key = mix(key ^ hash)
+	}
+	return key
+}
