Consensus: wrong wall clocks no longer move log time

Cause: entries carried the leader's wall clock. Change: log time runs with the leader's monotonic clock, is drawn to its wall clock by at most 1 %, and is handed on by heartbeats. Conclusion: leases in log time need a margin of 1 % beside that for the rate of clocks.

--- a/consensus/core.go
+++ b/consensus/core.go
@@ -31,7 +31,9 @@
 		ElectionTimeout time.Duration
 		// RetainedBytes is the size of the log that stays behind a snapshot for followers a little behind.
 		RetainedBytes int
-		IsReplacing   bool
+		// Wall returns the wall clock's time since 1970, for tests; otherwise it is that of the inputs.
+		Wall        func(now time.Time) time.Duration
+		IsReplacing bool
 		// Without switches mechanisms off, for tests that show what each is for.
 		Without Mechanisms
 	}
@@ -68,6 +70,7 @@
 		votes       map[identity]bool
 
 		log        entryLog
+		clock      logClock
 		lastTimeMs int64
 		commit     uint64
 		// handed is the last entry that left with the effects.
--- a/consensus/follower.go
+++ b/consensus/follower.go
@@ -16,6 +16,7 @@
 
 func (c *Core) handleHeartbeat(m *wire.ReplicaMessage) {
 	c.follow(m)
+	c.clock.set(m.TimeMs, c.now)
 	c.commitTo(m.Commit)
 	c.send(&wire.ReplicaMessage{
 		Kind: wire.ReplicaKind_REPLICA_KIND_HEARTBEAT_REPLY, Term: c.term, Round: m.Round,
--- a/consensus/founding.go
+++ b/consensus/founding.go
@@ -127,7 +127,7 @@
 	c.term = 1
 	c.saveState()
 	c.appendEntries([]*wire.LogEntry{{
-		Index: 1, Term: 1, Kind: wire.EntryKind_ENTRY_KIND_MEMBERSHIP, TimeMs: c.now.UnixMilli(),
+		Index: 1, Term: 1, Kind: wire.EntryKind_ENTRY_KIND_MEMBERSHIP, TimeMs: c.logTimeMs(),
 		Data: members.encode(),
 	}})
 	c.campaign(false)
--- a/consensus/leadership.go
+++ b/consensus/leadership.go
@@ -87,10 +87,11 @@
 func (c *Core) beat() {
 	c.lead.heartbeatDue = c.now.Add(c.settings.Heartbeat)
 	c.round++
+	timeMs := c.logTimeMs()
 	for _, p := range c.lead.followers {
 		c.send(&wire.ReplicaMessage{
 			Kind: wire.ReplicaKind_REPLICA_KIND_HEARTBEAT, Term: c.term, Round: c.round,
-			Commit: min(c.commit, p.match),
+			Commit: min(c.commit, p.match), TimeMs: timeMs,
 		}, p.id, c.durability.stateGate)
 	}
 }
@@ -109,7 +110,7 @@
 
 // appendAsLeader appends one entry for each piece of data and sends it on while it is being synced here.
 func (c *Core) appendAsLeader(kind wire.EntryKind, data ...[]byte) {
-	timeMs := max(c.now.UnixMilli(), c.lastTimeMs)
+	timeMs := c.logTimeMs()
 	if kind == wire.EntryKind_ENTRY_KIND_NOOP {
 		data = [][]byte{nil}
 	}
--- a/consensus/mechanism_test.go
+++ b/consensus/mechanism_test.go
@@ -317,3 +317,38 @@
 	s.runFor(2 * time.Second)
 	require.Equal(t, s.leading().core.Status().Commit, learner.core.Status().Commit)
 }
+
+func TestWrongWallClocksDoNotMoveLogTime(t *testing.T) {
+	s := calm(t, 3, setup{})
+	require.Equal(t, 10, s.commit(10))
+	start, began := s.leading().timeMs, s.now
+	for _, skew := range []time.Duration{24 * time.Hour, -24 * time.Hour} {
+		// All clocks step, and then another replica takes over.
+		for _, r := range s.replicas {
+			r.skew = skew
+		}
+		require.Equal(t, 10, s.commit(10))
+		require.NoError(t, s.leading().core.Transfer(s.now, ""))
+		s.leading().flush()
+		s.runFor(20 * time.Second)
+		require.Equal(t, 10, s.commit(10))
+		elapsed := s.now.Sub(began).Milliseconds()
+		require.InDelta(t, elapsed, s.leading().timeMs-start, float64(elapsed)/50+2000)
+	}
+}
+
+func TestLogTimeNeverDecreases(t *testing.T) {
+	s := calm(t, 3, setup{})
+	require.Equal(t, 10, s.commit(10))
+	before := s.leading().timeMs
+	for _, r := range s.replicas {
+		r.crash()
+		r.skew = -time.Hour
+	}
+	for _, r := range s.replicas {
+		r.start()
+	}
+	s.runFor(2 * time.Second)
+	require.Equal(t, 10, s.commit(10))
+	require.GreaterOrEqual(t, s.leading().timeMs, before)
+}
--- a/consensus/settings.go
+++ b/consensus/settings.go
@@ -38,8 +38,9 @@
 		Index   uint64
 		Term    uint64
 		Command []byte
-		// TimeMs is the leader's time at the proposal, in milliseconds since 1970. It never decreases
-		// along the log, so a state machine that takes it as its clock is deterministic.
+		// TimeMs is log time at the proposal, in milliseconds since 1970. It never decreases along the log, so
+		// a state machine that takes it as its clock is deterministic, and it runs at most 1 % faster or
+		// slower than the leader's monotonic clock, whatever wall clocks say.
 		TimeMs int64
 	}
 
--- a/consensus/simulation_test.go
+++ b/consensus/simulation_test.go
@@ -67,12 +67,15 @@
 		isUp      bool
 		isSyncing bool
 		// thaw is the end of a freeze: until then nothing is handled.
-		thaw     time.Time
-		writes   []*consensus.Write
-		state    map[string]string
-		applied  uint64
-		saved    uint64
-		wake     time.Time
+		thaw    time.Time
+		writes  []*consensus.Write
+		state   map[string]string
+		applied uint64
+		saved   uint64
+		wake    time.Time
+		// skew is how far the replica's wall clock is ahead; timeMs is that of the last entry applied.
+		skew     time.Duration
+		timeMs   int64
 		calls    map[uint64]*call
 		reads    map[uint64]*call
 		nextRead uint64
@@ -220,6 +223,7 @@
 		ID: r.id, Address: r.id, Founders: r.members(), Seed: r.random.Uint64(),
 		Heartbeat: 20 * time.Millisecond, ElectionTimeout: 150 * time.Millisecond,
 		RetainedBytes: 4 << 10, IsReplacing: true, Without: r.setup.core,
+		Wall: func(now time.Time) time.Duration { return time.Duration(now.UnixNano()) + r.skew },
 	}, recovered)
 	r.wake = time.Time{}
 	r.flush()
@@ -378,7 +382,7 @@
 }
 
 func (r *simReplica) apply(e *wire.LogEntry) {
-	r.applied = e.Index
+	r.applied, r.timeMs = e.Index, e.TimeMs
 	if e.Kind != wire.EntryKind_ENTRY_KIND_COMMAND {
 		return
 	}
