Routing: one closed upstream rather than none; draining heard from the upstream itself

Cause: when failures had closed all upstreams of a service, every request was refused; and an entry cut off from control went on asking a draining upstream for 4.8 s. Change: with all closed by failures the one whose closing ends first is tried; an upstream that says that it drains is chosen no more under that epoch.

--- a/routing/account.go
+++ b/routing/account.go
@@ -48,6 +48,7 @@
 		quiet    instant      // time of the last first token, or from which requests wait for one
 		alive    instant      // time at which anything last came
 		closed   instant      // time until which failures keep the upstream closed
+		draining atomic.Bool  // the upstream said that it takes no new work
 		ranks    atomic.Pointer[rankView]
 		rankWork []atomic.Int64 // own tokens in flight on each rank
 		cache    *prefixCache
--- a/routing/attempt.go
+++ b/routing/attempt.go
@@ -106,6 +106,13 @@
 	}
 }
 
+// Draining reports that the upstream refused the attempt because it takes no new work. It is chosen no more until
+// it starts again under another epoch.
+func (a *Attempt) Draining(now time.Time) {
+	a.account.draining.Store(true)
+	a.Refused(now)
+}
+
 // Failed reports that the upstream failed the attempt or could not be reached.
 func (a *Attempt) Failed(now time.Time) {
 	if !a.close(now) {
--- a/routing/picker.go
+++ b/routing/picker.go
@@ -166,6 +166,9 @@
 		return p.pickAlone(now, l, r)
 	}
 	chosen, open := p.best(now, current.table.entries, l, r)
+	if chosen.candidate == nil && !open {
+		chosen = l.leastClosed(now, r, p.settings)
+	}
 	best, e := chosen.candidate, chosen.estimate
 	switch {
 	case best == nil && open:
@@ -178,6 +181,24 @@
 	return p.dispatch(now, l, best, e, r), nil
 }
 
+// leastClosed returns the upstream whose closing by failures ends first, or none. When failures have closed all
+// upstreams of a service, one of them is a better answer than a refusal.
+func (l *pool) leastClosed(now time.Time, r Request, settings Settings) scored {
+	var first *candidate
+	for _, c := range l.subset {
+		if !c.isServing(now) || r.isExcluded(c.upstream.Name) {
+			continue
+		}
+		if first == nil || c.account.closed.get().Before(first.account.closed.get()) {
+			first = c
+		}
+	}
+	if first == nil {
+		return scored{}
+	}
+	return scored{candidate: first, estimate: first.estimate(now, r, settings)}
+}
+
 // pickAlone chooses the open upstream that comes first on the ring from the key on, whether it has room or not.
 func (p *Picker) pickAlone(now time.Time, l *pool, r Request) (Choice, *outcome.Error) {
 	first := l.find(r.aloneKey())
--- a/routing/plan.go
+++ b/routing/plan.go
@@ -110,8 +110,13 @@
 	return n % len(l.ring)
 }
 
+// isServing reports whether the upstream takes new work as far as it and control have told.
+func (c *candidate) isServing(now time.Time) bool {
+	return c.upstream.IsOpen(now) && !c.account.draining.Load()
+}
+
 func (c *candidate) isOpen(now time.Time) bool {
-	return c.upstream.IsOpen(now) && !now.Before(c.account.closed.get())
+	return c.isServing(now) && !now.Before(c.account.closed.get())
 }
 
 func (c *candidate) running() int64 { return c.account.running.Load() + c.account.others.Load() }
