Benchmarks of drain, silent connections and deadly requests; trials as quarantine wants them

Change: the benchmarks; a request that was running in a crash waits for the verdict and is tried alone where all entries try it; a lost race is no failure.

--- a/admission/gate.go
+++ b/admission/gate.go
@@ -22,6 +22,8 @@
 
 	// ReasonEpoch refuses an attempt that was sent under another epoch.
 	ReasonEpoch = "epoch"
+	// ReasonDraining refuses an attempt because the upstream takes no new work.
+	ReasonDraining = "draining"
 	// ReasonStale refuses an attempt whose sequence number is at or below the entry's horizon.
 	ReasonStale = "stale"
 
@@ -169,7 +171,7 @@
 	case g.isBelowHorizon(ticket.Entry, ticket.Sequence):
 		refusal.Reason, refusal.Outcome = ReasonStale, outcome.Unknown
 	case g.closed:
-		refusal.Reason = "draining"
+		refusal.Reason = ReasonDraining
 	case g.barsAll:
 		refusal.Reason = "not-listed"
 	case !ticket.Deadline.After(now):
--- a/daemon/cluster_test.go
+++ b/daemon/cluster_test.go
@@ -245,3 +245,17 @@
 		status: response.StatusCode, request: response.Header.Get("Guavahitch-Request"), body: string(text), err: err,
 	}
 }
+
+// eventsOf returns all events that a process holds.
+func eventsOf(p *daemon.Process) []*wire.Event {
+	var all []*wire.Event
+	after := uint64(0)
+	for {
+		reply, err := p.Events().List(context.Background(), &wire.EventsRequest{After: after})
+		if err != nil || len(reply.Events) == 0 {
+			return all
+		}
+		all = append(all, reply.Events...)
+		after = all[len(all)-1].Sequence
+	}
+}
--- a/daemon/failure_test.go
+++ b/daemon/failure_test.go
@@ -36,11 +36,13 @@
 	history  history
 	client   *http.Client
 	done     atomic.Int64
+	mutex    sync.Mutex
+	reasons  map[string]int
 }
 
 // newSystem starts a system whose model sidecars are reached through relays.
-func newSystem(t *testing.T, replicas int) *system {
-	s := &system{cluster: newCluster(t, replicas), client: &http.Client{Transport: &http.Transport{MaxIdleConnsPerHost: 64}}}
+func newSystem(t testing.TB, replicas int) *system {
+	s := &system{cluster: newCluster(t, replicas), reasons: map[string]int{}, client: &http.Client{Transport: &http.Transport{MaxIdleConnsPerHost: 64}}}
 	t.Cleanup(s.client.CloseIdleConnections)
 	for n := range 2 {
 		name := fmt.Sprintf("up-%d", n+1)
--- a/daemon/relay_test.go
+++ b/daemon/relay_test.go
@@ -1,11 +1,11 @@
 package daemon_test
 
 import (
-	"io"
 	"net"
 	"sync"
 	"sync/atomic"
 	"testing"
+	"time"
 
 	"github.com/stretchr/testify/require"
 )
@@ -23,6 +23,8 @@
 	pipe struct {
 		near, far net.Conn
 		silent    atomic.Bool
+		// swallowed is when bytes were last swallowed on their way to the far end, in Unix nanoseconds.
+		swallowed atomic.Int64
 	}
 )
 
@@ -60,19 +62,24 @@
 		r.mutex.Lock()
 		r.pipes = append(r.pipes, p)
 		r.mutex.Unlock()
-		go p.copy(near, far)
-		go p.copy(far, near)
+		go p.copy(near, far, false)
+		go p.copy(far, near, true)
 	}
 }
 
 // copy passes bytes on. A silent pipe swallows them and tells neither end.
-func (p *pipe) copy(to, from net.Conn) {
+func (p *pipe) copy(to, from net.Conn, isRequest bool) {
 	buffer := make([]byte, 32<<10)
 	for {
 		n, err := from.Read(buffer)
 		if p.silent.Load() {
-			_, _ = io.Copy(io.Discard, from)
-			return
+			if isRequest && n > 0 {
+				p.swallowed.Store(time.Now().UnixNano())
+			}
+			if err != nil {
+				return
+			}
+			continue
 		}
 		if n > 0 {
 			if _, err := to.Write(buffer[:n]); err != nil {
@@ -96,3 +103,14 @@
 	}
 	return len(r.pipes)
 }
+
+// lastSwallowed returns when a silent connection last swallowed bytes on their way to the sidecar.
+func (r *relay) lastSwallowed() time.Time {
+	r.mutex.Lock()
+	defer r.mutex.Unlock()
+	last := int64(0)
+	for _, p := range r.pipes {
+		last = max(last, p.swallowed.Load())
+	}
+	return time.Unix(0, last)
+}
--- a/dispatch/job.go
+++ b/dispatch/job.go
@@ -9,6 +9,7 @@
 	"guavahitch.example/guavahitch/engine"
 	"guavahitch.example/guavahitch/fairness"
 	"guavahitch.example/guavahitch/outcome"
+	"guavahitch.example/guavahitch/quarantine"
 	"guavahitch.example/guavahitch/retry"
 	"guavahitch.example/guavahitch/routing"
 	"guavahitch.example/guavahitch/sidecar"
@@ -44,9 +45,13 @@
 
 func (j *job) routingRequest() routing.Request {
 	r := j.request
+	aloneKey := uint64(0)
+	if j.alone {
+		aloneKey = r.fingerprint().Key()
+	}
 	return routing.Request{
 		Service: r.Service, Organisation: r.Organisation, PromptTokens: r.PromptTokens, OutputTokens: r.OutputTokens,
-		PrefixHashes: r.PrefixHashes, Deadline: r.Deadline, Exclude: j.exclude, Alone: j.alone, Admitted: j.number > 1,
+		PrefixHashes: r.PrefixHashes, Deadline: r.Deadline, Exclude: j.exclude, Alone: j.alone, AloneKey: aloneKey, Admitted: j.number > 1,
 	}
 }
 
@@ -91,8 +96,11 @@
 			return nil
 		}
 		j.doubt(failure)
-		if crashed := j.crashed(failure); crashed != nil {
-			return j.final(crashed)
+		if failure.Reason == engine.ReasonFailed {
+			if refusal := j.crashed(ctx, failure); refusal != nil {
+				return j.final(refusal)
+			}
+			continue
 		}
 		if !j.again(ctx, failure) {
 			return j.final(failure)
@@ -100,21 +108,35 @@
 	}
 }
 
-// crashed counts the deaths of upstreams that ran this request. After the first one the request is tried
-// alone; after the second one it is given up, so that it takes no third upstream with it.
-func (j *job) crashed(failure *outcome.Error) *outcome.Error {
-	if failure.Reason != engine.ReasonFailed {
-		return nil
-	}
+// crashed counts the deaths of upstreams that ran this request. After the first one it waits for control's
+// verdict on that crash and, unless the request is refused then, has it tried alone. After the second one the
+// request is given up, so that it takes no third upstream with it.
+func (j *job) crashed(ctx context.Context, failure *outcome.Error) *outcome.Error {
 	j.crashes++
-	j.alone = true
-	if j.crashes < crashLimit {
-		return nil
+	if j.crashes >= crashLimit {
+		j.d.verdicts.Saw(time.Now(), j.request.Organisation, j.request.fingerprint())
+		return &outcome.Error{
+			Step: "dispatch", Peer: failure.Peer, Outcome: failure.Outcome, Reason: "crashed-upstreams",
+			Detail: "two upstreams failed while they ran this request", Status: http.StatusBadGateway,
+		}
+	}
+	if !j.request.Repeatable || !j.out.canContinue() || !sleep(ctx, quarantine.TrialDelay) {
+		return failure
 	}
-	j.d.verdicts.Saw(time.Now(), j.request.Organisation, j.request.fingerprint())
-	return &outcome.Error{
-		Step: "dispatch", Peer: failure.Peer, Outcome: failure.Outcome, Reason: "crashed-upstreams",
-		Detail: "two upstreams failed while they ran this request", Status: http.StatusBadGateway,
+	_, refusal := j.d.verdicts.Check(time.Now(), j.request.Organisation, j.request.fingerprint(), true)
+	j.alone = true
+	return refusal
+}
+
+// sleep waits and reports whether the context has not ended meanwhile.
+func sleep(ctx context.Context, wait time.Duration) bool {
+	timer := time.NewTimer(wait)
+	defer timer.Stop()
+	select {
+	case <-timer.C:
+		return true
+	case <-ctx.Done():
+		return false
 	}
 }
 
@@ -144,17 +166,7 @@
 		Number: j.number, Repeatable: j.request.Repeatable, Deadline: j.request.Deadline, Expected: expectedAttempt,
 		Failure: failure,
 	}, j.d.budget(j.request.Service))
-	if !decision.Again {
-		return false
-	}
-	timer := time.NewTimer(decision.Wait)
-	defer timer.Stop()
-	select {
-	case <-timer.C:
-		return true
-	case <-ctx.Done():
-		return false
-	}
+	return decision.Again && sleep(ctx, decision.Wait)
 }
 
 // newAttempt returns the attempt at the chosen upstream, not sent yet.
@@ -244,11 +256,16 @@
 // reportFailure tells the picker whether the upstream is to blame.
 func (j *job) reportFailure(choice routing.Choice, failure *outcome.Error, now time.Time) {
 	j.d.note("attempt-failed", j.request, choice.Upstream.Name, failure)
-	if failure.Outcome == outcome.NotRun && failure.Reason != "unreachable" && failure.Reason != "engine-down" {
+	switch {
+	case failure.Reason == "cancelled" || failure.Reason == "deadline":
 		choice.Attempt.Ended(now)
-		return
+	case failure.Reason == admission.ReasonDraining:
+		choice.Attempt.Draining(now)
+	case failure.Outcome == outcome.NotRun && failure.Reason != "unreachable" && failure.Reason != "engine-down":
+		choice.Attempt.Refused(now)
+	default:
+		choice.Attempt.Failed(now)
 	}
-	choice.Attempt.Failed(now)
 }
 
 func headOf(piece *wire.Piece) admission.Head {
--- a/dispatch/race.go
+++ b/dispatch/race.go
@@ -47,8 +47,7 @@
 	legs := []*leg{first}
 	begun := time.Now()
 	go first.run(starts)
-	after := j.lateAfter(begun, first.choice)
-	late := time.NewTimer(after)
+	late := time.NewTimer(j.lateAfter(begun, first.choice))
 	defer late.Stop()
 	for running := 1; ; {
 		select {
@@ -56,7 +55,7 @@
 			running--
 			if s.failure == nil {
 				j.hedge().Observe(time.Since(begun))
-				cancelOthers(legs, s.leg, time.Since(begun) > after+after/2)
+				cancelOthers(legs, s.leg)
 				return s.leg, s.pieces, nil
 			}
 			j.reportFailure(s.leg.choice, s.failure, time.Now())
@@ -141,18 +140,13 @@
 	}
 }
 
-// cancelOthers cancels the legs that lost the race. Each tells its sidecar and closes its own stream. A leg
-// that is far behind counts as a failure of its upstream, which may have stalled.
-func cancelOthers(legs []*leg, winner *leg, isFarBehind bool) {
+// cancelOthers cancels the legs that lost the race. Each tells its sidecar and closes its own stream.
+func cancelOthers(legs []*leg, winner *leg) {
 	for _, l := range legs {
-		if l == winner {
-			continue
+		if l != winner {
+			l.cancel()
+			l.choice.Attempt.Ended(time.Now())
 		}
-		l.cancel()
-		if isFarBehind {
-			l.choice.Attempt.Failed(time.Now())
-		}
-		l.choice.Attempt.Ended(time.Now())
 	}
 }
 
