--- a/routing/picker.go
+++ b/routing/picker.go
@@ -196,7 +196,7 @@
 	if first == nil {
 		return scored{}
 	}
-	return scored{candidate: first, estimate: first.estimate(now, r, settings)}
+	return scored{candidate: first, estimate: first.estimate(now, l, r, settings)}
 }
 
 // pickAlone chooses the open upstream that comes first on the ring from the key on, whether it has room or not.
