Control: the ways weighed, and what leases cost in a partition

Cause: the length of a lease trades answered requests against the bound on changes; it had no measurement.

--- a/lease/table.go
+++ b/lease/table.go
@@ -27,6 +27,7 @@
 		// IgnoreExpiry declares a revision in force without waiting for leases. Tests set it.
 		IgnoreExpiry bool
 
+		length  time.Duration
 		entries map[string]tableEntry
 	}
 
@@ -40,12 +41,17 @@
 
 // NewTable returns an empty table.
 func NewTable() *Table {
-	return &Table{entries: make(map[string]tableEntry)}
+	return &Table{length: Duration, entries: make(map[string]tableEntry)}
+}
+
+// WithLength returns an empty table that grants leases of another length.
+func (t *Table) WithLength(length time.Duration) *Table {
+	return &Table{length: length, IgnoreExpiry: t.IgnoreExpiry, entries: make(map[string]tableEntry)}
 }
 
 // GranterExpiry returns when a granter may take a lease for ended that it grants at now.
-func GranterExpiry(now time.Time) time.Time {
-	return now.Add(Duration + Duration*RateErrorPPM/1_000_000)
+func GranterExpiry(now time.Time, length time.Duration) time.Time {
+	return now.Add(length + length*RateErrorPPM/1_000_000)
 }
 
 // HolderExpiry returns when a holder must stop that sent its request at sent and was given the lease.
@@ -55,14 +61,14 @@
 
 // Renew notes that a process asked for a lease at now and has a revision in force.
 func (t *Table) Renew(process string, revision uint64, now time.Time) {
-	expires := GranterExpiry(now)
+	expires := GranterExpiry(now, t.length)
 	t.entries[process] = tableEntry{expires: expires, present: expires, revision: revision}
 }
 
 // Touch extends the membership of a process and leaves its lease on the inventory as it is.
 func (t *Table) Touch(process string, now time.Time) {
 	e := t.entries[process]
-	e.present = GranterExpiry(now)
+	e.present = GranterExpiry(now, t.length)
 	t.entries[process] = e
 }
 
