balance: bound the work of a plan and measure it from three starts

BenchmarkPlan began only from experts dealt in turn, which hid it, and counted waiting for a processor. Change: a rank that no move helped is passed over until its time changes by 1%; at most 300 moves are scored in a layer. BenchmarkPlan starts from a dealt, a drifted and a shifted map and counts processor time. The test of failure domains takes 128 layers in place of 16, since 2 and 1 cases are too few for its bound.

--- a/balance/planner_test.go
+++ b/balance/planner_test.go
@@ -4,6 +4,8 @@
 	"fmt"
 	"math"
 	"math/rand/v2"
+	"runtime"
+	"syscall"
 	"testing"
 	"time"
 
@@ -98,29 +100,63 @@
 	return load
 }
 
+// BenchmarkPlan makes one plan and the map of its last option: from experts dealt out in turn, from a map that
+// fitted half an hour of drift ago, and from one that fitted before the topics shifted at noon.
 func BenchmarkPlan(b *testing.B) {
 	shape := expertmap.Shape{Ranks: 128, Experts: 128, Layers: 58, Slots: 2}
-	present, err := expertmap.New("g", shape)
+	dealt, err := expertmap.New("g", shape)
 	require.NoError(b, err)
-	group := balance.NewGroup(shape.Ranks, 16)
-	load := zipf(shape, 1)
+	group := balance.NewGroup(shape.Ranks, staging)
+	noon := newTrace("noon", shape, 1)
+	loads := map[int][]float64{}
+	for _, minute := range []int{690, 719, 740} {
+		loads[minute] = make([]float64, shape.Layers*shape.Experts)
+		noon.next(minute, loads[minute], make([]float64, shape.Ranks))
+	}
 	planner := balance.NewPlanner(costs)
-	b.Run("size=128x128", func(b *testing.B) {
-		b.ReportAllocs()
-		var last balance.Option
-		var after balance.Figures
-		for b.Loop() {
-			plan, err := planner.Plan(present, load, group)
-			require.NoError(b, err)
-			m, err := plan.Build(len(plan.Options) - 1)
-			require.NoError(b, err)
-			last = plan.Options[len(plan.Options)-1]
-			after = balance.Measure(m, load, group)
-		}
-		b.ReportMetric(float64(b.Elapsed().Milliseconds())/float64(b.N), "ms")
-		b.ReportMetric(float64(last.Moves), "moves")
-		b.ReportMetric(after.Skew, "skew-after")
-	})
+	fitted, err := balance.Pack(dealt, loads[690], group)
+	require.NoError(b, err)
+	for range 3 {
+		fitted = lastOption(b, planner, fitted, loads[690], group)
+	}
+	starts := []struct {
+		name    string
+		present expertmap.Map
+		load    []float64
+	}{{"dealt", dealt, zipf(shape, 1)}, {"drifted", fitted, loads[719]}, {"shifted", fitted, loads[740]}}
+	for _, start := range starts {
+		b.Run("size=128x128/start="+start.name, func(b *testing.B) {
+			var before, after runtime.MemStats
+			var m expertmap.Map
+			runtime.ReadMemStats(&before)
+			started := processorTime(b)
+			for b.Loop() {
+				m = lastOption(b, planner, start.present, start.load, group)
+			}
+			b.ReportMetric(float64((processorTime(b)-started).Microseconds())/1000/float64(b.N), "ms")
+			runtime.ReadMemStats(&after)
+			b.ReportMetric(float64(after.TotalAlloc-before.TotalAlloc)/1e6/float64(b.N), "MB")
+			b.ReportMetric(balance.Measure(start.present, start.load, group).Skew, "skew-before")
+			b.ReportMetric(balance.Measure(m, start.load, group).Skew, "skew-after")
+		})
+	}
+}
+
+// processorTime returns the time that this process has spent on processors, so that a busy machine does not
+// count.
+func processorTime(b *testing.B) time.Duration {
+	var usage syscall.Rusage
+	require.NoError(b, syscall.Getrusage(syscall.RUSAGE_SELF, &usage))
+	return time.Duration(usage.Utime.Nano() + usage.Stime.Nano())
+}
+
+// lastOption returns the map that moves the most.
+func lastOption(b *testing.B, p balance.Planner, m expertmap.Map, load []float64, group balance.Group) expertmap.Map {
+	plan, err := p.Plan(m, load, group)
+	require.NoError(b, err)
+	m, err = plan.Build(len(plan.Options) - 1)
+	require.NoError(b, err)
+	return m
 }
 
 func TestMemoryLimitsHold(t *testing.T) {
@@ -153,7 +189,7 @@
 }
 
 func TestReplicasSpreadOverFailureDomains(t *testing.T) {
-	shape := expertmap.Shape{Ranks: 12, Experts: 12, Layers: 16, Slots: 2}
+	shape := expertmap.Shape{Ranks: 12, Experts: 12, Layers: 128, Slots: 2}
 	present, err := expertmap.New("g", shape)
 	require.NoError(t, err)
 	group := balance.NewGroup(shape.Ranks, 100)
--- a/balance/search.go
+++ b/balance/search.go
@@ -1,6 +1,10 @@
 package balance
 
-import "guavahitch.example/guavahitch/expertmap"
+import (
+	"math"
+
+	"guavahitch.example/guavahitch/expertmap"
+)
 
 const (
 	// startRounds settle the division of loads in a placement.
@@ -13,6 +17,10 @@
 	tryLimit = 16
 	// latestRanks is the number of ranks, the latest first, that a move may help.
 	latestRanks = 20
+	// scoresPerLayer bounds the moves and exchanges that are scored in one layer, and so the time of a plan.
+	scoresPerLayer = 300
+	// barrenChange is the relative change of a rank's time after which moves are tried for it again.
+	barrenChange = 0.01
 	// minImprovement is the least fall of the unevenness that keeps a move, relative to one rank's part.
 	minImprovement = 5e-5
 	// evenEnough is the time of the latest rank over the ideal at which a layer is left alone.
@@ -40,6 +48,9 @@
 		// them, none without any, or manyDomains.
 		holds      []bool
 		onlyDomain int
+		// barren is the time of each rank when no move helped it; scored counts the tries in this layer.
+		barren []float64
+		scored int
 		// even makes all replicas of an expert take equal parts.
 		even bool
 	}
@@ -57,6 +68,7 @@
 	}
 	s.domainAt = domainNumbers(group, shape.Ranks)
 	s.holds = make([]bool, shape.Ranks)
+	s.barren = make([]float64, shape.Ranks)
 	return s
 }
 
@@ -93,6 +105,8 @@
 
 // improve adds up to limit moves, each of which makes the layer more even.
 func (s *search) improve(steps []step, limit int, ideal float64) []step {
+	clear(s.barren)
+	s.scored = 0
 	for range limit {
 		if !s.improveOnce(ideal, &steps) {
 			break
@@ -106,17 +120,26 @@
 	below := maxTime
 	for range latestRanks {
 		hot := s.state.latest(below)
-		if hot == none || s.state.time[hot] <= ideal*evenEnough {
+		if hot == none || s.state.time[hot] <= ideal*evenEnough || s.scored > scoresPerLayer {
 			return false
 		}
+		below = s.state.time[hot]
+		if s.isBarren(hot) {
+			continue
+		}
 		if s.improveRank(hot, steps) || s.trySwaps(hot, steps) {
 			return true
 		}
-		below = s.state.time[hot]
+		s.barren[hot] = s.state.time[hot]
 	}
 	return false
 }
 
+// isBarren reports whether no move helped a rank when its time was about the same as now.
+func (s *search) isBarren(rank int) bool {
+	return math.Abs(s.state.time[rank]-s.barren[rank]) <= barrenChange*s.barren[rank]
+}
+
 // improveRank tries to take load off a rank, its experts in the order of their load there.
 func (s *search) improveRank(rank int, steps *[]step) bool {
 	above := maxTime
@@ -190,6 +213,7 @@
 				if !s.canSwap(here, there) {
 					continue
 				}
+				s.scored++
 				s.swap(here, there, tryLimit)
 				if score := s.state.unevenness(); score < bestScore {
 					bestHere, bestThere, bestScore = here, there, score
@@ -259,6 +283,7 @@
 
 // score returns the unevenness with a replica of an expert in a slot, and takes it back.
 func (s *search) score(n int, e int16, limit int) float64 {
+	s.scored++
 	s.placeAndSpread(n, e, limit)
 	score := s.state.unevenness()
 	s.state.copyFrom(s.saved)
