balance: weigh without a second search and move the weighing to its own file

Cause: each look divided the loads of all layers four times, twice for a map that it had already. Change: between searches for moves only the weights are computed, once; a change of weights alone reuses that map. A forced move without a store rate counts its load at the group's usual rate, not at one byte a second.

--- a/balance/decider.go
+++ b/balance/decider.go
@@ -1,8 +1,6 @@
 package balance
 
 import (
-	"fmt"
-	"sort"
 	"time"
 
 	"github.com/cespare/xxhash/v2"
@@ -49,13 +47,6 @@
 	}
 )
 
-const (
-	// weightsOnly is the name of the option that moves nothing.
-	weightsOnly = "change weights"
-	// alternativesKept is the number of options that a decision names.
-	alternativesKept = 4
-)
-
 // NewDecider returns the decider of a group after control started. Groups look at their maps for the first
 // time at moments that are spread by a hash of their names, so that a start causes no storm of switches.
 func NewDecider(group string, rule Rule, planner Planner, started time.Time) Decider {
@@ -72,11 +63,14 @@
 	return time.Duration(xxhash.Sum64String(d.group) % uint64(d.Rule.Spread))
 }
 
-// WithSwitch returns the decider after a switch ended, whether by its own decision or not.
+// WithSwitch returns the decider after a switch ended, whether by its own decision or not. A change of
+// weights alone does not change what moves can do.
 func (d Decider) WithSwitch(at time.Time) Decider {
 	d.switched = at
 	d.current = d.current.withSwitch(at, d.expectedCurrent)
-	d.ahead = d.ahead.withSwitch(at, d.expectedAhead)
+	if d.expectedAhead > 0 || d.expectedCurrent == 0 {
+		d.ahead = d.ahead.withSwitch(at, d.expectedAhead)
+	}
 	d.promised = d.expectedCurrent
 	d.expectedCurrent, d.expectedAhead = 0, 0
 	return d
@@ -181,113 +175,3 @@
 	life := max(d.current.life(gain, d.Rule), d.ahead.life(gain, d.Rule))
 	return d.Rule.worth(gain, life) > d.Rule.Margin*d.Rule.RebalanceCostWeight*d.Planner.Costs.Pause.Seconds()
 }
-
-// weigh makes a plan and chooses the option whose gain exceeds its cost most.
-func (d Decider) weigh(decision Decision, s Situation, present Figures, forced bool) (Decision, Decider) {
-	planner := d.Planner
-	planner.Costs.StoreRate = max(s.StoreRate, 1)
-	if forced || d.jumped(present.Slowdown) || s.Now.Sub(d.planned) >= d.Rule.PlanInterval {
-		d.planned = s.Now
-	} else {
-		planner.MovesPerLayer = 0
-	}
-	plan, err := planner.Plan(s.Present, s.Estimate.Ahead, s.Group)
-	if err != nil {
-		decision.Reason = ReasonNoPlan
-		decision.Alternatives = []Alternative{{Name: err.Error()}}
-		return decision, d
-	}
-	reweighed, err := d.Planner.Reweigh(s.Present, s.Estimate.Current, s.Group)
-	if err != nil && !forced {
-		decision.Reason = ReasonNoPlan
-		return decision, d
-	}
-	weightsGain := 0.0
-	if err == nil {
-		weightsGain = present.Slowdown - Measure(reweighed, s.Estimate.Current, s.Group).Slowdown
-	}
-	floor := plan.Options[0].Slowdown
-	d.ahead = d.ahead.withSlowdown(s.Now, floor)
-	decision = decision.
-		withFigure("gain of weights", weightsGain, "slowdown").
-		withFigure("slowdown ahead with the best weights", floor, "times the ideal step").
-		withFigure("regrowth with weights", d.current.rate*3600, "slowdown an hour").
-		withFigure("regrowth with moves", d.ahead.rate*3600, "slowdown an hour")
-	best, alternatives := d.choose(plan, weightsGain, s.StoreRate > 0 || forced)
-	decision.Alternatives = alternatives
-	if forced {
-		decision.Reason = ReasonLostRank
-	} else if best.Gain <= d.Rule.Margin*best.Cost {
-		decision.Reason = ReasonCost
-		return decision, d
-	} else {
-		decision.Reason = ReasonGain
-	}
-	return d.build(decision, plan, best.option, s)
-}
-
-// weighed is an option with its gain and cost.
-type weighed struct {
-	Alternative
-	option int
-}
-
-// choose returns the best option of a plan and the alternatives in the order of their merit.
-func (d Decider) choose(plan *Plan, weightsGain float64, mayLoad bool) (weighed, []Alternative) {
-	floor := plan.Options[0].Slowdown
-	worthOfWeights := d.Rule.worth(weightsGain, d.current.life(weightsGain, d.Rule))
-	options := make([]weighed, 0, len(plan.Options))
-	for n, o := range plan.Options {
-		if n > 0 && !mayLoad {
-			break
-		}
-		gain := floor - o.Slowdown
-		worth := worthOfWeights + d.Rule.worth(gain, d.ahead.life(gain, d.Rule)-o.Load)
-		options = append(options, weighed{
-			Alternative: Alternative{Name: optionName(o), Gain: worth, Cost: d.Rule.cost(o)}, option: n,
-		})
-	}
-	sort.SliceStable(options, func(i, j int) bool { return d.merit(options[i]) > d.merit(options[j]) })
-	alternatives := []Alternative{options[0].Alternative, {Name: "keep the map"}}
-	for _, o := range options[1:] {
-		if len(alternatives) == alternativesKept {
-			break
-		}
-		if o.option == 0 || o.option == len(plan.Options)-1 {
-			alternatives = append(alternatives, o.Alternative)
-		}
-	}
-	return options[0], alternatives
-}
-
-// merit is the gain of an option beyond its cost with the margin.
-func (d Decider) merit(o weighed) float64 {
-	return o.Gain - d.Rule.Margin*o.Cost
-}
-
-// optionName names an option as records show it.
-func optionName(o Option) string {
-	if o.Moves == 0 {
-		return weightsOnly
-	}
-	return fmt.Sprintf("move %d replicas (%.1f GB)", o.Moves, float64(o.Bytes)/1e9)
-}
-
-// build makes the map of an option with weights for the present loads.
-func (d Decider) build(decision Decision, plan *Plan, option int, s Situation) (Decision, Decider) {
-	built, err := plan.Build(option)
-	if err == nil {
-		built, err = d.Planner.Reweigh(built, s.Estimate.Current, s.Group)
-	}
-	if err != nil {
-		decision.Reason = ReasonNoPlan
-		return decision, d
-	}
-	decision.Switch = true
-	decision.Map = built.WithVersion(s.Present.Version() + 1)
-	decision.Chosen = plan.Options[option]
-	after := Measure(decision.Map, s.Estimate.Current, s.Group)
-	d.expectedCurrent, d.expectedAhead = after.Slowdown, plan.Options[option].Slowdown
-	decision = decision.withFigure("skew expected", after.Skew, "max over mean")
-	return decision, d
-}
