--- a/control/snapshot.go
+++ b/control/snapshot.go
@@ -41,7 +41,7 @@
 		Version: snapshotVersion, Index: s.index, Term: s.term, NowMs: s.nowMs,
 		Revision: c.revision, InForce: c.inForce, NextRecord: s.records.next,
 		Open: s.keys.Open(), View: s.members.view.Number(), Quarantined: s.allQuarantined(),
-		Members: s.members.stored(), Fences: s.members.storedFences(), Floor: s.members.floor, Tracker: s.tracker.Snapshot(), Verdicts: s.verdicts,
+		Members: s.members.stored(), Fences: s.members.storedFences(), Floor: s.members.floor, Tracker: s.tracker.Snapshot(), Maps: s.maps.stored(), Verdicts: s.verdicts,
 	}
 	for _, r := range c.recent {
 		snapshot.Recent = append(snapshot.Recent, &wire.StoredRevision{Revision: r.revision, Inventory: r.inventory})
@@ -81,6 +81,10 @@
 	s.restoreConfiguration(snapshot)
 	s.members.restore(snapshot)
 	s.keys.Reopen(snapshot.Open)
+	if err := s.maps.restore(snapshot.Maps); err != nil {
+		s.broken = err
+		return err
+	}
 	s.tracker.Restore(snapshot.Tracker)
 	s.verdicts = snapshot.Verdicts
 	for _, q := range snapshot.Quarantined {
--- a/control/state.go
+++ b/control/state.go
@@ -63,6 +63,7 @@
 		members       *members
 		claims        *claim.Store
 		keys          *claim.Keys
+		maps          groupMaps
 		tracker       *quarantine.Tracker
 		quarantined   map[string]*wire.Quarantine
 		// verdicts is the index of the last change of the quarantine.
@@ -123,6 +124,7 @@
 func (s *State) reset() {
 	s.members = newMembers()
 	s.keys = claim.NewKeys(s.claims)
+	s.maps = groupMaps{}
 	s.tracker = quarantine.NewTracker(quarantine.Settings{})
 	s.quarantined = make(map[string]*wire.Quarantine)
 }
@@ -185,6 +187,10 @@
 		return s.death(command.Replica, body.Death)
 	case *wire.Command_Clear:
 		return s.clear(command.Replica, body.Clear)
+	case *wire.Command_MapRecord:
+		return s.maps.record(s, command.Replica, body.MapRecord)
+	case *wire.Command_MapContent:
+		return s.maps.content(body.MapContent)
 	case *wire.Command_Quarantine:
 		return s.quarantine(command.Replica, body.Quarantine)
 	case *wire.Command_Record:
--- a/control/watch.go
+++ b/control/watch.go
@@ -43,6 +43,7 @@
 	}
 	return &wire.AnnounceReply{
 		LeaseMs: lease.Duration.Milliseconds(), Orders: s.settings.State.Orders(name), Epoch: s.settings.State.Epoch(name),
+		Term: s.settings.State.Term(),
 	}, nil
 }
 
--- a/daemon/control.go
+++ b/daemon/control.go
@@ -20,6 +20,7 @@
 	"guavahitch.example/guavahitch/operator"
 	"guavahitch.example/guavahitch/outcome"
 	"guavahitch.example/guavahitch/peer"
+	"guavahitch.example/guavahitch/ranks"
 	"guavahitch.example/guavahitch/wire"
 )
 
@@ -47,11 +48,7 @@
 }
 
 func (p *Process) addControl() error {
-	r := &controlRole{process: p, scheme: "http"}
-	if p.keys != nil {
-		r.scheme = "https"
-	}
-	r.client = &http.Client{Transport: p.transport.RoundTripper((&net.Dialer{Timeout: innerDialTimeout}).DialContext)}
+	r := &controlRole{process: p, scheme: p.scheme, client: p.client}
 	if err := r.open(); err != nil {
 		return err
 	}
@@ -60,6 +57,7 @@
 	p.inner.add(wire.NewSegmentsServer(control.Segments{State: r.state}))
 	p.inner.mux.Handle(peer.Path, peer.NewReceiver(r.node.Step).Handler())
 	p.add(r.server.Run)
+	r.addKeeper()
 	p.add(func(ctx context.Context) error {
 		<-ctx.Done()
 		r.close()
@@ -95,6 +93,32 @@
 	return nil
 }
 
+// addKeeper looks after the groups while this replica leads.
+func (r *controlRole) addKeeper() {
+	p := r.process
+	keeper := ranks.NewKeeper(ranks.KeeperSettings{
+		Replica: p.settings.Name, State: r.state, Server: r.server, Leading: r.leading, Ranks: r.ranksOf,
+		Rule: p.rebalancing.Rule, Costs: p.rebalancing.Costs, Events: p.events,
+		OnError: func(err error) { p.log.WithError(err).Warn("keeper of the groups") },
+	})
+	p.inner.add(wire.NewRanksServer(keeper))
+	p.add(keeper.Run)
+}
+
+func (r *controlRole) leading() (term uint64, leads bool) {
+	status := r.node.Status()
+	return status.Term, status.Leader == r.process.settings.Name
+}
+
+// ranksOf returns the client of an upstream's sidecar.
+func (r *controlRole) ranksOf(upstream string) wire.Ranks {
+	member, _ := r.state.Member(upstream)
+	if member == nil {
+		return nil
+	}
+	return wire.NewRanksProtobufClient(r.scheme+"://"+member.Address, r.client)
+}
+
 // founders returns the replicas of the settings as the members that found the group.
 func (r *controlRole) founders() []consensus.Member {
 	var members []consensus.Member
--- a/daemon/process.go
+++ b/daemon/process.go
@@ -42,13 +42,22 @@
 	control     *controlRole
 	sidecar     *sidecarRole
 	keys        *keys.Store
+	// scheme and client are for calls to any other process.
+	scheme      string
+	client      *http.Client
+	rebalancing Rebalancing
 	aborted     chan struct{}
 	abort       func()
 }
 
 // NewProcess binds the addresses of the settings and assembles the roles. Nothing runs before Run.
 func NewProcess(s *settings.Settings, log *logrus.Logger) (*Process, error) {
-	p := &Process{settings: s, incarnation: uuid.NewString()[:8], log: log.WithField("process", s.Name)}
+	return NewProcessWith(s, log, DefaultRebalancing())
+}
+
+// NewProcessWith is NewProcess with other bounds and costs of rebalancing.
+func NewProcessWith(s *settings.Settings, log *logrus.Logger, rebalancing Rebalancing) (*Process, error) {
+	p := &Process{settings: s, rebalancing: rebalancing, incarnation: uuid.NewString()[:8], log: log.WithField("process", s.Name)}
 	p.aborted = make(chan struct{})
 	p.abort = sync.OnceFunc(func() {
 		close(p.aborted)
@@ -89,7 +98,9 @@
 		scheme = "https"
 	}
 	dialer := &net.Dialer{Timeout: innerDialTimeout}
-	p.leader = leader.NewClient(scheme, p.settings.ReplicaAddresses(), p.transport.RoundTripper(dialer.DialContext))
+	carrier := p.transport.RoundTripper(dialer.DialContext)
+	p.scheme, p.client = scheme, &http.Client{Transport: carrier}
+	p.leader = leader.NewClient(scheme, p.settings.ReplicaAddresses(), carrier)
 	return nil
 }
 
--- a/daemon/sidecar.go
+++ b/daemon/sidecar.go
@@ -13,6 +13,7 @@
 	"guavahitch.example/guavahitch/engine"
 	"guavahitch.example/guavahitch/inventory"
 	"guavahitch.example/guavahitch/lease"
+	"guavahitch.example/guavahitch/ranks"
 	"guavahitch.example/guavahitch/sidecar"
 	"guavahitch.example/guavahitch/wire"
 )
@@ -36,6 +37,8 @@
 	process *Process
 	server  *sidecar.Server
 	engine  *engine.Client
+	// ranks drives the engines of a group, nil when there are none.
+	ranks *ranks.Host
 }
 
 func (p *Process) addSidecar() {
@@ -58,10 +61,42 @@
 		r.server.Watch(ctx)
 		return nil
 	})
-	p.add(func(ctx context.Context) error { return p.announce(ctx, r.member, nil) })
+	r.addRanks()
+	p.add(func(ctx context.Context) error { return p.announce(ctx, r.member, r.onAnnounced) })
 	p.add(r.follow)
 }
 
+// addRanks drives the engines of a group behind this sidecar.
+func (r *sidecarRole) addRanks() {
+	p, s := r.process, r.process.settings.Sidecar
+	if s.Group == "" || s.Ranks == 0 {
+		return
+	}
+	r.ranks = ranks.NewHost(ranks.HostSettings{
+		Upstream: p.settings.Name, Group: s.Group, Engine: s.RanksEngine, Ranks: s.Ranks, First: s.FirstRank,
+		ChecksFencing: s.ChecksFencing, Report: r.reportRanks, Events: p.events,
+	})
+	p.inner.add(wire.NewRanksServer(r.ranks))
+	p.add(r.ranks.Run)
+}
+
+// reportRanks sends statuses and counts to the replica that is taken for the leader.
+func (r *sidecarRole) reportRanks(ctx context.Context, report *wire.RankStatuses) (*wire.RankInstructions, error) {
+	ctx, cancel := context.WithTimeout(ctx, lease.RenewInterval)
+	defer cancel()
+	p := r.process
+	return wire.NewRanksProtobufClient(p.scheme+"://"+p.leader.Address(), p.client).Report(ctx, report)
+}
+
+// onAnnounced fences the orders of earlier leaders.
+func (r *sidecarRole) onAnnounced(reply *wire.AnnounceReply) {
+	if r.ranks != nil && reply.Term > 0 {
+		ctx, cancel := context.WithTimeout(context.Background(), lease.RenewInterval)
+		defer cancel()
+		r.ranks.Raise(ctx, reply.Term)
+	}
+}
+
 // follow keeps the inventory in force at this sidecar. An upstream that the operators took out of it refuses
 // new work from then on.
 func (r *sidecarRole) follow(ctx context.Context) error {
--- a/dev/dev.go
+++ b/dev/dev.go
@@ -25,6 +25,7 @@
 	"guavahitch.example/guavahitch/inventory"
 	"guavahitch.example/guavahitch/keys"
 	"guavahitch.example/guavahitch/operator"
+	"guavahitch.example/guavahitch/ranks"
 	"guavahitch.example/guavahitch/settings"
 	"guavahitch.example/guavahitch/wire"
 )
@@ -49,6 +50,10 @@
 	queued = 16
 	// ledgerDelay is the time that a call of the fake ledger takes.
 	ledgerDelay = 5 * time.Millisecond
+	// rankStep is the step of the fake ranks, and popularityDrift the time in which their experts' popularity moves
+	// on by one place.
+	rankStep        = 20 * time.Millisecond
+	popularityDrift = 20 * time.Second
 	// deadlyWord in a prompt kills a fake engine.
 	deadlyWord = "crash-the-engine"
 	// engineRestart is how long a dead fake engine stays down.
@@ -72,6 +77,12 @@
 		Log    settings.Log
 	}
 
+	// fakeGroup is the fake ranks of a group, and the first of them that no upstream has yet.
+	fakeGroup struct {
+		ranks *fake.Ranks
+		next  int
+	}
+
 	// Dev is a whole small system in one process.
 	Dev struct {
 		settings  Settings
@@ -83,6 +94,7 @@
 		control   *daemon.Process
 		entry     *daemon.Process
 		sidecars  []*daemon.Process
+		groups    map[string]*fakeGroup
 		engines   []*fake.Engine
 		services  []*fake.Service
 		processes []*daemon.Process
@@ -104,7 +116,7 @@
 
 // New assembles the system. Nothing runs before Run.
 func New(s Settings, log *logrus.Logger) (*Dev, error) {
-	d := &Dev{settings: s, log: log, text: sampleInventory}
+	d := &Dev{settings: s, log: log, text: sampleInventory, groups: map[string]*fakeGroup{}}
 	name := "sample_inventory.json"
 	if s.Inventory != "" {
 		text, err := os.ReadFile(s.Inventory)
@@ -192,7 +204,7 @@
 		return nil, err
 	}
 	s.Keys = &settings.Keys{Certificate: files.Certificate, Key: files.Key, Authority: files.Authority}
-	p, err := daemon.NewProcess(s, d.log)
+	p, err := daemon.NewProcessWith(s, d.log, rebalancing())
 	if err == nil {
 		d.processes = append(d.processes, p)
 	}
@@ -205,12 +217,14 @@
 		if err != nil {
 			return err
 		}
+		role := &settings.Sidecar{
+			Engine: address, Kind: kind, Services: up.Services, ChecksFencing: up.ChecksFencing, Running: slots, Queued: queued,
+		}
+		if err := d.joinGroup(role, up); err != nil {
+			return err
+		}
 		p, err := d.process(&settings.Settings{
-			Name: up.Name, Listen: loopback, FailureDomain: up.FailureDomain, Replicas: replicas,
-			Sidecar: &settings.Sidecar{
-				Engine: address, Kind: kind, Services: up.Services, Group: up.Group, ChecksFencing: up.ChecksFencing,
-				Running: slots, Queued: queued,
-			},
+			Name: up.Name, Listen: loopback, FailureDomain: up.FailureDomain, Replicas: replicas, Sidecar: role,
 		})
 		if err != nil {
 			return err
@@ -220,6 +234,35 @@
 	return nil
 }
 
+// joinGroup gives an upstream its part of the fake ranks of its group, which the first upstream starts. Each
+// upstream has the same number of ranks, so that there may be spares.
+func (d *Dev) joinGroup(role *settings.Sidecar, up inventory.Upstream) error {
+	described, isMember := d.owned.Group(up.Group)
+	if !isMember {
+		return nil
+	}
+	members := 0
+	for _, other := range d.owned.Upstreams {
+		if other.Group == up.Group {
+			members++
+		}
+	}
+	each := (described.Ranks + members - 1) / members
+	group := d.groups[up.Group]
+	if group == nil {
+		group = &fakeGroup{ranks: fake.NewRanks(fake.RanksSettings{
+			Engines: each * members, Shape: ranks.ShapeOf(described), Step: rankStep, Drift: popularityDrift, Seed: 1,
+		})}
+		if err := group.ranks.Start(loopback); err != nil {
+			return eris.Wrapf(err, "fake ranks of %s", up.Group)
+		}
+		d.groups[up.Group] = group
+	}
+	role.Group, role.Ranks, role.RanksEngine, role.FirstRank = up.Group, each, group.ranks.Address(), group.next
+	group.next += each
+	return nil
+}
+
 // startFake starts the fake upstream behind a sidecar.
 func (d *Dev) startFake(up inventory.Upstream) (kind, address string, err error) {
 	for _, service := range up.Services {
@@ -279,6 +322,9 @@
 	for _, s := range d.services {
 		s.Stop()
 	}
+	for _, g := range d.groups {
+		g.ranks.Stop()
+	}
 	if d.settings.Folder == "" {
 		_ = os.RemoveAll(d.folder)
 	}
--- a/leader/client.go
+++ b/leader/client.go
@@ -55,6 +55,12 @@
 	return address, c.clients[address]
 }
 
+// Address returns the address of the replica that is taken for the leader.
+func (c *Client) Address() string {
+	address, _ := c.target()
+	return address
+}
+
 // follow moves on to the named leader, or to the next replica when the name is not known.
 func (c *Client) follow(from, leader string) {
 	c.mutex.Lock()
--- a/settings/settings.go
+++ b/settings/settings.go
@@ -83,8 +83,13 @@
 		Kind string `document:"required,oneof=model|service"`
 		// Services are the models and services that the upstream offers.
 		Services []string `document:"required,min=1"`
-		Group    string
-		Ranks    int `document:"min=0,max=1024"`
+		// Group is the group of ranks that the upstream belongs to, and Ranks the number of its engines.
+		Group string
+		Ranks int `document:"min=0,max=1024"`
+		// RanksEngine is the IP address and port at which the engines of the ranks take orders; empty stands for
+		// Engine. FirstRank is the slot of the first of them there.
+		RanksEngine string
+		FirstRank   int `document:"min=0,max=4095"`
 		// ChecksFencing is true when the engine itself refuses orders with an old fencing token.
 		ChecksFencing bool
 		// Running and Queued are the attempts that run and wait at once.
@@ -165,6 +170,7 @@
 	}
 	if s.Sidecar != nil {
 		checkAddress(d, "Sidecar.Engine", s.Sidecar.Engine)
+		checkAddress(d, "Sidecar.RanksEngine", s.Sidecar.RanksEngine)
 	}
 }
 
@@ -204,6 +210,9 @@
 	if s.Running == 0 {
 		s.Running = DefaultRunning
 	}
+	if s.RanksEngine == "" {
+		s.RanksEngine = s.Engine
+	}
 	return &s
 }
 
