--- a/dev/dev.go
+++ b/dev/dev.go
@@ -53,7 +53,7 @@
 	// rankStep is the step of the fake ranks, and popularityDrift the time in which their experts' popularity moves
 	// on by one place.
 	rankStep        = 20 * time.Millisecond
-	popularityDrift = 20 * time.Second
+	popularityDrift = 90 * time.Second
 	// deadlyWord in a prompt kills a fake engine.
 	deadlyWord = "crash-the-engine"
 	// engineRestart is how long a dead fake engine stays down.
--- a/ranks/group.go
+++ b/ranks/group.go
@@ -221,12 +221,17 @@
 func (g *group) switchTo(ctx context.Context, decision balance.Decision, now time.Time) {
 	g.planned = true
 	g.request(ctx, now, mapswitch.Switch{
-		ChangeID: fmt.Sprintf("%s-map-%d", g.name(), decision.Map.Version()), Cause: string(decision.Reason),
+		ChangeID: changeOf(decision), Cause: string(decision.Reason),
 		Map:     mapswitch.NewMap(decision.Map.Version(), decision.Map.Encode()),
 		Members: g.coordinator.State().InForce.Members,
 	})
 }
 
+// changeOf returns the id of the change that a decision asks for.
+func changeOf(decision balance.Decision) string {
+	return fmt.Sprintf("%s-map-%d", decision.Group, decision.Map.Version())
+}
+
 // request makes the content of the map durable and then asks the coordinator for the switch.
 func (g *group) request(ctx context.Context, now time.Time, s mapswitch.Switch) {
 	g.asked = true
--- a/ranks/keeper.go
+++ b/ranks/keeper.go
@@ -190,6 +190,9 @@
 	for _, decision := range k.balancer.Tick(now) {
 		if decision.IsDurable() {
 			record := decision.Record()
+			if decision.Switch {
+				record.ChangeId = changeOf(decision)
+			}
 			k.propose(ctx, func(ctx context.Context) error { return k.settings.Server.Record(ctx, record) })
 		}
 		if decision.Switch {
