Sharpen the test of unasked statuses

Cause: with the fault put back, the test passed: four times the longest duration overflows to a small one. Change: the test compares the step that is chosen with the one expected. Measured: it fails with the fault put back and passes without. Conclusion: the test bites.

--- a/mapswitch/participant_test.go
+++ b/mapswitch/participant_test.go
@@ -71,7 +71,8 @@
 	c.Receive(mapswitch.Status{Group: group, Member: alone[0], Term: 1, Engine: engine}, start)
 	c.Committed(record, start)
 	out := c.Request(mapswitch.Switch{ChangeID: "a", Map: first, Members: alone}, start)
-	require.Less(t, out.Send[len(out.Send)-1].Instruction.Arm.Step, uint64(100))
+	// Four acknowledgements of 50 ms are ten steps of 20 ms; three more begin meanwhile.
+	require.EqualValues(t, 23, out.Send[len(out.Send)-1].Instruction.Arm.Step)
 }
 
 func TestRecordsOfOneSequence(t *testing.T) {
