Control: relays carry the watches of many processes

Change: control.Relay follows control as one process and grants leases that end with its own; it acknowledges a revision once all under it did or lost their leases, and nothing for a lease after its start. Its list of processes goes up only when it changes. Measured: ten random runs of cuts, restarts and changes leave nobody on an old revision; with early acknowledgement the check fails.

--- a/control/in_force_bench_test.go
+++ b/control/in_force_bench_test.go
@@ -22,7 +22,9 @@
 	inForceChanges   = 10
 	inForceIdle      = 3 * time.Second
 	inForceInventory = 1300
-	cutOffChanges    = 2
+	// inForceUnder is the number of processes under one relay; smaller fleets have none.
+	inForceUnder  = 36
+	cutOffChanges = 2
 )
 
 type (
@@ -42,10 +44,13 @@
 		state  *control.State
 		server *control.Server
 		client wire.Control
-		bytes  atomic.Int64
-		poll   bool
-		cut    context.CancelFunc
-		group  sync.WaitGroup
+		// relays are the relays that the processes watch in place of the leader, if any.
+		relays []wire.Control
+		// bytes counts what the leader sends and receives, relayed what the relays do to those under them.
+		bytes, relayed atomic.Int64
+		poll           bool
+		cut            context.CancelFunc
+		group          sync.WaitGroup
 	}
 )
 
@@ -66,39 +71,63 @@
 	return n, err
 }
 
-func newFleet(b *testing.B, processes int, poll bool) *fleet {
+// serve serves a control on loopback and returns a client of it; bytes counts what goes over it.
+func serve(b *testing.B, served wire.Control, bytes *atomic.Int64, processes int) wire.Control {
+	listener, err := net.Listen("tcp", "127.0.0.1:0")
+	require.NoError(b, err)
+	web := &http.Server{Handler: wire.NewControlServer(served)}
+	go web.Serve(countedListener{listener, bytes})
+	transport := &http.Transport{MaxIdleConnsPerHost: processes + 1}
+	b.Cleanup(func() {
+		web.Close()
+		transport.CloseIdleConnections()
+	})
+	return wire.NewControlProtobufClient("http://"+listener.Addr().String(), &http.Client{Transport: transport})
+}
+
+func (f *fleet) addRelay(ctx context.Context, b *testing.B, name string, processes int) {
+	member := &wire.Member{Name: name, Role: "entry", FailureDomain: "levis"}
+	_, err := f.client.Announce(ctx, &wire.AnnounceRequest{Member: member})
+	require.NoError(b, err)
+	relay := control.NewRelay(name, f.client)
+	f.relays = append(f.relays, serve(b, relay, &f.relayed, processes))
+	f.group.Go(func() { relay.Run(ctx) })
+}
+
+func newFleet(b *testing.B, processes, relays int, poll bool) *fleet {
 	f := &fleet{state: control.NewState(), poll: poll}
 	f.server = control.NewServer(control.Settings{
 		Name: "control-1", State: f.state, Propose: control.NewLocal(f.state).Propose,
 		ReadBarrier: func(context.Context) error { return nil },
 		Leader:      func() (string, string) { return "control-1", "" },
 	})
-	listener, err := net.Listen("tcp", "127.0.0.1:0")
-	require.NoError(b, err)
-	web := &http.Server{Handler: wire.NewControlServer(f.server)}
-	go web.Serve(countedListener{listener, &f.bytes})
-	transport := &http.Transport{MaxIdleConnsPerHost: processes + 1}
-	f.client = wire.NewControlProtobufClient("http://"+listener.Addr().String(), &http.Client{Transport: transport})
+	f.client = serve(b, f.server, &f.bytes, processes)
 	ctx, cancel := context.WithCancel(b.Context())
 	b.Cleanup(func() {
 		cancel()
 		f.group.Wait()
-		web.Close()
-		transport.CloseIdleConnections()
 	})
 	f.group.Go(func() { f.server.Run(ctx) })
+	for n := range relays {
+		f.addRelay(ctx, b, fmt.Sprint("relay-", n), processes)
+	}
 	for n := range processes {
 		processCtx := ctx
 		if n == 0 {
 			processCtx, f.cut = context.WithCancel(ctx)
 		}
-		f.group.Go(func() { f.follow(processCtx, fmt.Sprint("process-", n)) })
+		f.group.Go(func() { f.follow(processCtx, n) })
 	}
 	return f
 }
 
 // follow announces a process and watches until the context ends.
-func (f *fleet) follow(ctx context.Context, name string) {
+func (f *fleet) follow(ctx context.Context, n int) {
+	name := fmt.Sprint("process-", n)
+	above := f.client
+	if len(f.relays) > 0 {
+		above = f.relays[n%len(f.relays)]
+	}
 	member := &wire.Member{Name: name, Role: "entry", FailureDomain: "levis"}
 	if _, err := f.client.Announce(ctx, &wire.AnnounceRequest{Member: member}); err != nil {
 		return
@@ -110,7 +139,7 @@
 		if f.poll {
 			wait = 0
 		}
-		reply, err := f.client.Watch(ctx, holder.Request(name, wait))
+		reply, err := above.Watch(ctx, holder.Request(name, wait))
 		if err != nil {
 			return
 		}
@@ -159,33 +188,47 @@
 }
 
 // BenchmarkInForce measures the time from the acceptance of a change until it is in force everywhere, with
-// every process connected and with one cut off, over twirp on loopback. The baseline polls once a second.
+// every process connected and with one cut off, over twirp on loopback. The baselines watch the leader directly,
+// and poll it once a second.
 func BenchmarkInForce(b *testing.B) {
 	for _, processes := range []int{12, 100, 1170} {
 		name := fmt.Sprint("processes=", processes)
-		b.Run(name, func(b *testing.B) { measureInForce(b, processes, false) })
-		b.Run(name+"/way=poll", func(b *testing.B) { measureInForce(b, processes, true) })
+		b.Run(name, func(b *testing.B) { measureInForce(b, processes, relaysFor(processes), false, false) })
+		b.Run(name+"/way=direct", func(b *testing.B) { measureInForce(b, processes, 0, false, true) })
+		b.Run(name+"/way=poll", func(b *testing.B) { measureInForce(b, processes, 0, true, true) })
+	}
+}
+
+// relaysFor returns the number of relays of a fleet; a small one has none.
+func relaysFor(processes int) int {
+	if processes <= inForceUnder {
+		return 0
 	}
+	return (processes + inForceUnder - 1) / inForceUnder
 }
 
-func measureInForce(b *testing.B, processes int, poll bool) {
-	f := newFleet(b, processes, poll)
+func measureInForce(b *testing.B, processes, relays int, poll, isBaseline bool) {
+	f := newFleet(b, processes, relays, poll)
 	f.change(b)
 	time.Sleep(2 * lease.RenewInterval)
-	bytes, used := f.bytes.Load(), processorTime()
+	bytes, relayed, used := f.bytes.Load(), f.relayed.Load(), processorTime()
 	time.Sleep(inForceIdle)
-	perSecond := float64(f.bytes.Load()-bytes) / inForceIdle.Seconds()
-	b.ReportMetric(perSecond/float64(processes), "B/s/node")
-	b.ReportMetric(perSecond, "leader-B/s")
+	leaders := float64(f.bytes.Load()-bytes) / inForceIdle.Seconds()
+	ofRelays := float64(f.relayed.Load()-relayed) / inForceIdle.Seconds()
+	b.ReportMetric((leaders+ofRelays)/float64(processes), "B/s/node")
+	b.ReportMetric(leaders, "leader-B/s")
+	if relays > 0 {
+		b.ReportMetric((leaders+ofRelays)/float64(relays), "relay-B/s")
+	}
 	b.ReportMetric(100*(processorTime()-used).Seconds()/inForceIdle.Seconds()/float64(processes), "cpu-%/node")
 	changes := inForceChanges
 	if poll {
 		changes = cutOffChanges
 	}
-	bytes = f.bytes.Load()
 	b.ReportMetric(f.slowest(b, changes), "connected-max-ms")
-	b.ReportMetric(float64(f.bytes.Load()-bytes)/float64(changes)/float64(processes), "B/change/node")
-	f.cut()
-	b.ReportMetric(f.slowest(b, cutOffChanges), "max-ms")
 	b.ReportMetric(0, "ns/op")
+	if !isBaseline {
+		f.cut()
+		b.ReportMetric(f.slowest(b, cutOffChanges), "max-ms")
+	}
 }
--- /dev/null
+++ b/control/relay_test.go
@@ -0,0 +1,147 @@
+package control_test
+
+import (
+	"context"
+	"fmt"
+	"math/rand/v2"
+	"sync"
+	"sync/atomic"
+	"testing"
+	"testing/synctest"
+	"time"
+
+	"github.com/stretchr/testify/require"
+
+	"guavahitch.example/guavahitch/control"
+	"guavahitch.example/guavahitch/lease"
+	"guavahitch.example/guavahitch/wire"
+)
+
+// breakable is a connection to a control that can be cut.
+type breakable struct {
+	wire.Control
+	isCut atomic.Bool
+}
+
+func (b *breakable) Watch(ctx context.Context, request *wire.WatchRequest) (*wire.WatchReply, error) {
+	if b.isCut.Load() {
+		return nil, errCutOff
+	}
+	reply, err := b.Control.Watch(ctx, request)
+	if b.isCut.Load() {
+		return nil, errCutOff
+	}
+	return reply, err
+}
+
+// tree is a control, a relay under it, and processes under the relay.
+type tree struct {
+	server    *control.Server
+	uplink    *breakable
+	relay     atomic.Pointer[control.Relay]
+	stopRelay context.CancelFunc
+	links     []*breakable
+	holders   []atomic.Pointer[lease.Holder]
+	early     bool
+	group     sync.WaitGroup
+}
+
+func newTree(t *testing.T, early bool) *tree {
+	tr := &tree{server: start(t), holders: make([]atomic.Pointer[lease.Holder], 4), early: early}
+	submit(t, tr.server, "first", 0, "{}")
+	announce(t, tr.server, "relay")
+	tr.uplink = &breakable{Control: tr.server}
+	t.Cleanup(tr.group.Wait)
+	tr.restartRelay(t)
+	for n := range tr.holders {
+		announce(t, tr.server, fmt.Sprint("entry-", n))
+		link := &breakable{}
+		tr.links = append(tr.links, link)
+		tr.holders[n].Store(&lease.Holder{})
+		tr.group.Go(func() { tr.follow(t.Context(), n) })
+	}
+	time.Sleep(5 * time.Second)
+	return tr
+}
+
+func (tr *tree) restartRelay(t *testing.T) {
+	if tr.stopRelay != nil {
+		tr.stopRelay()
+	}
+	var ctx context.Context
+	ctx, tr.stopRelay = context.WithCancel(t.Context())
+	relay := control.NewRelay("relay", tr.uplink)
+	relay.EarlyAcknowledge = tr.early
+	tr.relay.Store(relay)
+	tr.group.Go(func() { relay.Run(ctx) })
+}
+
+func (tr *tree) follow(ctx context.Context, n int) {
+	for ctx.Err() == nil {
+		holder := *tr.holders[n].Load()
+		sent := time.Now()
+		if !tr.links[n].isCut.Load() {
+			reply, err := tr.relay.Load().Watch(ctx, holder.Request(fmt.Sprint("entry-", n), lease.RenewInterval))
+			if err == nil && !tr.links[n].isCut.Load() {
+				next := holder.With(reply, sent)
+				tr.holders[n].Store(&next)
+			}
+		}
+		time.Sleep(10 * time.Millisecond)
+	}
+}
+
+// runTree cuts, mends and restarts at random while revisions are submitted; it returns how often a process
+// acted on a revision older than the one in force.
+func runTree(t *testing.T, seed uint64, early bool) int {
+	tr := newTree(t, early)
+	random := rand.New(rand.NewPCG(seed, 2))
+	violations := 0
+	for n := range 40 {
+		switch random.IntN(5) {
+		case 0:
+			tr.links[random.IntN(len(tr.links))].isCut.Store(random.IntN(2) == 0)
+		case 1:
+			tr.uplink.isCut.Store(random.IntN(3) == 0)
+		case 2:
+			tr.restartRelay(t)
+		default:
+			revision, _ := tr.server.State().Revision()
+			submit(t, tr.server, fmt.Sprint("c", n), revision, fmt.Sprint(n))
+		}
+		for range random.IntN(20) {
+			time.Sleep(100 * time.Millisecond)
+			inForce := tr.server.State().InForce()
+			for h := range tr.holders {
+				holder := tr.holders[h].Load()
+				if !holder.Refuses(time.Now()) && holder.Revision() < inForce {
+					violations++
+				}
+			}
+		}
+	}
+	return violations
+}
+
+func TestNobodyUnderARelayActsOnAnOldRevision(t *testing.T) {
+	for seed := range uint64(10) {
+		synctest.Test(t, func(t *testing.T) { require.Zero(t, runTree(t, seed, false), "seed %d", seed) })
+	}
+	violations := 0
+	for seed := range uint64(10) {
+		synctest.Test(t, func(t *testing.T) { violations += runTree(t, seed, true) })
+	}
+	require.Positive(t, violations, "the check notices a relay that acknowledges too early")
+}
+
+func TestChangeUnderARelayIsInForceAtOnce(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		tr := newTree(t, false)
+		began := time.Now()
+		submit(t, tr.server, "c", 1, "{ }")
+		for tr.server.State().InForce() < 2 {
+			time.Sleep(time.Millisecond)
+		}
+		require.Less(t, time.Since(began), 200*time.Millisecond)
+	})
+}
--- a/control/server.go
+++ b/control/server.go
@@ -59,6 +59,8 @@
 		table     *lease.Table
 		tableTerm uint64
 		loads     map[string]*wire.Load
+		// under holds the processes under each relay.
+		under map[string][]string
 	}
 )
 
@@ -69,6 +71,7 @@
 		wake:     make(chan struct{}, 1),
 		table:    lease.NewTable(),
 		loads:    make(map[string]*wire.Load),
+		under:    make(map[string][]string),
 	}
 }
 
@@ -240,3 +243,6 @@
 	_, err := s.propose(ctx, &wire.Command{Body: &wire.Command_OrderSettled{OrderSettled: done}})
 	return err
 }
+
+// State returns the state that the server answers from.
+func (s *Server) State() *State { return s.settings.State }
--- a/control/snapshot.go
+++ b/control/snapshot.go
@@ -175,7 +175,7 @@
 			m.view.members[stored.Name] = stored.Member
 		}
 	}
-	m.view.number, m.floor = snapshot.View, snapshot.Floor
+	m.view.number, m.view.base, m.floor = snapshot.View, snapshot.View, snapshot.Floor
 	for _, stored := range snapshot.Fences {
 		f := &fence{token: stored.Token, settled: make(map[string]uint64)}
 		for _, open := range stored.Open {
--- a/control/view.go
+++ b/control/view.go
@@ -20,6 +20,8 @@
 		number  uint64
 		members map[string]*wire.Member
 		history []viewChange
+		// base is the number of the view at which the history begins.
+		base uint64
 	}
 
 	viewChange struct {
@@ -47,9 +49,36 @@
 
 func (v *View) note(name string) {
 	v.number++
+	v.keep(name)
+}
+
+func (v *View) keep(name string) {
 	v.history = append(v.history, viewChange{v.number, name})
 	if len(v.history) > 2*historyLimit {
-		v.history = append([]viewChange(nil), v.history[len(v.history)-historyLimit:]...)
+		dropped := len(v.history) - historyLimit
+		v.base = v.history[dropped-1].number
+		v.history = append([]viewChange(nil), v.history[dropped:]...)
+	}
+}
+
+// Follow takes over the reply of a process that keeps a view itself. Replies of older views change nothing.
+func (v *View) Follow(reply *wire.WatchReply) {
+	if reply.View <= v.number && !(reply.Snapshot && reply.View == v.number) {
+		return
+	}
+	if reply.Snapshot {
+		*v = View{number: reply.View, base: reply.View, members: make(map[string]*wire.Member)}
+	}
+	v.number = reply.View
+	for _, m := range reply.Members {
+		v.members[m.Name] = m
+		if !reply.Snapshot {
+			v.keep(m.Name)
+		}
+	}
+	for _, name := range reply.Left {
+		delete(v.members, name)
+		v.keep(name)
 	}
 }
 
@@ -84,10 +113,8 @@
 	}
 }
 
-// remembers reports whether the history reaches back to the change after the given view.
-func (v *View) remembers(held uint64) bool {
-	return len(v.history) > 0 && v.history[0].number <= held+1
-}
+// remembers reports whether the history reaches back to the given view.
+func (v *View) remembers(held uint64) bool { return held >= v.base }
 
 func (v *View) changedSince(held uint64) []string {
 	first, _ := slices.BinarySearchFunc(v.history, held+1, func(c viewChange, number uint64) int {
--- a/control/watch.go
+++ b/control/watch.go
@@ -72,6 +72,7 @@
 	ignores := s.table.IgnoreExpiry
 	s.tableTerm, s.table = term, lease.NewTable()
 	s.table.IgnoreExpiry = ignores
+	s.under = make(map[string][]string)
 	for _, process := range s.settings.State.Leaseholders() {
 		s.table.Renew(process, 0, now)
 	}
@@ -97,6 +98,7 @@
 	if granted {
 		reply.LeaseMs = lease.Duration.Milliseconds()
 	}
+	reply.NeedsPresent = request.Relays && !s.knowsUnder(request.Process)
 	return reply, nil
 }
 
@@ -112,13 +114,35 @@
 	if member == nil {
 		return false
 	}
-	s.table.Renew(request.Process, request.Revision, now)
-	if request.Revision > s.settings.State.InForce() {
+	revision := request.Revision
+	if request.Relays {
+		revision = request.Acknowledged
+		s.renewUnder(request, now)
+	}
+	s.table.Renew(request.Process, revision, now)
+	if revision > s.settings.State.InForce() {
 		s.poke()
 	}
 	return true
 }
 
+// renewUnder extends the memberships of the processes under a relay, whose leases end with the relay's. The
+// caller holds the mutex.
+func (s *Server) renewUnder(request *wire.WatchRequest, now time.Time) {
+	if len(request.Present) > 0 {
+		s.under[request.Process] = request.Present
+	}
+	for _, process := range s.under[request.Process] {
+		s.table.Touch(process, now)
+	}
+}
+
+func (s *Server) knowsUnder(relay string) bool {
+	s.mutex.Lock()
+	defer s.mutex.Unlock()
+	return s.under[relay] != nil
+}
+
 // await returns when the process lacks something, or its waiting time is over.
 func (s *Server) await(ctx context.Context, request *wire.WatchRequest) {
 	wait := min(time.Duration(request.WaitMs)*time.Millisecond, lease.RenewInterval)
@@ -189,6 +213,7 @@
 	if slices.Contains(s.table.Expired(now), name) {
 		s.table.Forget(name)
 		delete(s.loads, name)
+		delete(s.under, name)
 	}
 }
 
--- a/lease/holder.go
+++ b/lease/holder.go
@@ -122,5 +122,8 @@
 	return members
 }
 
+// Quarantine returns the version of the quarantine.
+func (h Holder) Quarantine() uint64 { return h.quarantine }
+
 // Quarantined returns the fingerprints under suspicion or proved deadly.
 func (h Holder) Quarantined() []*wire.Quarantine { return h.quarantined }
--- a/lease/table.go
+++ b/lease/table.go
@@ -101,5 +101,27 @@
 	return waiting
 }
 
+// Lowest returns the oldest revision that a holder may act on at now, or the given one when none is older.
+func (t *Table) Lowest(revision uint64, now time.Time) uint64 {
+	for _, e := range t.entries {
+		if now.Before(e.expires) {
+			revision = min(revision, e.revision)
+		}
+	}
+	return revision
+}
+
+// Holders returns the processes whose leases last at now, sorted.
+func (t *Table) Holders(now time.Time) []string {
+	var holders []string
+	for process, e := range t.entries {
+		if now.Before(e.expires) {
+			holders = append(holders, process)
+		}
+	}
+	slices.Sort(holders)
+	return holders
+}
+
 // Len returns the number of leases.
 func (t *Table) Len() int { return len(t.entries) }
