The entry calls what routing, fairness and quarantine offer

Cause: requests waited until their deadline under overload; a refusal for want of room went round the fair queue; entries did not know their number; step times came from reports alone; a trial could come back to the upstream that had died of it. Change: Latest, Reacquire, WithEntries and Tokens are called; a sidecar refuses a trial of what its engine died of.

--- a/admission/gate.go
+++ b/admission/gate.go
@@ -24,6 +24,8 @@
 	ReasonEpoch = "epoch"
 	// ReasonDraining refuses an attempt because the upstream takes no new work.
 	ReasonDraining = "draining"
+	// ReasonOverloaded refuses an attempt for want of room.
+	ReasonOverloaded = "overloaded"
 	// ReasonStale refuses an attempt whose sequence number is at or below the entry's horizon.
 	ReasonStale = "stale"
 
@@ -177,7 +179,7 @@
 	case !ticket.Deadline.After(now):
 		refusal.Reason, refusal.RetryAfter = "deadline", 0
 	case len(g.queue) >= g.limits.Queued && !g.hasRoom(ticket.Alone):
-		refusal.Reason = "overloaded"
+		refusal.Reason = ReasonOverloaded
 	default:
 		return nil
 	}
--- a/dispatch/claimed.go
+++ b/dispatch/claimed.go
@@ -45,6 +45,7 @@
 			return j.final(failure)
 		}
 		j.doubt(failure)
+		j.isRoomless = failure.Reason == admission.ReasonOverloaded
 		j.out = newOutput(j.request, j.sink)
 		if failure.Outcome != outcome.NotRun || !j.again(ctx, failure) {
 			return j.final(failure)
--- a/dispatch/job.go
+++ b/dispatch/job.go
@@ -1,6 +1,7 @@
 package dispatch
 
 import (
+	"bytes"
 	"context"
 	"net/http"
 	"time"
@@ -23,6 +24,9 @@
 // prediction is known.
 const expectedAttempt = 5 * time.Millisecond
 
+// eventStart begins each event of a stream; an event brings a token.
+var eventStart = []byte("data: ")
+
 // crashLimit is the number of upstreams that one request may lose.
 const crashLimit = 2
 
@@ -33,6 +37,8 @@
 	alone   bool
 	// number counts the attempts from 1.
 	number int
+	// isRoomless is true when the last attempt was refused for want of room.
+	isRoomless bool
 	// crashes counts the upstreams that died while they ran this request.
 	crashes int
 	// exclude names upstreams that failed this request.
@@ -55,18 +61,30 @@
 	}
 }
 
-// admit waits in the fair queue for the first place, and takes a further place at once.
+// admit waits in the fair queue for the first place, and for another one when the upstream had no room after all.
+// A further attempt after a failure takes its place at once.
 func (j *job) admit(ctx context.Context) (routing.Choice, *outcome.Error) {
 	j.number++
-	if j.number > 1 {
-		return j.d.picker.Pick(time.Now(), j.routingRequest())
+	now := time.Now()
+	if j.number > 1 && !j.isRoomless {
+		return j.d.picker.Pick(now, j.routingRequest())
 	}
 	w := &waiting{request: j.routingRequest()}
-	j.ticket = &fairness.Ticket{
-		Organisation: j.request.Organisation, Weight: j.request.Weight,
-		Cost: float64(j.request.PromptTokens + j.request.OutputTokens), Latest: j.request.Deadline, Value: w,
+	w.request.Admitted = false
+	gate := j.d.gate(j.request.Service)
+	var refusal *outcome.Error
+	if j.ticket == nil {
+		j.ticket = &fairness.Ticket{
+			Organisation: j.request.Organisation, Weight: j.request.Weight,
+			Cost:   float64(j.request.PromptTokens + j.request.OutputTokens),
+			Latest: j.d.picker.Latest(now, w.request), Value: w,
+		}
+		refusal = gate.Acquire(ctx, j.ticket)
+	} else {
+		j.ticket.Value = w
+		refusal = gate.Reacquire(ctx, j.ticket)
 	}
-	if refusal := j.d.gate(j.request.Service).Acquire(ctx, j.ticket); refusal != nil {
+	if refusal != nil {
 		j.ticket = nil
 		return routing.Choice{}, refusal
 	}
@@ -96,6 +114,7 @@
 			return nil
 		}
 		j.doubt(failure)
+		j.isRoomless = failure.Reason == admission.ReasonOverloaded
 		if failure.Reason == engine.ReasonFailed {
 			if refusal := j.crashed(ctx, failure); refusal != nil {
 				return j.final(refusal)
@@ -226,6 +245,7 @@
 		}.WithCause(err)
 	}
 	if !piece.End {
+		l.choice.Attempt.Tokens(time.Now(), bytes.Count(piece.Data, eventStart))
 		return false, nil
 	}
 	l.choice.Attempt.Ended(time.Now())
--- a/dispatch/view.go
+++ b/dispatch/view.go
@@ -18,6 +18,8 @@
 	watchPause = 100 * time.Millisecond
 	// roleSidecar is the role of members that front an upstream.
 	roleSidecar = "sidecar"
+	// roleEntry is the role of members that route requests.
+	roleEntry = "entry"
 )
 
 // Follow watches control until the context ends. It is the one writer of the entry's view.
@@ -73,7 +75,11 @@
 func (d *Dispatcher) tableOf(holder lease.Holder) routing.Table {
 	var upstreams []routing.Upstream
 	owned := d.inventory.Load()
+	entries := 0
 	for _, member := range holder.Members() {
+		if member.Role == roleEntry {
+			entries++
+		}
 		if member.Role != roleSidecar {
 			continue
 		}
@@ -82,7 +88,7 @@
 		}
 		upstreams = append(upstreams, routing.UpstreamOf(member))
 	}
-	return routing.Table{}.WithLease(holder.Expires()).With(upstreams...)
+	return routing.Table{}.WithLease(holder.Expires()).WithEntries(entries).With(upstreams...)
 }
 
 // dropLinks closes the connections to sidecars that have left.
--- a/sidecar/server.go
+++ b/sidecar/server.go
@@ -61,6 +61,7 @@
 		load     *wire.Load
 		sequence uint64
 		alive    bool
+		died     fingerprints
 		base     context.Context
 		running  sync.WaitGroup
 	}
@@ -90,6 +91,12 @@
 		}
 	}
 	ticket := ticketOf(now, request)
+	if ticket.Alone && s.died.has(now, ticket.Fingerprint) {
+		return nil, &outcome.Error{
+			Step: "admit", Peer: s.settings.Name, Outcome: outcome.NotRun, Reason: "died-here", RetryAfter: time.Second,
+			Detail: "the engine died here while it ran this request; it is tried elsewhere",
+		}
+	}
 	known := s.gate.Call(ticket.ID) != nil
 	call, refusal := s.gate.Start(now, ticket)
 	if refusal != nil || known {
--- a/sidecar/watch.go
+++ b/sidecar/watch.go
@@ -44,6 +44,7 @@
 	var suspects []*wire.Suspect
 	if died {
 		suspects = suspectsOf(s.gate.Running())
+		s.died.add(time.Now(), suspects)
 	}
 	s.mutex.Unlock()
 	if changed {
