Tests of the admission gate and of attempts

Cause: the proofs behind NotRun rested on the tests of the whole path. Change: a property test that sends, repeats, cancels and forgets attempts with memory for a few only; tests of answers by offset, and of crossed, doubled, cut and refused pieces.

--- /dev/null
+++ b/admission/gate_test.go
@@ -0,0 +1,172 @@
+package admission_test
+
+import (
+	"fmt"
+	"testing"
+	"time"
+
+	"github.com/stretchr/testify/require"
+	"pgregory.net/rapid"
+
+	"guavahitch.example/guavahitch/admission"
+	"guavahitch.example/guavahitch/outcome"
+)
+
+var (
+	start  = time.Unix(1000, 0)
+	limits = admission.Limits{Running: 2, Queued: 2, Barred: 4, Entries: 3, Keep: time.Minute}
+)
+
+func ticket(g *admission.Gate, entry, sequence int) admission.Ticket {
+	return admission.Ticket{
+		ID:    admission.ID{Request: fmt.Sprintf("r-%d-%d", entry, sequence), Attempt: 1},
+		Epoch: g.Epoch(), Entry: fmt.Sprintf("entry-%d", entry), Sequence: uint64(sequence),
+		Deadline: start.Add(time.Hour), Repeatable: sequence%2 == 0,
+	}
+}
+
+func ExampleGate() {
+	gate := admission.NewGate("levis-1", 7, limits)
+	id := admission.ID{Request: "r-1", Attempt: 1}
+	fmt.Println(gate.Cancel(start, 7, id, "entry-1", 1))
+	_, refusal := gate.Start(start, admission.Ticket{ID: id, Epoch: 7, Entry: "entry-1", Sequence: 1, Deadline: start.Add(time.Second)})
+	fmt.Println(refusal)
+	// Output:
+	// NotRun
+	// admit at levis-1: barred (NotRun)
+}
+
+// world drives a gate and remembers what it was told, so that a later answer can be held against it.
+type world struct {
+	gate   *admission.Gate
+	now    time.Time
+	sent   []admission.Ticket
+	notRun map[admission.ID]bool
+	ran    map[admission.ID]bool
+	runs   []*admission.Call
+}
+
+func (w *world) told(t *rapid.T, id admission.ID, known outcome.Outcome) {
+	switch known {
+	case outcome.NotRun:
+		if w.ran[id] {
+			t.Fatalf("%v was told NotRun and had run", id)
+		}
+		w.notRun[id] = true
+	case outcome.Ran:
+		if !w.ran[id] {
+			t.Fatalf("%v was told Ran and had not run", id)
+		}
+	}
+}
+
+func (w *world) start(t *rapid.T, ticket admission.Ticket) {
+	if _, refusal := w.gate.Start(w.now, ticket); refusal != nil {
+		w.told(t, ticket.ID, refusal.Outcome)
+	}
+}
+
+func (w *world) release(t *rapid.T) {
+	call, expired := w.gate.Next(w.now)
+	for _, late := range expired {
+		w.told(t, late.Ticket.ID, outcome.NotRun)
+	}
+	if call == nil {
+		return
+	}
+	if w.notRun[call.Ticket.ID] {
+		t.Fatalf("%v runs after it was told NotRun", call.Ticket.ID)
+	}
+	if w.ran[call.Ticket.ID] {
+		t.Fatalf("%v runs twice", call.Ticket.ID)
+	}
+	w.ran[call.Ticket.ID] = true
+	w.runs = append(w.runs, call)
+}
+
+func (w *world) end() {
+	if len(w.runs) > 0 {
+		w.gate.End(w.now, w.runs[0].Ticket.ID)
+		w.runs = w.runs[1:]
+	}
+}
+
+// TestNotRunIsTrueForGood sends, repeats, cancels and forgets attempts of several entries in any order, with
+// memory for a few only: what was told NotRun never runs, and nothing runs twice.
+func TestNotRunIsTrueForGood(t *testing.T) {
+	rapid.Check(t, func(t *rapid.T) {
+		w := &world{
+			gate: admission.NewGate("u", 1, limits), now: start, notRun: map[admission.ID]bool{}, ran: map[admission.ID]bool{},
+		}
+		sequence := 0
+		pick := func() admission.Ticket { return w.sent[rapid.IntRange(0, len(w.sent)-1).Draw(t, "which")] }
+		for range rapid.IntRange(1, 80).Draw(t, "steps") {
+			switch action := rapid.IntRange(0, 6).Draw(t, "action"); {
+			case action == 0 || len(w.sent) == 0:
+				sequence++
+				next := ticket(w.gate, rapid.IntRange(1, 5).Draw(t, "entry"), sequence)
+				w.sent = append(w.sent, next)
+				w.start(t, next)
+			case action == 1:
+				w.start(t, pick())
+			case action == 2:
+				cancelled := pick()
+				w.told(t, cancelled.ID, w.gate.Cancel(w.now, cancelled.Epoch, cancelled.ID, cancelled.Entry, cancelled.Sequence))
+			case action == 3:
+				w.release(t)
+			case action == 4:
+				w.end()
+			case action == 5:
+				w.gate.Forget(pick().ID)
+			default:
+				w.now = w.now.Add(2 * time.Minute)
+				w.gate.Expire(w.now)
+			}
+		}
+	})
+}
+
+func TestDrainingGateLetsTheAdmittedEnd(t *testing.T) {
+	gate := admission.NewGate("u", 1, limits)
+	_, refusal := gate.Start(start, ticket(gate, 1, 1))
+	require.Nil(t, refusal)
+	gate.Drain()
+	_, refusal = gate.Start(start, ticket(gate, 1, 2))
+	require.Equal(t, admission.ReasonDraining, refusal.Reason)
+	call, _ := gate.Next(start)
+	require.NotNil(t, call)
+	require.False(t, gate.IsIdle())
+	gate.End(start, call.Ticket.ID)
+	call.Answer.Finish(nil)
+	call.Answer.Abandon()
+	require.True(t, gate.IsIdle())
+}
+
+func TestAloneRunsAlone(t *testing.T) {
+	gate := admission.NewGate("u", 1, limits)
+	_, _ = gate.Start(start, ticket(gate, 1, 1))
+	running, _ := gate.Next(start)
+	trial := ticket(gate, 1, 2)
+	trial.Alone = true
+	_, refusal := gate.Start(start, trial)
+	require.Nil(t, refusal)
+	waiting, _ := gate.Next(start)
+	require.Nil(t, waiting, "a trial waits for the others to end")
+	gate.End(start, running.Ticket.ID)
+	alone, _ := gate.Next(start)
+	require.Equal(t, trial.ID, alone.Ticket.ID)
+	_, refusal = gate.Start(start, ticket(gate, 1, 3))
+	require.Nil(t, refusal)
+	waiting, _ = gate.Next(start)
+	require.Nil(t, waiting, "others wait for the trial to end")
+}
+
+func TestNewEpochKnowsNothingOfTheOld(t *testing.T) {
+	gate := admission.NewGate("u", 1, limits)
+	old := ticket(gate, 1, 1)
+	gate.NewEpoch(2)
+	_, refusal := gate.Start(start, old)
+	require.Equal(t, admission.ReasonEpoch, refusal.Reason)
+	require.Equal(t, outcome.Unknown, refusal.Outcome, "an earlier copy may have run")
+	require.Equal(t, outcome.Unknown, gate.Cancel(start, 1, old.ID, old.Entry, old.Sequence))
+}
--- /dev/null
+++ b/sidecar/attempt_test.go
@@ -0,0 +1,112 @@
+package sidecar_test
+
+import (
+	"context"
+	"net"
+	"net/http"
+	"net/http/httptest"
+	"sync/atomic"
+	"testing"
+	"time"
+
+	"github.com/cespare/xxhash/v2"
+	"github.com/stretchr/testify/require"
+	"google.golang.org/protobuf/encoding/protodelim"
+
+	"guavahitch.example/guavahitch/outcome"
+	"guavahitch.example/guavahitch/sidecar"
+	"guavahitch.example/guavahitch/wire"
+)
+
+const body = "mend a roof"
+
+// pieces is a sidecar that answers each stream with the next row of pieces.
+func pieces(t *testing.T, rows ...[]*wire.Piece) *sidecar.Link {
+	var streams atomic.Int64
+	server := httptest.NewServer(http.HandlerFunc(func(w http.ResponseWriter, r *http.Request) {
+		if r.URL.Path != sidecar.StreamPath {
+			http.NotFound(w, r)
+			return
+		}
+		n := min(int(streams.Add(1)), len(rows)) - 1
+		for _, p := range rows[n] {
+			_, _ = protodelim.MarshalTo(w, p)
+		}
+	}))
+	t.Cleanup(server.Close)
+	return sidecar.NewLink(server.Listener.Addr().String(), sidecar.Transport{New: sidecar.PlainTransport})
+}
+
+func piece(request string, offset int64, data string) *wire.Piece {
+	return &wire.Piece{Id: &wire.AttemptID{Request: request, Attempt: 1}, Status: 200, Offset: offset, Data: []byte(data)}
+}
+
+func last(p *wire.Piece, length int64, checksum uint64) *wire.Piece {
+	p.End, p.Length, p.Checksum = true, length, checksum
+	return p
+}
+
+// fetch reads an attempt to its end.
+func fetch(link *sidecar.Link) (string, *outcome.Error) {
+	attempt := sidecar.NewAttempt(link, "levis-1", &wire.StartRequest{Id: &wire.AttemptID{Request: "r-1", Attempt: 1}})
+	defer attempt.Close()
+	ctx, cancel := context.WithTimeout(context.Background(), 10*time.Second)
+	defer cancel()
+	text := ""
+	for {
+		p, failure := attempt.Next(ctx)
+		if failure != nil {
+			return text, failure
+		}
+		text += string(p.Data)
+		if p.End {
+			return text, nil
+		}
+	}
+}
+
+func TestWholeAnswerOverTwoStreams(t *testing.T) {
+	link := pieces(t,
+		[]*wire.Piece{piece("r-1", 0, body[:4])},
+		[]*wire.Piece{last(piece("r-1", 4, body[4:]), int64(len(body)), xxhash.Sum64String(body))})
+	text, failure := fetch(link)
+	require.Nil(t, failure)
+	require.Equal(t, body, text)
+	require.EqualValues(t, 1, link.Replaced())
+}
+
+func TestPiecesThatAreNotThisAnswerAreRefused(t *testing.T) {
+	sum := xxhash.Sum64String(body)
+	cases := map[string][]*wire.Piece{
+		"crossed":  {last(piece("r-2", 0, body), int64(len(body)), sum)},
+		"offset":   {piece("r-1", 0, body[:4]), last(piece("r-1", 0, body), int64(len(body)), sum)},
+		"checksum": {last(piece("r-1", 0, body), int64(len(body)), sum+1)},
+	}
+	for reason, row := range cases {
+		_, failure := fetch(pieces(t, row))
+		require.NotNil(t, failure, reason)
+		require.Equal(t, reason, failure.Reason)
+		require.Equal(t, outcome.Unknown, failure.Outcome)
+		require.Equal(t, "levis-1", failure.Peer)
+	}
+	_, failure := fetch(pieces(t, []*wire.Piece{last(piece("r-1", 0, body), int64(len(body))+1, sum)}))
+	require.Equal(t, "checksum", failure.Reason, "an answer that is shorter than its length is not whole")
+}
+
+func TestNothingSentIsNotRun(t *testing.T) {
+	listener, err := net.Listen("tcp", "127.0.0.1:0")
+	require.NoError(t, err)
+	address := listener.Addr().String()
+	require.NoError(t, listener.Close())
+	_, failure := fetch(sidecar.NewLink(address, sidecar.Transport{New: sidecar.PlainTransport}))
+	require.Equal(t, outcome.NotRun, failure.Outcome)
+}
+
+func TestRefusalOfTheOnlyCopyIsNotRun(t *testing.T) {
+	refusal := &outcome.Error{Step: "admit", Peer: "levis-1", Outcome: outcome.Unknown, Reason: "epoch"}
+	refused := &wire.Piece{Id: &wire.AttemptID{Request: "r-1", Attempt: 1}, Failure: refusal.Failure()}
+	_, failure := fetch(pieces(t, []*wire.Piece{refused}))
+	require.Equal(t, outcome.NotRun, failure.Outcome)
+	_, failure = fetch(pieces(t, nil, []*wire.Piece{refused}))
+	require.Equal(t, outcome.Unknown, failure.Outcome, "an earlier copy may have run under that epoch")
+}
