Durable counts of outcomes by organisation and service

Change: each entry counts the ends of its requests and announces them every two minutes, at most 64 triples and the rest by outcome; the leader writes one record of kind traffic each five minutes. Batches carry a number and stay unchanged until they are taken. Cumulative counts were weighed: a triple that moves between the named and the rest would count twice, and a new leader would not know where to count from. Lost: up to seven minutes of counts of an entry or leader that stops.

--- a/control/server.go
+++ b/control/server.go
@@ -60,7 +60,8 @@
 		tableTerm uint64
 		loads     map[string]*wire.Load
 		// under holds the processes under each relay.
-		under map[string][]string
+		under   map[string][]string
+		traffic *traffic
 	}
 )
 
@@ -72,6 +73,7 @@
 		table:    lease.NewTable(),
 		loads:    make(map[string]*wire.Load),
 		under:    make(map[string][]string),
+		traffic:  newTraffic(),
 	}
 }
 
--- a/control/watch.go
+++ b/control/watch.go
@@ -30,7 +30,8 @@
 	}
 	now := time.Now()
 	if !s.isAnnounced(request) {
-		result, err := s.propose(ctx, &wire.Command{Body: &wire.Command_Announce{Announce: request}})
+		announced := &wire.AnnounceRequest{Member: request.Member, Leaving: request.Leaving}
+		result, err := s.propose(ctx, &wire.Command{Body: &wire.Command_Announce{Announce: announced}})
 		if err != nil {
 			return &wire.AnnounceReply{Failure: unsettled("announce", err)}, nil
 		}
@@ -43,7 +44,7 @@
 	}
 	return &wire.AnnounceReply{
 		LeaseMs: lease.Duration.Milliseconds(), Orders: s.settings.State.Orders(name), Epoch: s.settings.State.Epoch(name),
-		Term: s.settings.State.Term(),
+		Term: s.settings.State.Term(), TrafficBatch: s.traffic.take(s.settings.State.Term(), name, request.Traffic, now),
 	}, nil
 }
 
@@ -186,6 +187,7 @@
 		if leads, _ := s.isLeader(); leads {
 			s.departExpired(ctx, time.Now())
 			s.declareInForce(ctx, time.Now())
+			s.recordTraffic(ctx, time.Now())
 		}
 	}
 }
--- a/daemon/entry.go
+++ b/daemon/entry.go
@@ -4,6 +4,7 @@
 	"context"
 	"errors"
 	"net"
+	"time"
 
 	"guavahitch.example/guavahitch/caller"
 	"guavahitch.example/guavahitch/dispatch"
@@ -35,7 +36,7 @@
 	})
 	p.entry = r
 	p.add(r.dispatcher.Follow)
-	p.add(func(ctx context.Context) error { return p.announce(ctx, r.member, nil) })
+	p.add(func(ctx context.Context) error { return p.announce(ctx, r.announcement, r.onAnnounced) })
 	p.group.Add(func() error { return r.server.Serve(listener) }, func(error) { _ = r.server.Close() })
 	return nil
 }
@@ -48,6 +49,15 @@
 	}
 }
 
+// announcement renews the membership and brings the counts of outcomes that control has not taken.
+func (r *entryRole) announcement() *wire.AnnounceRequest {
+	return &wire.AnnounceRequest{Member: r.member(), Traffic: r.dispatcher.Traffic().Report(time.Now())}
+}
+
+func (r *entryRole) onAnnounced(reply *wire.AnnounceReply) {
+	r.dispatcher.Traffic().Taken(reply.TrafficBatch)
+}
+
 // ready reports whether the platform's balancer should send callers here.
 func (r *entryRole) ready() error {
 	if r.dispatcher.IsDraining() {
--- a/daemon/process.go
+++ b/daemon/process.go
@@ -177,12 +177,12 @@
 }
 
 // announce renews a membership until the context ends.
-func (p *Process) announce(ctx context.Context, member func() *wire.Member, onReply func(*wire.AnnounceReply)) error {
+func (p *Process) announce(ctx context.Context, request func() *wire.AnnounceRequest, onReply func(*wire.AnnounceReply)) error {
 	ticker := time.NewTicker(lease.RenewInterval)
 	defer ticker.Stop()
 	for {
 		bounded, cancel := context.WithTimeout(ctx, lease.Duration)
-		reply, failure := p.leader.Announce(bounded, &wire.AnnounceRequest{Member: member()})
+		reply, failure := p.leader.Announce(bounded, request())
 		cancel()
 		if failure == nil && onReply != nil {
 			onReply(reply)
--- a/daemon/sidecar.go
+++ b/daemon/sidecar.go
@@ -62,7 +62,7 @@
 		return nil
 	})
 	r.addRanks()
-	p.add(func(ctx context.Context) error { return p.announce(ctx, r.member, r.onAnnounced) })
+	p.add(func(ctx context.Context) error { return p.announce(ctx, r.announcement, r.onAnnounced) })
 	p.add(r.follow)
 }
 
@@ -138,6 +138,10 @@
 	return uint64(now.UnixMilli())<<epochRandomBits | low
 }
 
+func (r *sidecarRole) announcement() *wire.AnnounceRequest {
+	return &wire.AnnounceRequest{Member: r.member()}
+}
+
 func (r *sidecarRole) member() *wire.Member {
 	s := r.process.settings
 	return &wire.Member{
--- a/dispatch/dispatcher.go
+++ b/dispatch/dispatcher.go
@@ -53,6 +53,7 @@
 	Dispatcher struct {
 		settings  Settings
 		picker    *routing.Picker
+		traffic   *Traffic
 		verdicts  quarantine.View
 		inventory atomic.Pointer[inventory.Inventory]
 		holder    atomic.Pointer[lease.Holder]
@@ -78,6 +79,7 @@
 	d := &Dispatcher{
 		settings: settings, links: map[string]*sidecar.Link{}, gates: map[string]*fairness.Gate{},
 		budgets: map[string]*retry.Budget{}, hedges: map[string]*retry.Hedge{},
+		traffic: NewTraffic(settings.Incarnation),
 	}
 	d.picker = routing.NewPicker(routing.Settings{
 		Entry: settings.Entry, FailureDomain: settings.FailureDomain, Subset: settings.Subset, OnRoom: d.onRoom,
@@ -96,8 +98,12 @@
 // Picker returns the picker, for reports of load.
 func (d *Dispatcher) Picker() *routing.Picker { return d.picker }
 
+// Traffic returns the counts of outcomes.
+func (d *Dispatcher) Traffic() *Traffic { return d.traffic }
+
 // Do runs the request and hands its answer to the sink. The error tells what is known of the run.
-func (d *Dispatcher) Do(ctx context.Context, request *Request, sink Sink) *outcome.Error {
+func (d *Dispatcher) Do(ctx context.Context, request *Request, sink Sink) (failure *outcome.Error) {
+	defer func() { d.traffic.Add(request.Organisation, request.Service, failure) }()
 	if d.draining.Load() {
 		return &outcome.Error{
 			Step: "admit", Peer: d.settings.Entry, Outcome: outcome.NotRun, Reason: "draining", RetryAfter: time.Second,
