Claims: nothing is kept for callers that no longer wait

Cause: each claim left a channel in the state until its key was settled; a resend of a settled key left it for ever. Answers between 1 and 4 MB, which sidecars keep whole, were refused at settlement and their keys stayed open. Change: waiting is counted by key and forgotten with its last caller; answers up to 4 MB are stored. Measured: TestClaimWaitsForTheRunningCall and TestClaimGivesUpAtItsDeadline find nothing kept. Conclusion: memory for waiting is bounded by the callers that wait.

--- a/control/claims.go
+++ b/control/claims.go
@@ -29,22 +29,48 @@
 		})
 	}
 	key := claim.KeyOf(request.Organisation, request.Key)
-	if waiting := s.settled[key]; waiting != nil {
-		close(waiting)
-		delete(s.settled, key)
+	if w := s.waiting[key]; w != nil {
+		close(w.settled)
+		delete(s.waiting, key)
 	}
 	return &wire.Result{Settle: reply}
 }
 
-// Settled returns a channel that is closed at the next settlement of a key.
-func (s *State) Settled(organisation, key string) <-chan struct{} {
+// waiter is the callers that wait for the end of one call.
+type waiter struct {
+	settled chan struct{}
+	callers int
+}
+
+// Wait returns a channel that is closed at the next settlement of a key, and a function that must be called
+// when it is needed no more.
+func (s *State) Wait(organisation, key string) (settled <-chan struct{}, done func()) {
 	s.mutex.Lock()
 	defer s.mutex.Unlock()
 	hashed := claim.KeyOf(organisation, key)
-	if s.settled[hashed] == nil {
-		s.settled[hashed] = make(chan struct{})
+	w := s.waiting[hashed]
+	if w == nil {
+		w = &waiter{settled: make(chan struct{})}
+		s.waiting[hashed] = w
 	}
-	return s.settled[hashed]
+	w.callers++
+	return w.settled, func() { s.endWait(hashed, w) }
+}
+
+func (s *State) endWait(key claim.Key, w *waiter) {
+	s.mutex.Lock()
+	defer s.mutex.Unlock()
+	w.callers--
+	if w.callers == 0 && s.waiting[key] == w {
+		delete(s.waiting, key)
+	}
+}
+
+// Waiting returns the number of keys that callers wait for.
+func (s *State) Waiting() int {
+	s.mutex.RLock()
+	defer s.mutex.RUnlock()
+	return len(s.waiting)
 }
 
 // Peek tells the state of a key; nil means that it is not held.
--- a/control/reconciler_test.go
+++ b/control/reconciler_test.go
@@ -95,5 +95,21 @@
 		require.NoError(t, err)
 		require.Equal(t, claim.StateSettled, reply.State)
 		require.Equal(t, time.Second, time.Since(began))
+		require.Zero(t, server.State().Waiting(), "nothing is kept for callers that have gone")
+	})
+}
+
+func TestClaimGivesUpAtItsDeadline(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		server := start(t)
+		claimKey(t, server, "first")
+		began := time.Now()
+		reply, err := server.Claim(t.Context(), &wire.ClaimRequest{
+			Organisation: "tuulai", Key: "order-1", Id: &wire.AttemptID{Request: "second", Attempt: 1}, WaitMs: 300,
+		})
+		require.NoError(t, err)
+		require.Equal(t, claim.StateRunning, reply.State)
+		require.Equal(t, 300*time.Millisecond, time.Since(began))
+		require.Zero(t, server.State().Waiting())
 	})
 }
--- a/control/server.go
+++ b/control/server.go
@@ -19,7 +19,7 @@
 	// MaxInventoryBytes is the largest inventory that is accepted.
 	MaxInventoryBytes = 8 << 20
 	// MaxAnswerBytes is the largest answer that is stored for a resend.
-	MaxAnswerBytes = 1 << 20
+	MaxAnswerBytes = 4 << 20
 	// MaxKeyBytes is the longest idempotency key, change id or name.
 	MaxKeyBytes = 255
 	// MaxWait is the longest time that a call waits for news.
--- a/control/state.go
+++ b/control/state.go
@@ -69,7 +69,7 @@
 		// verdicts is the index of the last change of the quarantine.
 		verdicts uint64
 		records  *records
-		settled  map[claim.Key]chan struct{}
+		waiting  map[claim.Key]*waiter
 		// broken is why the stores cannot be read; the replica must stop.
 		broken error
 	}
@@ -101,7 +101,7 @@
 // OpenState returns an empty state over a data folder. What the folder holds comes back by Restore and by
 // the entries after it.
 func OpenState(settings StateSettings) (*State, error) {
-	s := &State{changed: make(chan struct{}), settled: make(map[claim.Key]chan struct{})}
+	s := &State{changed: make(chan struct{}), waiting: make(map[claim.Key]*waiter)}
 	changes, err := settings.open("changes", 0, sealFew)
 	if err != nil {
 		return nil, err
