--- /dev/null
+++ b/mapswitch/bench_test.go
@@ -0,0 +1,126 @@
+package mapswitch_test
+
+import (
+	"fmt"
+	"testing"
+	"time"
+
+	"github.com/stretchr/testify/require"
+
+	"guavahitch.example/guavahitch/mapswitch"
+)
+
+const (
+	benchStep     = 30 * time.Millisecond
+	benchElection = 1500 * time.Millisecond
+)
+
+// benchCase is one fault in the middle of a switch.
+type benchCase struct {
+	name      string
+	allowance time.Duration
+	// arrange prepares the fault; the switch is asked for next.
+	arrange func(*world)
+}
+
+var benchCases = []benchCase{
+	{name: "fault=none", arrange: func(*world) {}},
+	{name: "fault=lost-message", arrange: func(w *world) { w.lose = once("arm") }},
+	{name: "fault=lost-decision", arrange: func(w *world) {
+		isArmed := false
+		w.lose = func(kind string) bool {
+			isArmed = isArmed || kind == "arm"
+			isLost := isArmed && kind == "instruction"
+			if isLost {
+				w.lose = func(string) bool { return false }
+			}
+			return isLost
+		}
+	}},
+	{name: "fault=lost-leader", arrange: loseLeader},
+	{name: "fault=lost-leader-allowance=2500ms", allowance: 2500 * time.Millisecond, arrange: loseLeader},
+	{name: "fault=none-allowance=2500ms", allowance: 2500 * time.Millisecond, arrange: func(*world) {}},
+}
+
+// once returns a loss of the first message of the kind.
+func once(kind string) func(string) bool {
+	isDone := false
+	return func(sent string) bool {
+		isLost := !isDone && sent == kind
+		isDone = isDone || isLost
+		return isLost
+	}
+}
+
+// loseLeader makes the leader die when it proposes the decision: all ranks are armed and nobody knows. Its
+// successor is elected benchElection later and asked for the switch again.
+func loseLeader(w *world) {
+	lose := once("propose")
+	w.lose = func(kind string) bool {
+		if !lose(kind) {
+			return false
+		}
+		w.latest().isAlive = false
+		w.after(benchElection, func() {
+			w.elect()
+			w.after(10*time.Millisecond, w.request)
+		})
+		return true
+	}
+}
+
+// BenchmarkSwitch measures on the simulated clock how many steps a switch stalls and how long it takes from
+// the request until the last rank uses the new map; fault=none is the baseline of the faults.
+func BenchmarkSwitch(b *testing.B) {
+	for _, ranks := range []int{8, 32, 128} {
+		for _, c := range benchCases {
+			b.Run(fmt.Sprintf("ranks=%d/%s", ranks, c.name), func(b *testing.B) {
+				var stalled, took float64
+				for n := range b.N {
+					s, d := measureSwitch(b, uint64(n), ranks, c)
+					stalled += s
+					took += d.Seconds() * 1000
+				}
+				b.ReportMetric(stalled/float64(b.N), "stalled-steps")
+				b.ReportMetric(took/float64(b.N), "switch-ms")
+			})
+		}
+	}
+}
+
+// measureSwitch returns the time by which steps were delayed, in steps, and the time that the switch took.
+func measureSwitch(b *testing.B, seed uint64, ranks int, c benchCase) (float64, time.Duration) {
+	w := newWorld(seed, ranks, 0, mapswitch.Seams{})
+	w.stepTime = benchStep
+	w.advance(10 * time.Millisecond)
+	w.request()
+	w.advance(2*time.Second + w.upTo(int(benchStep/time.Millisecond)))
+	for _, l := range w.leaders {
+		l.isAlive = false
+	}
+	w.options.Allowance = c.allowance
+	w.elect()
+	w.advance(500 * time.Millisecond)
+	c.arrange(w)
+	began, before := w.now, w.ended
+	w.request()
+	for !w.isInUse(w.version) {
+		w.advance(time.Millisecond)
+		require.Less(b, w.now.Sub(began), time.Minute)
+	}
+	took := w.now.Sub(began)
+	w.advance(10 * benchStep)
+	require.Empty(b, w.split)
+	elapsed := float64(w.now.Sub(began)) / float64(benchStep)
+	return max(0, elapsed-float64(w.ended-before)-1), took
+}
+
+// isInUse reports whether every rank runs on the map.
+func (w *world) isInUse(version uint64) bool {
+	for _, e := range w.engines {
+		if e.state.Layout == 0 || e.layouts[e.state.Layout].Map.Version != version {
+			return false
+		}
+	}
+	return true
+}
--- a/mapswitch/coordinator.go
+++ b/mapswitch/coordinator.go
@@ -31,6 +31,9 @@
 	DefaultArmTimeout = 5 * time.Second
 	// DefaultPollInterval is the time between instructions while weights are loading.
 	DefaultPollInterval = 50 * time.Millisecond
+	// DefaultAllowance covers an election of two seconds. It is not set by WithDefaults: a group that counts the
+	// delay of a switch higher than the steps lost with a leader goes without.
+	DefaultAllowance = 2500 * time.Millisecond
 	// minRetryInterval and maxRetryInterval bound the time until an unanswered instruction is repeated.
 	minRetryInterval = 5 * time.Millisecond
 	maxRetryInterval = 500 * time.Millisecond
@@ -104,6 +107,7 @@
 		ready   bool
 		pace    pace
 		views   map[Member]*view
+		latest  map[seat]uint64
 		active  *attempt
 		queued  *Switch
 		out     Output
@@ -123,6 +127,12 @@
 		proposed time.Time
 	}
 
+	// seat is an engine at a rank, whatever its incarnation.
+	seat struct {
+		rank int
+		name string
+	}
+
 	// view is what the coordinator knows of one member.
 	view struct {
 		status  Status
@@ -156,7 +166,7 @@
 // replicated log holds for the group; records committed later go to Committed.
 func NewCoordinator(options Options, state State, term uint64) *Coordinator {
 	return &Coordinator{
-		options: options.WithDefaults(), state: state, term: term, views: map[Member]*view{},
+		options: options.WithDefaults(), state: state, term: term, views: map[Member]*view{}, latest: map[seat]uint64{},
 	}
 }
 
@@ -264,6 +274,8 @@
 
 // observe updates what is known of the member.
 func (c *Coordinator) observe(s Status, now time.Time) {
+	at := seat{rank: s.Member.Rank, name: s.Member.Name}
+	c.latest[at] = max(c.latest[at], s.Member.Incarnation)
 	v := c.view(s.Member)
 	isNew := !v.seen || !s.Answers.Before(v.status.Answers)
 	if isNew {
@@ -412,16 +424,29 @@
 // replaced returns a member of the switch whose engine has restarted since.
 func (c *Coordinator) replaced() (Member, bool) {
 	for _, m := range c.active.layout.Members {
-		for other, v := range c.views {
-			isLater := other.Rank == m.Rank && other.Name == m.Name && other.Incarnation > m.Incarnation
-			if isLater && v.seen {
-				return m, true
-			}
+		if c.latest[seat{rank: m.Rank, name: m.Name}] > m.Incarnation {
+			return m, true
 		}
 	}
 	return Member{}, false
 }
 
+// forget drops what is known of members that are neither in force nor in the switch in progress.
+func (c *Coordinator) forget() {
+	members := c.members()
+	for m := range c.views {
+		if !slices.Contains(members, m) {
+			delete(c.views, m)
+		}
+	}
+	for s := range c.latest {
+		isSeated := slices.ContainsFunc(members, func(m Member) bool { return m.Rank == s.rank && m.Name == s.name })
+		if !isSeated {
+			delete(c.latest, s)
+		}
+	}
+}
+
 // decide proposes the durable decision. From here on the coordinator cannot change its mind.
 func (c *Coordinator) decide(run bool, cause string, now time.Time) {
 	a := c.active
@@ -466,6 +491,7 @@
 	}
 	c.out.Results = append(c.out.Results, result)
 	c.active = nil
+	c.forget()
 }
 
 func (c *Coordinator) depose(now time.Time) {
--- a/mapswitch/world_test.go
+++ b/mapswitch/world_test.go
@@ -39,6 +39,8 @@
 		orders  uint64
 		state   mapswitch.EngineState
 		layouts map[uint64]mapswitch.Layout
+		// members are the lists of members of the layouts, as one text.
+		members map[uint64]string
 		next    uint64
 		inStep  bool
 		waited  bool
@@ -238,11 +240,19 @@
 		}
 	}
 	for _, e := range o.Send {
-		l.w.post("instruction", func() { l.w.deliver(e) })
+		l.w.post(kindOf(e.Instruction), func() { l.w.deliver(e) })
 	}
 	l.w.results = append(l.w.results, o.Results...)
 }
 
+// kindOf names an instruction for the faults of the benchmark.
+func kindOf(i mapswitch.Instruction) string {
+	if i.Arm.Sequence != 0 {
+		return "arm"
+	}
+	return "instruction"
+}
+
 func (w *world) deliver(e mapswitch.Envelope) {
 	i, err := mapswitch.InstructionFromWire(e.Instruction.ToWire())
 	if err != nil {
@@ -368,6 +378,7 @@
 func (e *engine) start() {
 	e.isAlive = true
 	e.state = mapswitch.EngineState{Incarnation: e.state.Incarnation + 1}
+	e.members = map[uint64]string{}
 	e.layouts, e.next, e.inStep, e.number, e.orders = map[uint64]mapswitch.Layout{}, 0, false, 0, 0
 }
 
@@ -407,6 +418,7 @@
 
 func (e *engine) run(l mapswitch.Layout) {
 	e.layouts[l.Sequence] = l
+	e.members[l.Sequence] = fmt.Sprint(l.Members)
 	e.state.Pending = l.Sequence
 	e.state.Hold = mapswitch.Hold{}
 	if (l.Stalled || e.state.Layout == 0) && e.next < l.Step {
@@ -448,7 +460,7 @@
 		r = &run{begun: map[string][]*engine{}, maps: map[string][]mapswitch.MapReference{}}
 		w.runs[at] = r
 	}
-	key := fmt.Sprint(l.Members)
+	key := e.members[l.Sequence]
 	r.begun[key] = append(r.begun[key], e)
 	r.maps[key] = append(r.maps[key], l.Map)
 	if len(r.begun[key]) < len(l.Members) {
