--- a/balance/planner_test.go
+++ b/balance/planner_test.go
@@ -50,9 +50,10 @@
 }
 
 func TestPlanKeepsItsPromises(t *testing.T) {
-	planner := balance.NewPlanner(costs)
 	rapid.Check(t, func(t *rapid.T) {
 		p := problems().Draw(t, "problem")
+		planner := balance.NewPlanner(costs)
+		planner.EvenShares = rapid.Bool().Draw(t, "even shares")
 		plan, err := planner.Plan(p.present, p.load, p.group)
 		require.NoError(t, err)
 		again, err := planner.Plan(p.present, p.load, p.group)
