--- a/balance/balancer.go
+++ b/balance/balancer.go
@@ -35,7 +35,7 @@
 )
 
 // lookInterval is the least time between two looks at one group.
-const lookInterval = 15 * time.Second
+const lookInterval = 30 * time.Second
 
 // NewBalancer returns a balancer without groups.
 func NewBalancer(rule Rule, planner Planner, store Store) *Balancer {
--- a/balance/planner_test.go
+++ b/balance/planner_test.go
@@ -229,3 +229,34 @@
 	t.Logf("experts moved and in one failure domain: %d without domains, %d with", without, with)
 	require.Less(t, with, without/2)
 }
+
+func TestOnlyReplicasAreExchanged(t *testing.T) {
+	present, err := expertmap.New("g", expertmap.Shape{Ranks: 4, Experts: 8, Layers: 1, Slots: 2})
+	require.NoError(t, err)
+	load := []float64{8, 1, 1, 1, 7, 1, 1, 1} // rank 0 holds experts 0 and 4, and no slot is spare
+	plan, err := balance.NewPlanner(costs).Plan(present, load, balance.NewGroup(4, 8))
+	require.NoError(t, err)
+	built, err := plan.Build(len(plan.Options) - 1)
+	require.NoError(t, err)
+	moves, err := expertmap.Moves(present, built)
+	require.NoError(t, err)
+	require.Len(t, moves, 2)
+	require.InDelta(t, 9*4/21.0, balance.Measure(built, load, balance.NewGroup(4, 8)).Slowdown, 1e-9)
+}
+
+func TestWeightsEvenOutWithoutAMove(t *testing.T) {
+	shape := expertmap.Shape{Ranks: 4, Experts: 4, Layers: 1, Slots: 2}
+	present, err := expertmap.New("g", shape)
+	require.NoError(t, err)
+	load := []float64{30, 10, 10, 10}
+	planner := balance.NewPlanner(costs)
+	weighted, err := planner.Plan(present, load, balance.NewGroup(4, 8))
+	require.NoError(t, err)
+	planner.EvenShares = true
+	evenly, err := planner.Plan(present, load, balance.NewGroup(4, 8))
+	require.NoError(t, err)
+	require.Zero(t, weighted.Options[0].Moves)
+	require.InDelta(t, 1, weighted.Options[0].Slowdown, 0.01)
+	require.InDelta(t, evenly.Present.Slowdown, evenly.Options[0].Slowdown, 1e-9)
+	require.Greater(t, evenly.Options[0].Slowdown, 1.3)
+}
