--- a/measure/plot.go
+++ b/measure/plot.go
@@ -3,6 +3,7 @@
 import (
 	"image/color"
 	"io"
+	"strconv"
 
 	"github.com/rotisserie/eris"
 	"gonum.org/v1/plot"
@@ -16,6 +17,9 @@
 	plotWidth  = 9 * vg.Inch
 	plotHeight = 6 * vg.Inch
 	panelGap   = 6
+	// legendRoom is the part of the skew's range that is left free above the lines.
+	legendRoom = 0.6
+	hours      = 24
 )
 
 // colours are told apart by most readers, and dashes tell the policies apart in print.
@@ -59,6 +63,8 @@
 		}
 	}
 	skew.Legend.Top = true
+	skew.Y.Max += legendRoom * (skew.Y.Max - skew.Y.Min)
+	skew.X.Tick.Marker, moved.X.Tick.Marker = hourTicks(), hourTicks()
 	moved.Y.Max = max(moved.Y.Max, 10)
 	canvas := vgsvg.New(plotWidth, plotHeight)
 	tiles := draw.Tiles{Rows: 2, Cols: 1, PadY: panelGap}
@@ -69,9 +75,18 @@
 	return eris.Wrap(err, "plot of a day")
 }
 
+// hourTicks marks every third hour.
+func hourTicks() plot.ConstantTicks {
+	const every = 3
+	var ticks plot.ConstantTicks
+	for hour := 0; hour <= hours; hour += every {
+		ticks = append(ticks, plot.Tick{Value: float64(hour), Label: strconv.Itoa(hour)})
+	}
+	return ticks
+}
+
 // addLine draws the values of one policy, none below least, over 24 hours.
 func addLine(p *plot.Plot, n int, name string, values []float64, least float64) error {
-	const hours = 24
 	points := make(plotter.XYs, len(values))
 	for at, v := range values {
 		points[at].X = hours * float64(at) / float64(len(values))
