Report: the weekly page from durable records

Cause: the board had records and no page. Change: the verb report with text, JSON and one self-contained HTML page whose plots gonum draws: changes and causes, map changes with skew and moved bytes, switches, deaths, quarantine, membership, outcomes by organisation and service. Moved bytes are read from the decision's text, since no figure of the record holds them.

--- a/command/command.go
+++ b/command/command.go
@@ -30,6 +30,7 @@
 	newApply,
 	newTimeline,
 	newExplain,
+	newReport,
 	newVersion,
 }
 
