Connections to sidecars are used again

Cause: the context of an attempt ended before the end of its stream was read, so each request opened a connection; with TLS, 3,688 handshakes for 4,000 requests. A write deadline stayed with its connection into the next request. Change: a stream whose last piece has come outlives its context; each request clears the write deadline. BenchmarkEntry has a way with TLS, BenchmarkStreams slopes.

--- a/caller/server.go
+++ b/caller/server.go
@@ -75,6 +75,7 @@
 	e := echo.NewWithConfig(echo.Config{
 		Logger: slog.New(slog.DiscardHandler), HTTPErrorHandler: writeEchoError,
 	})
+	e.Use(clearWriteDeadline)
 	e.GET("/healthz", func(c *echo.Context) error { return c.String(http.StatusOK, "ok\n") })
 	e.GET("/readyz", s.ready)
 	e.GET(metricsPath, s.metrics)
@@ -88,6 +89,18 @@
 	return s
 }
 
+// clearWriteDeadline gives each request on a connection its own time: the deadline of the last write stays with
+// the connection.
+func clearWriteDeadline(next echo.HandlerFunc) echo.HandlerFunc {
+	return func(c *echo.Context) error {
+		_ = http.NewResponseController(c.Response()).SetWriteDeadline(time.Time{})
+		return next(c)
+	}
+}
+
+// Handler returns the handler of all paths, for embedding and for tests.
+func (s *Server) Handler() http.Handler { return s.http.Handler }
+
 // Serve serves the listener until Shutdown.
 func (s *Server) Serve(listener net.Listener) error {
 	err := s.http.Serve(newLimitListener(listener, s.settings.Connections))
--- a/daemon/cluster_test.go
+++ b/daemon/cluster_test.go
@@ -15,6 +15,7 @@
 
 	"guavahitch.example/guavahitch/daemon"
 	"guavahitch.example/guavahitch/fake"
+	"guavahitch.example/guavahitch/keys"
 	"guavahitch.example/guavahitch/settings"
 	"guavahitch.example/guavahitch/wire"
 )
@@ -42,10 +43,12 @@
 		replicas []settings.Replica
 		controls []*daemon.Process
 		folders  []string
-		engines  []*fake.Engine
-		services []*fake.Service
-		stops    map[string]context.CancelFunc
-		ends     map[string]chan struct{}
+		// authority issues keys to every process; nil runs them without TLS.
+		authority *keys.Authority
+		engines   []*fake.Engine
+		services  []*fake.Service
+		stops     map[string]context.CancelFunc
+		ends      map[string]chan struct{}
 	}
 
 	// answer is what a caller got.
@@ -70,9 +73,15 @@
 }
 
 func newClusterWith(t testing.TB, replicas int, inventory string) *cluster {
+	return newKeyedCluster(t, replicas, inventory, nil)
+}
+
+func newKeyedCluster(t testing.TB, replicas int, inventory string, authority *keys.Authority) *cluster {
 	log := logrus.New()
 	log.SetOutput(io.Discard)
-	c := &cluster{t: t, log: log, stops: map[string]context.CancelFunc{}, ends: map[string]chan struct{}{}}
+	c := &cluster{
+		t: t, log: log, stops: map[string]context.CancelFunc{}, ends: map[string]chan struct{}{}, authority: authority,
+	}
 	for n := range replicas {
 		c.replicas = append(c.replicas, settings.Replica{Name: fmt.Sprintf("control-%d", n+1), Address: freeAddress(t)})
 		c.folders = append(c.folders, t.TempDir())
@@ -128,6 +137,11 @@
 // start runs a process until it is stopped by name or the test ends.
 func (c *cluster) start(s *settings.Settings) *daemon.Process {
 	s.DrainTimeout = patience
+	if c.authority != nil {
+		files, err := c.authority.Issue(s.Name)
+		require.NoError(c.t, err)
+		s.Keys = &settings.Keys{Certificate: files.Certificate, Key: files.Key, Authority: files.Authority}
+	}
 	p, err := daemon.NewProcess(s, c.log)
 	require.NoError(c.t, err)
 	ctx, cancel := context.WithCancel(context.Background())
--- a/daemon/entry_benchmark_test.go
+++ b/daemon/entry_benchmark_test.go
@@ -6,6 +6,7 @@
 	"encoding/json"
 	"fmt"
 	"net/http"
+	"runtime"
 	"strings"
 	"sync"
 	"sync/atomic"
@@ -14,8 +15,11 @@
 	"time"
 
 	"github.com/HdrHistogram/hdrhistogram-go"
+	"github.com/stretchr/testify/require"
 
+	"guavahitch.example/guavahitch/daemon"
 	"guavahitch.example/guavahitch/fake"
+	"guavahitch.example/guavahitch/keys"
 )
 
 const (
@@ -28,30 +32,72 @@
 	benchTokens  = 200
 )
 
+// entryBench is an engine whose step can be changed, behind an entry and a sidecar.
+type entryBench struct {
+	step   atomic.Int64
+	engine *fake.Engine
+	entry  *daemon.Process
+}
+
+func newEntryBench(b *testing.B, authority *keys.Authority) *entryBench {
+	e := &entryBench{}
+	c := newKeyedCluster(b, 1, clusterInventory, authority)
+	e.engine, _ = c.addModel("up-1", fake.EngineSettings{
+		Slots: 512, StepTime: func(int) time.Duration { return time.Duration(e.step.Load()) },
+	})
+	e.entry = c.addEntry("entry-1")
+	c.awaitRoom(e.entry, "m", 1)
+	return e
+}
+
 // BenchmarkEntry measures what the way through entry and sidecar adds to calling the engine directly.
 func BenchmarkEntry(b *testing.B) {
-	c := newCluster(b, 1)
-	var step atomic.Int64
-	engine, _ := c.addModel("up-1", fake.EngineSettings{
-		Slots: 64, StepTime: func(int) time.Duration { return time.Duration(step.Load()) },
-	})
-	entry := c.addEntry("entry-1")
-	c.awaitRoom(entry, "m", 1)
-	for _, way := range []struct{ name, address string }{
-		{"direct", engine.Address()}, {"through", entry.CallerAddress()},
+	authority, err := keys.NewAuthority(b.TempDir())
+	require.NoError(b, err)
+	plain, secured := newEntryBench(b, nil), newEntryBench(b, authority)
+	for _, way := range []struct {
+		name, address string
+		bench         *entryBench
+	}{
+		{"direct", plain.engine.Address(), plain},
+		{"through", plain.entry.CallerAddress(), plain},
+		{"through-tls", secured.entry.CallerAddress(), secured},
 	} {
 		b.Run("way="+way.name, func(b *testing.B) {
 			b.ReportAllocs()
 			for b.Loop() {
-				step.Store(0)
+				way.bench.step.Store(0)
 				measureRequests(b, way.address)
-				step.Store(int64(time.Millisecond))
-				measureStreams(b, way.address)
+				way.bench.step.Store(int64(time.Millisecond))
+				measureStreams(b, way.address, benchClients, benchStreams)
 			}
 		})
 	}
 }
 
+// BenchmarkStreams measures the processor time of a token and the memory of a stream, for slopes. Callers, entry,
+// sidecar and engine share the process.
+func BenchmarkStreams(b *testing.B) {
+	for _, streams := range []int{16, 64, 256} {
+		b.Run(fmt.Sprintf("streams=%d", streams), func(b *testing.B) {
+			e := newEntryBench(b, nil)
+			e.step.Store(int64(10 * time.Millisecond))
+			for b.Loop() {
+				before := heapInUse()
+				peak := measureStreams(b, e.entry.CallerAddress(), streams, streams)
+				b.ReportMetric(float64(peak-before)/float64(streams)/1024, "KB/stream")
+			}
+		})
+	}
+}
+
+func heapInUse() int64 {
+	runtime.GC()
+	var m runtime.MemStats
+	runtime.ReadMemStats(&m)
+	return int64(m.HeapInuse + m.StackInuse)
+}
+
 func benchClient() *http.Client {
 	return &http.Client{Transport: &http.Transport{MaxIdleConnsPerHost: benchClients}}
 }
@@ -83,16 +129,17 @@
 	b.ReportMetric(float64(histogram.ValueAtQuantile(99)), "p99-us")
 }
 
-func measureStreams(b *testing.B, address string) {
+// measureStreams runs streams by so many callers at once and returns the memory in use half-way.
+func measureStreams(b *testing.B, address string, callers, streams int) (peak int64) {
 	client := benchClient()
 	defer client.CloseIdleConnections()
 	histogram := hdrhistogram.New(1, 60_000_000, 3)
 	var mutex sync.Mutex
 	var group sync.WaitGroup
 	before := processorTime()
-	for n := range benchClients {
+	for n := range callers {
 		group.Go(func() {
-			for i := range benchStreams / benchClients {
+			for i := range streams / callers {
 				delays, err := streamDelays(client, address, fmt.Sprintf("stream %d %d", n, i))
 				if err != nil {
 					b.Error(err)
@@ -106,9 +153,12 @@
 			}
 		})
 	}
+	time.Sleep(500 * time.Millisecond)
+	peak = heapInUse()
 	group.Wait()
 	b.ReportMetric(float64(histogram.ValueAtQuantile(50)), "token-us")
-	b.ReportMetric(float64((processorTime()-before).Microseconds())/(benchStreams*benchTokens), "cpu-us/token")
+	b.ReportMetric(float64((processorTime()-before).Microseconds())/float64(streams*benchTokens), "cpu-us/token")
+	return peak
 }
 
 // streamDelays returns the time from the engine to the caller of each token of one stream, in microseconds.
--- a/daemon/failure_benchmark_test.go
+++ b/daemon/failure_benchmark_test.go
@@ -127,6 +127,10 @@
 // BenchmarkDeadlyRequest measures what one deadly request, which its caller sends again as soon as it is
 // refused, each time through the other entry, takes with it.
 func BenchmarkDeadlyRequest(b *testing.B) {
+	b.Run("path=whole", benchmarkDeadlyRequest)
+}
+
+func benchmarkDeadlyRequest(b *testing.B) {
 	for b.Loop() {
 		s := newDeadlySystem(b)
 		cutOff, refused := s.stress(func() {
--- a/sidecar/attempt.go
+++ b/sidecar/attempt.go
@@ -107,6 +107,7 @@
 		return nil, err
 	}
 	if piece.End || piece.Failure != nil {
+		a.stream.detach()
 		go a.stream.finish()
 		a.stream = nil
 		return piece, nil
--- a/sidecar/attempt_test.go
+++ b/sidecar/attempt_test.go
@@ -93,6 +93,27 @@
 	require.Equal(t, "checksum", failure.Reason, "an answer that is shorter than its length is not whole")
 }
 
+func TestConnectionIsUsedAgain(t *testing.T) {
+	row := []*wire.Piece{last(piece("r-1", 0, body), int64(len(body)), xxhash.Sum64String(body))}
+	var opened atomic.Int64
+	server := httptest.NewUnstartedServer(http.HandlerFunc(func(w http.ResponseWriter, _ *http.Request) {
+		_, _ = protodelim.MarshalTo(w, row[0])
+	}))
+	server.Config.ConnState = func(_ net.Conn, state http.ConnState) {
+		if state == http.StateNew {
+			opened.Add(1)
+		}
+	}
+	server.Start()
+	t.Cleanup(server.Close)
+	link := sidecar.NewLink(server.Listener.Addr().String(), sidecar.Transport{New: sidecar.PlainTransport})
+	for range 50 {
+		_, failure := fetch(link)
+		require.Nil(t, failure)
+	}
+	require.Less(t, opened.Load(), int64(25), "the end of an attempt must not close its connection")
+}
+
 func TestNothingSentIsNotRun(t *testing.T) {
 	listener, err := net.Listen("tcp", "127.0.0.1:0")
 	require.NoError(t, err)
--- a/sidecar/stream.go
+++ b/sidecar/stream.go
@@ -47,6 +47,8 @@
 	}
 	s.release(request.Released)
 	out := &streamWriter{server: s, w: w, control: http.NewResponseController(w)}
+	// The next request on this connection has its own time.
+	defer func() { _ = out.control.SetWriteDeadline(time.Time{}) }()
 	if start := request.Start; start != nil {
 		out.id = shortID(start.Id)
 		call, refusal := s.admitStart(start)
@@ -166,6 +168,8 @@
 	body   io.ReadCloser
 	reader *bufio.Reader
 	cancel context.CancelFunc
+	// detach lets the stream outlive the context that it was opened under.
+	detach func() bool
 	silent *time.Timer
 }
 
@@ -176,15 +180,19 @@
 	if err != nil {
 		return nil, err
 	}
-	ctx, cancel := context.WithCancel(ctx)
+	own, cancel := context.WithCancel(context.WithoutCancel(ctx))
+	detach := context.AfterFunc(ctx, cancel)
 	silent := time.AfterFunc(WaitLimit+SilenceLimit, cancel)
-	response, err := g.post(ctx, StreamPath, data)
+	response, err := g.post(own, StreamPath, data)
 	if err != nil {
 		silent.Stop()
+		detach()
 		cancel()
 		return nil, err
 	}
-	return &streamReader{body: response.Body, reader: bufio.NewReader(response.Body), cancel: cancel, silent: silent}, nil
+	return &streamReader{
+		body: response.Body, reader: bufio.NewReader(response.Body), cancel: cancel, detach: detach, silent: silent,
+	}, nil
 }
 
 func (r *streamReader) next() (*wire.Piece, error) {
@@ -198,11 +206,13 @@
 // close gives up the stream and its connection.
 func (r *streamReader) close() {
 	r.silent.Stop()
+	r.detach()
 	r.cancel()
 	_ = r.body.Close()
 }
 
-// finish reads the end of a stream whose last piece has come, so that its connection can be used again.
+// finish reads the end of a stream whose last piece has come, so that its connection can be used again even when
+// the context of the attempt ends at once.
 func (r *streamReader) finish() {
 	r.silent.Reset(SilenceLimit)
 	_, _ = io.Copy(io.Discard, r.reader)
