--- /dev/null
+++ b/control/relay_choice_test.go
@@ -0,0 +1,49 @@
+package control_test
+
+import (
+	"fmt"
+	"testing"
+
+	"github.com/stretchr/testify/require"
+
+	"guavahitch.example/guavahitch/control"
+	"guavahitch.example/guavahitch/wire"
+)
+
+// mostUnderRelay is the number of processes, at 381 B/s each, that keeps a relay under 18 KB/s.
+const mostUnderRelay = 47
+
+func members(entries, sidecars int) []*wire.Member {
+	var list []*wire.Member
+	for n := range entries {
+		list = append(list, &wire.Member{Name: fmt.Sprint("entry-", n), Role: "entry"})
+	}
+	for n := range sidecars {
+		list = append(list, &wire.Member{Name: fmt.Sprint("sidecar-", n), Role: "sidecar"})
+	}
+	return list
+}
+
+func TestRelaysShareTheProcessesAndFewMoveWhenOneGoes(t *testing.T) {
+	require.Empty(t, control.Relays(members(4, 15)))
+	list := members(410, 760)
+	relays := control.Relays(list)
+	require.Len(t, relays, 35)
+	under := make(map[string]int)
+	for _, m := range list {
+		if order := control.RelaysOf(m.Name, relays); len(order) > 0 {
+			under[order[0]]++
+		}
+	}
+	for relay, count := range under {
+		require.LessOrEqual(t, count, mostUnderRelay, relay)
+	}
+	moved := 0
+	for _, m := range list {
+		before, after := control.RelaysOf(m.Name, relays), control.RelaysOf(m.Name, relays[1:])
+		if len(before) > 0 && before[0] != after[0] {
+			moved++
+		}
+	}
+	require.Equal(t, under[relays[0]], moved)
+}
