balance: a lost rank is left without fresh counts and without settling

Forced moves also ignored staging. Change: forced moves pass over the age of counts and the settling after a failure, not that after control's start, when ranks may not be known yet; they prefer ranks that can stage more. Measured: TestALostRankIsLeftWithoutFreshCounts fails before (stale) and passes after; go test ./balance ./expertmap -rapid.checks=3000 passes.

--- a/balance/decider.go
+++ b/balance/decider.go
@@ -15,8 +15,10 @@
 		Rule    Rule
 		Planner Planner
 
-		group   string
-		quietTo time.Time
+		group string
+		// startedTo is the end of settling after control's start, recoveredTo that after a failure.
+		startedTo   time.Time
+		recoveredTo time.Time
 		// switched is the end of the last switch.
 		switched time.Time
 		// current and ahead learn how fast the slowdown comes back: under the present loads, which changed
@@ -51,7 +53,7 @@
 // time at moments that are spread by a hash of their names, so that a start causes no storm of switches.
 func NewDecider(group string, rule Rule, planner Planner, started time.Time) Decider {
 	d := Decider{Rule: rule, Planner: planner, group: group}
-	d.quietTo = started.Add(rule.Settle + d.offset())
+	d.startedTo = started.Add(rule.Settle + d.offset())
 	return d
 }
 
@@ -86,18 +88,19 @@
 
 // WithFailureOver returns the decider after a failure of the group ended.
 func (d Decider) WithFailureOver(at time.Time) Decider {
-	d.quietTo = at.Add(d.Rule.Settle)
+	d.recoveredTo = at.Add(d.Rule.Settle)
 	return d
 }
 
 // Decide looks at a group and returns what to do and the decider for the next look.
 func (d Decider) Decide(s Situation) (Decision, Decider) {
 	decision := Decision{Group: d.group, At: s.Now, Rule: d.Rule}
-	decision = decision.
-		withFigure("counts age", s.Now.Sub(s.Estimate.At).Seconds(), "s").
-		withFigure("layers covered", s.Estimate.Covered, "part")
+	if !s.Estimate.At.IsZero() {
+		decision = decision.withFigure("counts age", s.Now.Sub(s.Estimate.At).Seconds(), "s")
+	}
+	decision = decision.withFigure("layers covered", s.Estimate.Covered, "part")
 	forced := holdsOnLostRank(s.Present, s.Group)
-	if reason := d.blind(s); reason != "" {
+	if reason := d.unknownLoad(s, forced); reason != "" {
 		decision.Reason = reason
 		return decision, d
 	}
@@ -119,13 +122,16 @@
 	return d.weigh(decision, s, present, forced)
 }
 
-// blind returns the reason for which the group's load tells nothing now, or nothing.
-func (d Decider) blind(s Situation) Reason {
+// unknownLoad returns the reason for which the group's load tells nothing now, or nothing. A group that lost
+// a rank runs no steps and counts nothing, so its last counts have to do.
+func (d Decider) unknownLoad(s Situation, forced bool) Reason {
 	switch {
 	case s.Failing:
 		return ReasonFailing
 	case s.Switching:
 		return ReasonSwitching
+	case forced:
+		return ""
 	case s.Estimate.At.IsZero() || s.Now.Sub(s.Estimate.At) > d.Rule.MaxAge || s.Estimate.Covered < d.Rule.MinCovered:
 		return ReasonStale
 	}
@@ -135,10 +141,12 @@
 // barred returns the reason for which the group is left alone now whatever its load, or nothing.
 func (d Decider) barred(s Situation, slowdown float64, forced bool) Reason {
 	switch {
-	case s.Now.Before(d.quietTo):
+	case s.Now.Before(d.startedTo):
 		return ReasonSettling
 	case forced:
 		return ""
+	case s.Now.Before(d.recoveredTo):
+		return ReasonSettling
 	case s.Now.Sub(d.switched) < d.Rule.MinInterval && !d.jumped(slowdown):
 		return ReasonInterval
 	}
--- a/balance/decider_test.go
+++ b/balance/decider_test.go
@@ -214,6 +214,26 @@
 	}
 }
 
+func TestALostRankIsLeftWithoutFreshCounts(t *testing.T) {
+	lost := func(s balance.Situation) balance.Situation {
+		s.Group.Speeds[2] = 0
+		return s
+	}
+	s := lost(skewed(t, midnight))
+	s.Estimate.At = midnight.Add(-time.Hour)
+	decision, _ := calm(tuulai).WithFailureOver(midnight).Decide(s)
+	require.Equal(t, balance.ReasonLostRank, decision.Reason)
+
+	s = lost(skewed(t, midnight))
+	s.Estimate = balance.NewEstimator(small).Estimate()
+	decision, _ = calm(tuulai).Decide(s)
+	require.True(t, decision.Switch, "a group that never counted has to go on too")
+
+	fresh := balance.NewDecider("g", tuulai, balance.NewPlanner(costs), midnight)
+	decision, _ = fresh.Decide(lost(skewed(t, midnight)))
+	require.Equal(t, balance.ReasonSettling, decision.Reason, "after a start ranks may not be known yet")
+}
+
 func TestDecisionsAreDeterministic(t *testing.T) {
 	first, _ := calm(tuulai).Decide(skewed(t, midnight))
 	second, _ := calm(tuulai).Decide(skewed(t, midnight))
--- a/balance/planner.go
+++ b/balance/planner.go
@@ -111,15 +111,12 @@
 	start, forcedMoves := 0.0, 0
 	for number := range shape.Layers {
 		ideal := p.loadLayer(s.state, number, placed, shares)
-		steps, ok := s.repair(nil)
+		steps, ok := s.repair(nil, loading)
 		if !ok {
 			return eris.Errorf("plan: no slot is left for an expert of layer %d", number)
 		}
 		p.forced[number] = len(steps)
 		forcedMoves += len(steps)
-		for _, st := range steps {
-			loading[int(st.slot)/shape.Slots]++
-		}
 		p.settle(s.state)
 		latest := s.state.latestTime()
 		start += latest
--- a/balance/planner_test.go
+++ b/balance/planner_test.go
@@ -260,3 +260,21 @@
 	require.InDelta(t, evenly.Present.Slowdown, evenly.Options[0].Slowdown, 1e-9)
 	require.Greater(t, evenly.Options[0].Slowdown, 1.3)
 }
+
+func TestALostRankKeepsNothing(t *testing.T) {
+	rapid.Check(t, func(t *rapid.T) {
+		p := problems().Draw(t, "problem")
+		s := p.present.Shape()
+		lost := rapid.IntRange(0, s.Ranks-1).Draw(t, "lost")
+		p.group.Speeds[lost] = 0
+		plan, err := balance.NewPlanner(costs).Plan(p.present, p.load, p.group)
+		require.NoError(t, err, "the slots of the other ranks hold all experts")
+		built, err := plan.Build(rapid.IntRange(0, len(plan.Options)-1).Draw(t, "option"))
+		require.NoError(t, err)
+		for layer := range s.Layers {
+			for slot := range s.Slots {
+				require.Equal(t, expertmap.Empty, built.Expert(layer, lost, slot))
+			}
+		}
+	})
+}
--- a/balance/search.go
+++ b/balance/search.go
@@ -19,8 +19,8 @@
 	latestRanks = 20
 	// scoresPerLayer bounds the moves and exchanges that are scored in one layer, and so the time of a plan.
 	scoresPerLayer = 300
-	// barrenChange is the relative change of a rank's time after which moves are tried for it again.
-	barrenChange = 0.01
+	// stuckChange is the relative change of a rank's time after which moves are tried for it again.
+	stuckChange = 0.01
 	// minImprovement is the least fall of the unevenness that keeps a move, relative to one rank's part.
 	minImprovement = 5e-5
 	// evenEnough is the time of the latest rank over the ideal at which a layer is left alone.
@@ -48,9 +48,9 @@
 		// them, none without any, or manyDomains.
 		holds      []bool
 		onlyDomain int
-		// barren is the time of each rank when no move helped it; scored counts the tries in this layer.
-		barren []float64
-		scored int
+		// stuckAt is the time of each rank when no move helped it; scored counts the tries in this layer.
+		stuckAt []float64
+		scored  int
 		// even makes all replicas of an expert take equal parts.
 		even bool
 	}
@@ -68,7 +68,7 @@
 	}
 	s.domainAt = domainNumbers(group, shape.Ranks)
 	s.holds = make([]bool, shape.Ranks)
-	s.barren = make([]float64, shape.Ranks)
+	s.stuckAt = make([]float64, shape.Ranks)
 	return s
 }
 
@@ -87,8 +87,8 @@
 }
 
 // repair places each expert that lost its last replica, and returns the steps it took; it fails when no
-// slot is left.
-func (s *search) repair(steps []step) ([]step, bool) {
+// slot is left. Ranks that load as much as they can stage come last; loading counts what each rank loads.
+func (s *search) repair(steps []step, loading []int) ([]step, bool) {
 	for e := range s.state.first {
 		if s.state.count[e] > 0 {
 			continue
@@ -97,15 +97,26 @@
 		if found == 0 {
 			return steps, false
 		}
-		s.place(s.best[0], int16(e))
-		steps = append(steps, step{slot: int32(s.best[0]), expert: int16(e)})
+		at := s.best[0]
+		for _, n := range s.best[:found] {
+			if loading[s.state.rankOf[n]] < s.group.Staging {
+				at = n
+				break
+			}
+		}
+		loading[s.state.rankOf[at]]++
+		if s.state.held[at] == expertmap.Empty {
+			s.free[s.state.rankOf[at]]--
+		}
+		s.place(at, int16(e))
+		steps = append(steps, step{slot: int32(at), expert: int16(e)})
 	}
 	return steps, true
 }
 
 // improve adds up to limit moves, each of which makes the layer more even.
 func (s *search) improve(steps []step, limit int, ideal float64) []step {
-	clear(s.barren)
+	clear(s.stuckAt)
 	s.scored = 0
 	for range limit {
 		if !s.improveOnce(ideal, &steps) {
@@ -124,20 +135,20 @@
 			return false
 		}
 		below = s.state.time[hot]
-		if s.isBarren(hot) {
+		if s.isStuck(hot) {
 			continue
 		}
 		if s.improveRank(hot, steps) || s.trySwaps(hot, steps) {
 			return true
 		}
-		s.barren[hot] = s.state.time[hot]
+		s.stuckAt[hot] = s.state.time[hot]
 	}
 	return false
 }
 
-// isBarren reports whether no move helped a rank when its time was about the same as now.
-func (s *search) isBarren(rank int) bool {
-	return math.Abs(s.state.time[rank]-s.barren[rank]) <= barrenChange*s.barren[rank]
+// isStuck reports whether no move helped a rank when its time was about the same as now.
+func (s *search) isStuck(rank int) bool {
+	return math.Abs(s.state.time[rank]-s.stuckAt[rank]) <= stuckChange*s.stuckAt[rank]
 }
 
 // improveRank tries to take load off a rank, its experts in the order of their load there.
