document: problems in the order of the file

Cause: problems came in the order in which they were found (decoding first, then checks between fields), so a reader jumped up and down the file; an optional choice was shown as an empty name. Change: Err sorts by line and column; a choice that may be left out is not listed. Two examples pin the order: their lines are the same, in the order of the file, and compared as exactly as before. Measured: examples failed with the change alone and pass with the new order.

--- a/document/decode.go
+++ b/document/decode.go
@@ -3,6 +3,7 @@
 import (
 	"fmt"
 	"reflect"
+	"slices"
 	"strconv"
 	"strings"
 	"time"
@@ -217,11 +218,12 @@
 			return
 		}
 	}
+	named := slices.DeleteFunc(slices.Clone(names), func(name string) bool { return name == "" })
 	text := "unknown value"
-	if near := Nearest(value, names); near != "" {
+	if near := Nearest(value, named); near != "" {
 		text += fmt.Sprintf("; did you mean %q?", near)
 	}
-	d.Add(path, text, strings.Join(names, ", "))
+	d.Add(path, text, strings.Join(named, ", "))
 }
 
 // compare returns the sign of the difference between a decoded value and a bound from a tag. The bound of
--- a/document/document.go
+++ b/document/document.go
@@ -51,9 +51,9 @@
 	return d
 }
 
-// Err returns the problems as an error, or nil when there are none.
+// Err returns the problems in the order of the file as an error, or nil when there are none.
 func (d *Document) Err() error {
-	return d.Problems.Err()
+	return d.Problems.Sorted().Err()
 }
 
 // Add reports a problem of the field at a path such as "Upstreams[3].Group". A path that is not in the
--- a/document/problem.go
+++ b/document/problem.go
@@ -3,7 +3,9 @@
 package document
 
 import (
+	"cmp"
 	"fmt"
+	"slices"
 	"strings"
 )
 
@@ -62,6 +64,13 @@
 	return strings.Join(lines, "\n")
 }
 
+// Sorted returns the problems in the order of their places; those of one place stay as they are.
+func (p Problems) Sorted() Problems {
+	return slices.SortedStableFunc(slices.Values(p), func(a, b Problem) int {
+		return cmp.Or(cmp.Compare(a.Position.Line, b.Position.Line), cmp.Compare(a.Position.Column, b.Position.Column))
+	})
+}
+
 // Err returns the problems as an error, or nil when there are none.
 func (p Problems) Err() error {
 	if len(p) == 0 {
--- a/inventory/inventory_test.go
+++ b/inventory/inventory_test.go
@@ -24,13 +24,13 @@
 }`))
 	fmt.Println(err)
 	// Output:
-	// quebec.json:6:68: Upstreams[1].ChecksFence: unknown field; did you mean ChecksFencing?: "ChecksFence" (allowed: Name, Owner, FailureDomain, Services, Group, ChecksFencing, AnswersReference)
-	// quebec.json:9:31: Rules.RetentionHours: value too small: 2 (allowed: at least 24)
-	// quebec.json:9:48: Rules.SkewWeight: value too small: -1 (allowed: at least 0)
-	// quebec.json:6:14: Upstreams[1].Name: name stands twice; it is that of Upstreams[0] too: "levis-1" (allowed: a name of its own)
 	// quebec.json:3:40: Groups[0].Model: no such model; did you mean "matching"?: "matchin" (allowed: matching)
+	// quebec.json:6:14: Upstreams[1].Name: name stands twice; it is that of Upstreams[0] too: "levis-1" (allowed: a name of its own)
 	// quebec.json:6:60: Upstreams[1].Group: no such group; did you mean "east"?: "west" (allowed: east)
+	// quebec.json:6:68: Upstreams[1].ChecksFence: unknown field; did you mean ChecksFencing?: "ChecksFence" (allowed: Name, Owner, FailureDomain, Services, Group, ChecksFencing, AnswersReference)
 	// quebec.json:8:77: Services[0].Routes[1].Path: path is reserved for the entry: "/v1/models" (allowed: paths outside /v1/, /healthz, /readyz, /metrics)
+	// quebec.json:9:31: Rules.RetentionHours: value too small: 2 (allowed: at least 24)
+	// quebec.json:9:48: Rules.SkewWeight: value too small: -1 (allowed: at least 0)
 }
 
 func TestSampleInventoriesAreFound(t *testing.T) {
--- a/settings/settings_test.go
+++ b/settings/settings_test.go
@@ -18,8 +18,8 @@
 }`))
 	fmt.Println(err)
 	// Output:
-	// entry.json:5:41: Entry.Conections: unknown field; did you mean Connections?: "Conections" (allowed: Listen, Subset, Connections, BodyBytes)
 	// entry.json:3:13: Listen: not an IP address with a port: "localhost:8610" (allowed: such as "127.0.0.1:8600" or "[::1]:8600")
+	// entry.json:5:41: Entry.Conections: unknown field; did you mean Connections?: "Conections" (allowed: Listen, Subset, Connections, BodyBytes)
 }
 
 func TestDefaultsAreFilledIn(t *testing.T) {
