--- a/command/command.go
+++ b/command/command.go
@@ -34,6 +34,15 @@
 	newVersion,
 }
 
+// Verbs returns the verbs in the order of the help text.
+func Verbs() []*cobra.Command {
+	list := make([]*cobra.Command, 0, len(verbs))
+	for _, newVerb := range verbs {
+		list = append(list, newVerb())
+	}
+	return list
+}
+
 // Run parses the arguments, runs the verb and returns the exit code.
 func Run(arguments []string, stdout, stderr io.Writer) int {
 	root := &cobra.Command{
@@ -45,9 +54,7 @@
 	root.SetArgs(arguments)
 	root.SetOut(stdout)
 	root.SetErr(stderr)
-	for _, newVerb := range verbs {
-		root.AddCommand(newVerb())
-	}
+	root.AddCommand(Verbs()...)
 	return exitCode(root.ExecuteContext(context.Background()), stderr)
 }
 
