make measure: all benchmarks into one page

Cause: tables had to be put together by hand. Change: the target runs every benchmark once, package by package, and the hidden verb measure puts the tables between their marks in docs/MEASUREMENTS.md; plots go where GUAVAHITCH_PLOTS says. Conclusion: one command makes the page.

--- a/Makefile
+++ b/Makefile
@@ -32,5 +32,12 @@
 		--go_out=wire --go_opt=paths=source_relative \
 		--twirp_out=wire --twirp_opt=paths=source_relative wire/*.proto
 
+# Runs every benchmark once, one package after the other, and writes the tables and plots under docs/.
+measure: build
+	mkdir -p docs/plots
+	GUAVAHITCH_PLOTS=$(CURDIR)/docs/plots $(GO) test -p 1 -run xxx -bench . -benchtime 1x -timeout 60m ./... > bin/measure.out || \
+		{ grep -v '^ok\|no test files' bin/measure.out | tail -40; exit 1; }
+	bin/guavahitch measure --page docs/MEASUREMENTS.md < bin/measure.out
+
 torture:
 	GUAVAHITCH_SEEDS=200 $(GO) test -timeout 30m -run Torture ./...
--- a/balance/rebalance_test.go
+++ b/balance/rebalance_test.go
@@ -19,8 +19,8 @@
 var (
 	// seedSet chooses the days of BenchmarkRebalance: those that rules were tuned on, or those kept apart.
 	seedSet = flag.String("seeds", "held-out", "days of BenchmarkRebalance: tuned or held-out")
-	// plotFolder is where BenchmarkRebalance writes a plot of the first day of each trace.
-	plotFolder = flag.String("plots", "", "folder for the plots of BenchmarkRebalance; none for no plots")
+	// plotFolder is where BenchmarkRebalance writes a plot of the first day of each trace; empty for no plots.
+	plotFolder = os.Getenv("GUAVAHITCH_PLOTS")
 )
 
 var (
@@ -135,7 +135,7 @@
 						for _, seed := range seeds[*seedSet][:s.seeds] {
 							days = append(days, dayResults(kind, s.shape, seed))
 						}
-						if *plotFolder != "" {
+						if plotFolder != "" {
 							plotDay(b, fmt.Sprintf("%s-%s", kind, s.name), days[0])
 						}
 					}
@@ -183,8 +183,8 @@
 		}
 		days = append(days, day)
 	}
-	require.NoError(b, os.MkdirAll(*plotFolder, 0o755))
-	file, err := os.Create(filepath.Join(*plotFolder, "rebalance-"+name+".svg"))
+	require.NoError(b, os.MkdirAll(plotFolder, 0o755))
+	file, err := os.Create(filepath.Join(plotFolder, "rebalance-"+name+".svg"))
 	require.NoError(b, err)
 	require.NoError(b, measure.PlotDay(file, "trace and size "+name, days))
 	require.NoError(b, file.Close())
--- a/command/command.go
+++ b/command/command.go
@@ -32,6 +32,7 @@
 	newExplain,
 	newReport,
 	newVersion,
+	newMeasure,
 }
 
 // Verbs returns the verbs in the order of the help text.
