Replaced ranks: spares take a rank, living ranks retire at the step of the switch

Change: a participant takes its rank from the instruction and knows its engine by name and incarnation; replaced members are told for 30 s and retire at the step of the switch; an engine does not change its rank while it runs; Seat marks every switch that takes a rank from an engine as stalled.

--- a/mapswitch/coordinator.go
+++ b/mapswitch/coordinator.go
@@ -39,6 +39,8 @@
 	maxRetryInterval = 500 * time.Millisecond
 	// maxArms is the number of steps tried for one switch before it is abandoned.
 	maxArms = 8
+	// leavingTime is how long a member that was replaced is told so; after that its own statuses are awaited.
+	leavingTime = 30 * time.Second
 )
 
 type (
@@ -108,10 +110,13 @@
 		pace    pace
 		views   map[Member]*view
 		latest  map[seat]uint64
-		active  *attempt
-		queued  *Switch
-		out     Output
-		asked   time.Time
+		// leaving are the members of the layout before, which are told until leavingUntil that they are out.
+		leaving      []Member
+		leavingUntil time.Time
+		active       *attempt
+		queued       *Switch
+		out          Output
+		asked        time.Time
 	}
 
 	// attempt is the switch in progress.
@@ -198,6 +203,9 @@
 	if verdict != Applied {
 		return c.flush()
 	}
+	if r.Run {
+		c.leave(r.Layout, now)
+	}
 	c.state = state
 	if state.Term > c.term && !c.options.Seams.NoTermFence {
 		c.depose(now)
@@ -317,17 +325,28 @@
 		Sequence: c.state.Sequence + 1, Map: request.Map.MapReference, Members: request.Members, Stalled: request.Stalled,
 	}
 	layout = layout.After(c.state.InForce)
-	isFounded := layout.Series == layout.Sequence
-	if isFounded && len(c.state.InForce.Members) > 0 && !request.Stalled {
-		c.out.Results = append(c.out.Results, Result{
-			Switch: request, Ending: Refused, Cause: "no member stays, and the group is not said to be stalled",
-		})
+	if reason := c.misfit(layout); reason != "" {
+		c.out.Results = append(c.out.Results, Result{Switch: request, Ending: Refused, Cause: reason})
 		return
 	}
 	c.active = &attempt{request: request, layout: layout, phase: preparing, began: now, entered: now}
 	c.instructAll(now)
 }
 
+// misfit returns why the layout cannot follow the one in force, or "".
+func (c *Coordinator) misfit(layout Layout) string {
+	inForce := c.state.InForce
+	if layout.Series == layout.Sequence && len(inForce.Members) > 0 && !layout.Stalled {
+		return "no member stays, and the group is not said to be stalled"
+	}
+	for _, m := range layout.Members {
+		if inForce.HasEngine(m.Name, m.Incarnation) && !inForce.Has(m) {
+			return "engine " + m.Name + " would change its rank while it runs"
+		}
+	}
+	return ""
+}
+
 func (c *Coordinator) drivePrepare(now time.Time) {
 	if m, isLost := c.replaced(); isLost {
 		c.finish(Abandoned, "rank "+m.Name+" restarted", now)
@@ -433,7 +452,7 @@
 
 // forget drops what is known of members that are neither in force nor in the switch in progress.
 func (c *Coordinator) forget() {
-	members := c.members()
+	members := append(slices.Clone(c.members()), c.leaving...)
 	for m := range c.views {
 		if !slices.Contains(members, m) {
 			delete(c.views, m)
@@ -482,6 +501,17 @@
 	}
 }
 
+// leave notes the members that the layout replaces.
+func (c *Coordinator) leave(next Layout, now time.Time) {
+	c.leaving = nil
+	c.leavingUntil = now.Add(leavingTime)
+	for _, m := range c.state.InForce.Members {
+		if !next.HasEngine(m.Name, m.Incarnation) {
+			c.leaving = append(c.leaving, m)
+		}
+	}
+}
+
 func (c *Coordinator) finish(ending Ending, cause string, now time.Time) {
 	result := Result{Switch: c.active.request, Ending: ending, Took: now.Sub(c.active.began)}
 	if ending == Ran {
@@ -527,13 +557,24 @@
 	if c.active != nil && c.active.phase == preparing {
 		interval = max(interval, c.options.PollInterval)
 	}
-	for _, m := range c.unsettled() {
+	for _, m := range append(c.unsettled(), c.staying(now)...) {
 		if now.Sub(c.view(m).sent) >= interval {
 			c.instruct(m, now)
 		}
 	}
 }
 
+// staying returns the replaced members that have not retired yet.
+func (c *Coordinator) staying(now time.Time) []Member {
+	if now.After(c.leavingUntil) {
+		c.leaving = nil
+	}
+	return slices.DeleteFunc(slices.Clone(c.leaving), func(m Member) bool {
+		v := c.view(m)
+		return v.seen && v.status.Settled >= c.state.InForce.Sequence && v.status.Engine.Newest() == 0
+	})
+}
+
 // unsettled returns the members that have not done what is wanted of them.
 func (c *Coordinator) unsettled() []Member {
 	var members []Member
--- a/mapswitch/layout.go
+++ b/mapswitch/layout.go
@@ -65,6 +65,11 @@
 // Has reports whether the member, in this incarnation, belongs to the layout.
 func (l Layout) Has(m Member) bool { return slices.Contains(l.Members, m) }
 
+// HasEngine reports whether the engine, in this incarnation, holds a rank of the layout.
+func (l Layout) HasEngine(name string, incarnation uint64) bool {
+	return slices.ContainsFunc(l.Members, func(m Member) bool { return m.Name == name && m.Incarnation == incarnation })
+}
+
 // Shares reports whether a member belongs to both layouts.
 func (l Layout) Shares(other Layout) bool {
 	return slices.ContainsFunc(l.Members, other.Has)
--- a/mapswitch/participant.go
+++ b/mapswitch/participant.go
@@ -60,7 +60,8 @@
 	}
 )
 
-// NewParticipant returns the participant of one rank after a start of its sidecar.
+// NewParticipant returns the participant of one engine after a start of its sidecar. The rank is the one that it
+// reports until an instruction gives it another, as when a spare takes the place of a rank.
 func NewParticipant(group string, rank int, name string) *Participant {
 	return &Participant{group: group, rank: rank, name: name}
 }
@@ -79,6 +80,7 @@
 	isFenced := i.Token.Term < p.term && !p.Seams.NoTermFence
 	if !isFenced && (!i.Token.Before(p.instruction.Token) || p.Seams.NoTermFence) {
 		p.instruction = i
+		p.rank = i.Rank
 	}
 	p.isAsked = true
 	if p.isBusy {
@@ -163,11 +165,13 @@
 // settle carries out what is decided.
 func (p *Participant) settle() (Order, bool) {
 	layout, hold := p.facts.InForce, p.engine.Hold
-	isMember := layout.Has(p.Member())
+	isMember := layout.HasEngine(p.name, p.engine.Incarnation)
 	if layout.Sequence > p.engine.Newest() && isMember && hold.Sequence == layout.Sequence {
 		return p.order(Order{Kind: RunLayout, Layout: layout})
 	}
-	if layout.Sequence > p.engine.Newest() && !isMember && p.engine.Newest() != 0 {
+	// A replaced engine runs the steps before the layout with the others, unless the group is stalled.
+	isOut := layout.Stalled || p.engine.Step >= layout.Step
+	if layout.Sequence > p.engine.Newest() && !isMember && p.engine.Newest() != 0 && isOut {
 		return p.order(Order{Kind: Retire, Layout: layout})
 	}
 	if hold.Sequence != 0 && hold.Sequence <= p.facts.Sequence {
@@ -201,7 +205,7 @@
 
 // mayArm reports whether a promise for the layout breaks no earlier one.
 func (p *Participant) mayArm(layout Layout, token fencing.Token) bool {
-	if layout.Sequence <= p.facts.Sequence || !layout.Has(p.Member()) {
+	if layout.Sequence <= p.facts.Sequence || !layout.HasEngine(p.name, p.engine.Incarnation) {
 		return false
 	}
 	if !p.engine.HasWeights(layout.Map) {
--- a/mapswitch/seating.go
+++ b/mapswitch/seating.go
@@ -21,7 +21,8 @@
 		Vacant []int
 		// IsChanged is true when Members differ from the layout in force.
 		IsChanged bool
-		// IsStalled is true when a member in force is gone, so that the group cannot finish a step.
+		// IsStalled is true when a member in force holds no rank any more. It may be dead or die before the
+		// switch takes effect, so the others must not wait for it to finish a step.
 		IsStalled bool
 	}
 )
@@ -42,7 +43,7 @@
 		s.sit(rank, inForce, present, taken)
 	}
 	for _, m := range inForce.Members {
-		if !slices.Contains(present, Presence{Name: m.Name, Incarnation: m.Incarnation}) {
+		if !slices.Contains(s.Members, m) {
 			s.IsStalled = true
 		}
 	}
@@ -63,11 +64,22 @@
 	return -1
 }
 
+// spareOf returns the index of the first engine that holds no rank, or -1. An engine does not change its rank
+// while it runs.
+func spareOf(inForce Layout, present []Presence, taken []bool) int {
+	for n, p := range present {
+		if !taken[n] && !inForce.HasEngine(p.Name, p.Incarnation) {
+			return n
+		}
+	}
+	return -1
+}
+
 // sit adds the member of one rank: the engine that held it, else the first spare.
 func (s *Seating) sit(rank int, inForce Layout, present []Presence, taken []bool) {
 	n := seatOf(inForce, rank, present, make([]bool, len(present)))
 	if n < 0 {
-		n = slices.Index(taken, false)
+		n = spareOf(inForce, present, taken)
 	}
 	if n < 0 {
 		s.Vacant = append(s.Vacant, rank)
