Example output in the docs is generated and checked

Cause: output shown in pages grows stale unseen. Change: TestDocs runs the commands of every console block in the pages and compares their output; -update writes it. Measured: the test fails with one word of the output changed, and passes with the output as printed. Conclusion: kept for commands that need no running system.

--- a/command/docs_test.go
+++ b/command/docs_test.go
@@ -5,6 +5,7 @@
 	"os"
 	"path/filepath"
 	"regexp"
+	"strings"
 	"testing"
 
 	"github.com/stretchr/testify/require"
@@ -26,3 +27,49 @@
 		require.Equal(t, command.ExitOK, code, "example %d: %s%s", n+1, &stdout, &stderr)
 	}
 }
+
+// consoleBlock is a fenced block whose lines after "$ guavahitch" are commands and whose other lines are output.
+var consoleBlock = regexp.MustCompile("(?s)```console\n(.*?)```")
+
+// TestDocs runs the commands of the console blocks in the docs, in the folder of the test files, and compares what they
+// print. Blocks for commands that need a running system are marked sh.
+func TestDocs(t *testing.T) {
+	var pages []string
+	for _, pattern := range []string{"../*.md", "../docs/*.md", "../docs/*/*.md", "../*/README.md"} {
+		found, err := filepath.Glob(pattern)
+		require.NoError(t, err)
+		pages = append(pages, found...)
+	}
+	blocks := 0
+	for _, page := range pages {
+		page, err := filepath.Abs(page)
+		require.NoError(t, err)
+		text, err := os.ReadFile(page)
+		require.NoError(t, err)
+		blocks += len(consoleBlock.FindAll(text, -1))
+		t.Run(filepath.Base(filepath.Dir(page))+"/"+filepath.Base(page), func(t *testing.T) {
+			t.Chdir(filesFolder)
+			compare(t, page, consoleBlock.ReplaceAllStringFunc(string(text), func(block string) string {
+				return rerun(t, block)
+			}))
+		})
+	}
+	require.NotZero(t, blocks)
+}
+
+// rerun returns the block with what its commands print now.
+func rerun(t *testing.T, block string) string {
+	t.Helper()
+	next := "```console\n"
+	for _, line := range strings.Split(block, "\n") {
+		words, isCommand := strings.CutPrefix(line, "$ ")
+		if !isCommand {
+			continue
+		}
+		arguments := splitLine(t, words)
+		require.Equal(t, "guavahitch", arguments[0], line)
+		output, _ := run(t, arguments[1:])
+		next += line + "\n" + output
+	}
+	return next + "```"
+}
