A test of separate processes that are killed

Cause: kills were only imitated inside one process. Change: the test binary serves as the program; three entries with control replicas and two sidecars run as processes, are killed with SIGKILL and started again under load.

--- /dev/null
+++ b/command/processes_test.go
@@ -0,0 +1,259 @@
+package command_test
+
+import (
+	"encoding/json"
+	"fmt"
+	"io"
+	"net"
+	"net/http"
+	"os"
+	"os/exec"
+	"path/filepath"
+	"strings"
+	"sync"
+	"syscall"
+	"testing"
+	"time"
+
+	"github.com/stretchr/testify/require"
+
+	"guavahitch.example/guavahitch/command"
+	"guavahitch.example/guavahitch/fake"
+	"guavahitch.example/guavahitch/keys"
+	"guavahitch.example/guavahitch/settings"
+)
+
+const (
+	// argumentsVariable makes the test binary the program: it holds the arguments, one a line.
+	argumentsVariable = "GUAVAHITCH_TEST_ARGUMENTS"
+	// patience bounds the wait for something that must happen.
+	patience = 30 * time.Second
+	// keyedCallers and keyedCalls are the callers and the calls of each.
+	keyedCallers = 6
+	keyedCalls   = 15
+
+	processesInventory = `{
+  "Models": [{"Name": "m"}],
+  "Services": [{"Name": "ledger", "Routes": [{"Path": "/ledger/entries", "Method": "POST"}]}],
+  "Upstreams": [
+    {"Name": "up-1", "FailureDomain": "levis", "Services": ["m"]},
+    {"Name": "ledger-1", "FailureDomain": "levis", "Services": ["ledger"], "AnswersReference": true},
+  ],
+  "Organisations": [{"Name": "north"}],
+}`
+)
+
+func TestMain(m *testing.M) {
+	if arguments, isProgram := os.LookupEnv(argumentsVariable); isProgram {
+		os.Exit(command.Run(strings.Split(arguments, "\n"), os.Stdout, os.Stderr))
+	}
+	os.Exit(m.Run())
+}
+
+// processes is a system of real processes: three entries that are control replicas too, and two sidecars.
+type processes struct {
+	t         *testing.T
+	folder    string
+	authority *keys.Authority
+	replicas  []settings.Replica
+	callers   []string
+	operators []string
+	running   map[string]*exec.Cmd
+}
+
+func freeAddress(t *testing.T) string {
+	listener, err := net.Listen("tcp", "127.0.0.1:0")
+	require.NoError(t, err)
+	defer func() { _ = listener.Close() }()
+	return listener.Addr().String()
+}
+
+func newProcesses(t *testing.T) *processes {
+	p := &processes{t: t, folder: t.TempDir(), running: map[string]*exec.Cmd{}}
+	authority, err := keys.NewAuthority(p.folder)
+	require.NoError(t, err)
+	p.authority = authority
+	require.NoError(t, os.WriteFile(p.path("token"), []byte("secret\n"), 0o600))
+	for n := range 3 {
+		p.replicas = append(p.replicas, settings.Replica{Name: fmt.Sprintf("entry-%d", n+1), Address: freeAddress(t)})
+		p.callers = append(p.callers, freeAddress(t))
+		p.operators = append(p.operators, freeAddress(t))
+	}
+	t.Cleanup(p.stop)
+	return p
+}
+
+func (p *processes) path(name string) string { return filepath.Join(p.folder, name) }
+
+func (p *processes) write(name string, value any) string {
+	text, err := json.MarshalIndent(value, "", "  ")
+	require.NoError(p.t, err)
+	require.NoError(p.t, os.WriteFile(p.path(name), text, 0o600))
+	return p.path(name)
+}
+
+// program returns the program with these arguments, not started.
+func (p *processes) program(arguments ...string) *exec.Cmd {
+	c := exec.Command(os.Args[0])
+	c.Env = append(os.Environ(), argumentsVariable+"="+strings.Join(arguments, "\n"))
+	return c
+}
+
+func (p *processes) start(verb string, s map[string]any) {
+	name := s["Name"].(string)
+	files, err := p.authority.Issue(name)
+	require.NoError(p.t, err)
+	s["Keys"], s["Replicas"] = files, p.replicas
+	c := p.program(verb, "--settings", p.write(name+".json", s))
+	log, err := os.Create(p.path(name + ".log"))
+	require.NoError(p.t, err)
+	c.Stdout, c.Stderr = log, log
+	require.NoError(p.t, c.Start())
+	p.running[name] = c
+}
+
+func (p *processes) startEntry(n int) {
+	p.start("entry", map[string]any{
+		"Name": p.replicas[n].Name, "Listen": p.replicas[n].Address, "FailureDomain": "levis",
+		"Entry": map[string]any{"Listen": p.callers[n]},
+		"Control": map[string]any{
+			"Folder": p.path(p.replicas[n].Name), "Operators": p.operators[n], "TokenFile": p.path("token"),
+		},
+	})
+}
+
+func (p *processes) startSidecar(name, engine, kind, service string) {
+	p.start("sidecar", map[string]any{
+		"Name": name, "Listen": freeAddress(p.t), "FailureDomain": "levis",
+		"Sidecar": map[string]any{"Engine": engine, "Kind": kind, "Services": []string{service}, "Queued": 16},
+	})
+}
+
+// kill ends a process as a crash of its instance would.
+func (p *processes) kill(name string) {
+	require.NoError(p.t, p.running[name].Process.Signal(syscall.SIGKILL))
+	_ = p.running[name].Wait()
+}
+
+// stop ends all processes, as planned first.
+func (p *processes) stop() {
+	for _, c := range p.running {
+		_ = c.Process.Signal(syscall.SIGTERM)
+	}
+	for _, c := range p.running {
+		late := time.AfterFunc(patience, func() { _ = c.Process.Kill() })
+		_ = c.Wait()
+		late.Stop()
+	}
+}
+
+func (p *processes) apply() {
+	require.NoError(p.t, os.WriteFile(p.path("inventory.json"), []byte(processesInventory), 0o600))
+	operator := p.write("operator.json", map[string]any{
+		"Addresses": p.operators, "TokenFile": p.path("token"), "Authority": p.path("authority.pem"),
+	})
+	require.Eventually(p.t, func() bool {
+		return p.program("apply", "--settings", operator, "--change", "first", "--expect", "0", p.path("inventory.json")).Run() == nil
+	}, patience, 100*time.Millisecond)
+}
+
+func (p *processes) post(entry int, path, key, body string) (int, string) {
+	request, err := http.NewRequest(http.MethodPost, "http://"+p.callers[entry]+path, strings.NewReader(body))
+	require.NoError(p.t, err)
+	request.Header.Set("Guavahitch-Organisation", "north")
+	if key != "" {
+		request.Header.Set("Idempotency-Key", key)
+	}
+	response, err := http.DefaultClient.Do(request)
+	if err != nil {
+		return 0, ""
+	}
+	defer func() { _ = response.Body.Close() }()
+	text, _ := io.ReadAll(response.Body)
+	return response.StatusCode, string(text)
+}
+
+// answered sends a keyed call through one entry after the other until it is answered.
+func (p *processes) answered(key string) string {
+	return p.ended(key, func(status int, _ string) bool { return status == http.StatusOK })
+}
+
+// ended sends a keyed call until its end is one that is wanted.
+func (p *processes) ended(key string, isWanted func(status int, text string) bool) string {
+	var end, last string
+	require.Eventually(p.t, func() bool {
+		for entry := range p.callers {
+			status, text := p.post(entry, "/ledger/entries", key, `{"hours":1}`)
+			last = fmt.Sprint(status, " ", text)
+			if isWanted(status, text) {
+				end = text
+				return true
+			}
+		}
+		return false
+	}, patience, 20*time.Millisecond, "%s: %s", key, last)
+	return end
+}
+
+// load lets callers end their calls while fault strikes.
+func (p *processes) load(batch string, isWanted func(int, string) bool, fault func()) {
+	var callers sync.WaitGroup
+	for n := range keyedCallers {
+		callers.Go(func() {
+			for i := range keyedCalls {
+				p.ended(fmt.Sprintf("%s-%d-%d", batch, n, i), isWanted)
+			}
+		})
+	}
+	fault()
+	callers.Wait()
+}
+
+func isAnswered(status int, _ string) bool { return status == http.StatusOK }
+
+// isTruthful accepts an answer, and what is left to say of a call whose sidecar died with the answer.
+func isTruthful(status int, text string) bool {
+	return isAnswered(status, text) || strings.Contains(text, `"reason":"answer-lost"`) ||
+		strings.Contains(text, `"outcome":"Unknown","reason":"unsettled"`)
+}
+
+// TestProcessesSurviveKills runs separate processes and kills each entry in turn, the leader of control among
+// them, while callers send calls that may not be repeated: every call is answered. Then a sidecar is killed, with
+// which answers are lost: callers are told so. No call ever runs twice.
+func TestProcessesSurviveKills(t *testing.T) {
+	engine := fake.NewEngine(fake.EngineSettings{Name: "up-1", Model: "m", Slots: 8, Step: time.Millisecond})
+	require.NoError(t, engine.Start("127.0.0.1:0"))
+	defer engine.Stop()
+	ledger := fake.NewService(fake.ServiceSettings{Name: "ledger", Delay: 2 * time.Millisecond})
+	require.NoError(t, ledger.Start("127.0.0.1:0"))
+	defer ledger.Stop()
+
+	p := newProcesses(t)
+	for n := range 3 {
+		p.startEntry(n)
+	}
+	p.startSidecar("up-1", engine.Address(), "model", "m")
+	p.startSidecar("ledger-1", ledger.Address(), "service", "ledger")
+	p.apply()
+	require.Eventually(t, func() bool {
+		status, _ := p.post(0, "/v1/chat/completions", "", `{"model":"m","messages":[{"role":"user","content":"x"}],"max_tokens":2}`)
+		return status == http.StatusOK
+	}, patience, 50*time.Millisecond)
+	first := p.answered("first")
+
+	p.load("entries", isAnswered, func() {
+		for n := range 3 {
+			p.kill(p.replicas[n].Name)
+			p.startEntry(n)
+			p.answered(fmt.Sprintf("after-%d", n))
+		}
+	})
+	p.load("sidecar", isTruthful, func() {
+		p.kill("ledger-1")
+		p.startSidecar("ledger-1", ledger.Address(), "service", "ledger")
+	})
+	require.Equal(t, first, p.answered("first"), "the first answer survives the death of every replica")
+	for key, runs := range ledger.AllRuns() {
+		require.Equal(t, 1, runs, key)
+	}
+}
