report: plots begin at the first record, in the page's typeface

Cause: seen on the page of a running dev: minutes of records at the edge of an empty week, and a legend laid out for a narrower typeface than the page's, so that its line ran into the name. Change: the plots' time begins at the first record; gonum lays out in its sans typeface.

--- a/report/plot.go
+++ b/report/plot.go
@@ -10,6 +10,7 @@
 	"github.com/rotisserie/eris"
 	"gonum.org/v1/plot"
 	"gonum.org/v1/plot/plotter"
+	"gonum.org/v1/plot/text"
 	"gonum.org/v1/plot/vg"
 	"gonum.org/v1/plot/vg/draw"
 	"gonum.org/v1/plot/vg/vgsvg"
@@ -46,12 +47,13 @@
 	{R: 0x40, G: 0x40, B: 0x40, A: 0xff},
 }
 
-// drawSeries returns an SVG of the series over the time of the report.
+// drawSeries returns an SVG of the series from the first record to the end of the report.
 func drawSeries(r Report, label string, least float64, all []Series) (template.HTML, error) {
 	p := plot.New()
+	useSans(p)
 	p.Y.Label.Text = label
 	p.X.Tick.Marker = plot.TickerFunc(timeTicks)
-	p.X.Min, p.X.Max = float64(r.From.Unix()), float64(r.To.Unix())
+	p.X.Min, p.X.Max = unix(r.First), unix(r.To)
 	p.Legend.Top = true
 	p.Legend.Padding = legendPadding
 	p.Add(plotter.NewGrid())
@@ -65,17 +67,26 @@
 	p.Y.Max += legendRoom * float64(len(all)) * (p.Y.Max - p.Y.Min)
 	canvas := vgsvg.New(plotWidth, plotHeight)
 	p.Draw(draw.Crop(draw.New(canvas), 0, -plotMargin, 0, 0))
-	var text bytes.Buffer
-	if _, err := canvas.WriteTo(&text); err != nil {
+	var page bytes.Buffer
+	if _, err := canvas.WriteTo(&page); err != nil {
 		return "", eris.Wrapf(err, "plot of %s", label)
 	}
-	svg := text.Bytes()
+	svg := page.Bytes()
 	if at := bytes.Index(svg, []byte("<svg")); at > 0 {
 		svg = svg[at:]
 	}
 	return template.HTML(svg), nil
 }
 
+// useSans sets the typeface of the page, so that texts are as wide as they are laid out.
+func useSans(p *plot.Plot) {
+	for _, style := range []*text.Style{
+		&p.X.Tick.Label, &p.X.Label.TextStyle, &p.Y.Tick.Label, &p.Y.Label.TextStyle, &p.Legend.TextStyle,
+	} {
+		style.Font.Variant = "Sans"
+	}
+}
+
 func addSeries(p *plot.Plot, n int, s Series) error {
 	points := make(plotter.XYs, len(s.Points))
 	for i, at := range s.Points {
@@ -101,7 +112,7 @@
 	sums := map[string]float64{}
 	for _, m := range r.Maps {
 		if sums[m.Group] == 0 {
-			all = addPoint(all, m.Group, Point{r.From, 0})
+			all = addPoint(all, m.Group, Point{r.First, 0})
 		}
 		all = addPoint(all, m.Group, Point{m.Time, sums[m.Group]})
 		sums[m.Group] += m.MovedGB
--- a/report/report.go
+++ b/report/report.go
@@ -33,6 +33,8 @@
 // Report is the page as values.
 type Report struct {
 	From, To time.Time
+	// First is the time of the first record; From when there is none.
+	First time.Time
 	// Records is the number of records in this time.
 	Records int
 	Changes []Change
@@ -52,11 +54,14 @@
 
 // New returns the report of the records between two times.
 func New(records []operator.Record, from, to time.Time) Report {
-	r := Report{From: from, To: to}
+	r := Report{From: from, To: to, First: from}
 	for _, record := range records {
 		if at := timeOf(record); at.Before(from) || at.After(to) {
 			continue
 		}
+		if r.Records == 0 {
+			r.First = timeOf(record)
+		}
 		r.Records++
 		r.add(record)
 	}
