--- a/control/reconciler_test.go
+++ b/control/reconciler_test.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"sync/atomic"
 	"testing"
 	"testing/synctest"
 	"time"
@@ -14,12 +15,10 @@
 )
 
 // startReconciler runs a reconciler whose sidecars find the given things in turn, the last one for good.
-func startReconciler(t *testing.T, server *control.Server, findings ...claim.Finding) *int {
-	asked := new(int)
+func startReconciler(t *testing.T, server *control.Server, findings ...claim.Finding) *atomic.Int64 {
+	asked := &atomic.Int64{}
 	ask := func(context.Context, *wire.Member, *wire.StoredClaim) claim.Finding {
-		found := findings[min(*asked, len(findings)-1)]
-		*asked++
-		return found
+		return findings[min(int(asked.Add(1)), len(findings))-1]
 	}
 	ctx, cancel := context.WithCancel(t.Context())
 	t.Cleanup(cancel)
@@ -44,10 +43,10 @@
 		announce(t, server, "entry-1")
 		require.Equal(t, claim.StateGranted, claimKey(t, server, "first").State)
 		time.Sleep(3 * time.Second)
-		require.Zero(t, *asked, "a live entry's call is left alone")
+		require.Zero(t, asked.Load(), "a live entry's call is left alone")
 		require.Equal(t, claim.StateRunning, claimKey(t, server, "second").State)
 		time.Sleep(10 * time.Second)
-		require.Equal(t, 3, *asked)
+		require.EqualValues(t, 3, asked.Load())
 		require.Equal(t, claim.StateRefused, claimKey(t, server, "first").State, "the barred attempt may not claim again")
 		require.Equal(t, claim.StateGranted, claimKey(t, server, "second").State)
 	})
@@ -73,7 +72,7 @@
 		claimKey(t, server, "first")
 		time.Sleep(time.Hour)
 		require.Equal(t, claim.StateUnknown, claimKey(t, server, "second").State)
-		require.Less(t, *asked, 80)
+		require.Less(t, asked.Load(), int64(80))
 	})
 }
 
--- a/control/relay_test.go
+++ b/control/relay_test.go
@@ -53,10 +53,11 @@
 	tr.uplink = &breakable{Control: tr.server}
 	t.Cleanup(tr.group.Wait)
 	tr.restartRelay(t)
+	for range tr.holders {
+		tr.links = append(tr.links, &breakable{})
+	}
 	for n := range tr.holders {
 		announce(t, tr.server, fmt.Sprint("entry-", n))
-		link := &breakable{}
-		tr.links = append(tr.links, link)
 		tr.holders[n].Store(&lease.Holder{})
 		tr.group.Go(func() { tr.follow(t.Context(), n) })
 	}
