A sidecar refuses what acts on an inventory that is no longer in force

Cause: an entry frozen between its look at the lease and its dispatch could act on an old revision. Change: control tells which revision is in force everywhere; the gate refuses attempts of entries that act on an older one, as NotRun. Measured: TestEntryOnAnOldInventoryIsRefused; fails without the rule by construction of the gate.

--- a/admission/gate.go
+++ b/admission/gate.go
@@ -26,6 +26,8 @@
 	ReasonDraining = "draining"
 	// ReasonOverloaded refuses an attempt for want of room.
 	ReasonOverloaded = "overloaded"
+	// ReasonRevision refuses an attempt of an entry that acts on an inventory which is no longer in force.
+	ReasonRevision = "old-revision"
 	// ReasonStale refuses an attempt whose sequence number is at or below the entry's horizon.
 	ReasonStale = "stale"
 
@@ -65,7 +67,9 @@
 		// Entry is the entry and its incarnation.
 		Entry string
 		// Sequence grows with each attempt that the entry sends to this gate.
-		Sequence     uint64
+		Sequence uint64
+		// Revision is the revision of the inventory that the entry acts on.
+		Revision     uint64
 		Organisation string
 		Fingerprint  string
 		Priority     int32
@@ -93,6 +97,8 @@
 		peer    string
 		closed  bool
 		barsAll bool
+		// oldest is the oldest revision of the inventory that an entry may act on.
+		oldest  uint64
 		calls   map[ID]*Call
 		queue   []*Call
 		running int
@@ -131,6 +137,10 @@
 // Admit says whether the upstream may take new attempts at all, as the inventory has it.
 func (g *Gate) Admit(allowed bool) { g.barsAll = !allowed }
 
+// Require says that a revision of the inventory is in force everywhere: an attempt of an entry that acts on an
+// older one is refused, such as one that was frozen past the end of its lease.
+func (g *Gate) Require(revision uint64) { g.oldest = max(g.oldest, revision) }
+
 // Counts returns the number of running and of queued attempts.
 func (g *Gate) Counts() (running, queued int) { return g.running, len(g.queue) }
 
@@ -174,6 +184,8 @@
 		refusal.Reason, refusal.Outcome = ReasonStale, outcome.Unknown
 	case g.closed:
 		refusal.Reason = ReasonDraining
+	case ticket.Revision < g.oldest:
+		refusal.Reason = ReasonRevision
 	case g.barsAll:
 		refusal.Reason = "not-listed"
 	case !ticket.Deadline.After(now):
--- a/admission/gate_test.go
+++ b/admission/gate_test.go
@@ -142,6 +142,20 @@
 	require.True(t, gate.IsIdle())
 }
 
+func TestEntryOnAnOldInventoryIsRefused(t *testing.T) {
+	gate := admission.NewGate("u", 1, limits)
+	gate.Require(5)
+	frozen := ticket(gate, 1, 1)
+	frozen.Revision = 4
+	_, refusal := gate.Start(start, frozen)
+	require.Equal(t, admission.ReasonRevision, refusal.Reason)
+	require.Equal(t, outcome.NotRun, refusal.Outcome)
+	current := ticket(gate, 1, 2)
+	current.Revision = 5
+	_, refusal = gate.Start(start, current)
+	require.Nil(t, refusal)
+}
+
 func TestAloneRunsAlone(t *testing.T) {
 	gate := admission.NewGate("u", 1, limits)
 	_, _ = gate.Start(start, ticket(gate, 1, 1))
--- a/control/configuration.go
+++ b/control/configuration.go
@@ -163,7 +163,7 @@
 
 // fill puts into the reply what a process lacks that holds a revision.
 func (c *configuration) fill(reply *wire.WatchReply, held uint64) {
-	reply.Revision = c.revision
+	reply.Revision, reply.InForce = c.revision, c.inForce
 	if held == c.revision {
 		return
 	}
--- a/daemon/sidecar.go
+++ b/daemon/sidecar.go
@@ -114,6 +114,7 @@
 		if next.Revision() != holder.Revision() {
 			r.use(next)
 		}
+		r.server.Require(next.InForce())
 		holder = next
 	}
 	return nil
--- a/lease/holder.go
+++ b/lease/holder.go
@@ -22,6 +22,7 @@
 	view        uint64
 	members     map[string]*wire.Member
 	quarantine  uint64
+	inForce     uint64
 	quarantined []*wire.Quarantine
 	// needsWhole is true after a delta that did not fit.
 	needsWhole bool
@@ -56,6 +57,7 @@
 	if expires := HolderExpiry(sent, lease); lease > 0 && expires.After(h.expires) {
 		h.expires = expires
 	}
+	h.inForce = max(h.inForce, reply.InForce)
 	if reply.Quarantine > h.quarantine {
 		h.quarantine, h.quarantined = reply.Quarantine, reply.Quarantined
 	}
@@ -104,6 +106,9 @@
 // Inventory returns the inventory that the process acts on, as it was accepted.
 func (h Holder) Inventory() []byte { return h.inventory }
 
+// InForce returns the latest revision that is known to be in force everywhere.
+func (h Holder) InForce() uint64 { return h.inForce }
+
 // Expires returns the end of the lease on the process's own clock.
 func (h Holder) Expires() time.Time { return h.expires }
 
--- a/sidecar/server.go
+++ b/sidecar/server.go
@@ -113,7 +113,7 @@
 
 func ticketOf(now time.Time, request *wire.StartRequest) admission.Ticket {
 	return admission.Ticket{
-		ID: idOf(request.Id), Epoch: request.Epoch, Entry: request.Id.GetEntry(), Sequence: request.Id.GetSequence(),
+		ID: idOf(request.Id), Epoch: request.Epoch, Entry: request.Id.GetEntry(), Sequence: request.Id.GetSequence(), Revision: request.Revision,
 		Organisation: request.Organisation, Fingerprint: string(request.Fingerprint), Priority: request.Priority,
 		Deadline:   now.Add(time.Duration(request.DeadlineMs) * time.Millisecond),
 		Repeatable: request.Repeatable, Alone: request.Alone, Key: keyOf(request),
