Whole answers fetched by others are checked; open claims are reconciled; disks watched

Change: one FetchWhole with the checks serves entries and control; the daemon runs the reconciler, closes the receiver and reports a broken state. Measured: TestFetchWholeTakesTheWholeAnswerOnly; the answer of a crossed or cut row was taken before.

--- a/daemon/control.go
+++ b/daemon/control.go
@@ -28,6 +28,8 @@
 	// logFolder and stateFolder are the parts of a control replica's folder.
 	logFolder   = "log"
 	stateFolder = "state"
+	// stateInterval is the time between two looks at the state's files.
+	stateInterval = time.Second
 	// segmentTimeout bounds the reading of one part of a sealed file from another replica.
 	segmentTimeout = 10 * time.Second
 )
@@ -35,14 +37,15 @@
 // controlRole is one replica of control: the replicated log, the state that it is applied to, and the server
 // of wire.Control over both.
 type controlRole struct {
-	process *Process
-	state   *control.State
-	node    *consensus.Node
-	sender  *peer.Sender
-	server  *control.Server
-	client  *http.Client
-	scheme  string
-	closed  sync.Once
+	process  *Process
+	state    *control.State
+	node     *consensus.Node
+	sender   *peer.Sender
+	receiver *peer.Receiver
+	server   *control.Server
+	client   *http.Client
+	scheme   string
+	closed   sync.Once
 	// operators is where operators are served, nil for nowhere.
 	operators net.Listener
 }
@@ -55,7 +58,10 @@
 	p.control = r
 	p.inner.add(wire.NewControlServer(r.server))
 	p.inner.add(wire.NewSegmentsServer(control.Segments{State: r.state}))
-	p.inner.mux.Handle(peer.Path, peer.NewReceiver(r.node.Step).Handler())
+	r.receiver = peer.NewReceiver(r.node.Step)
+	p.inner.mux.Handle(peer.Path, r.receiver.Handler())
+	p.add(control.NewReconciler(r.server, control.AskSidecar(r.sidecarAt)).Run)
+	p.add(r.watchState)
 	p.add(r.server.Run)
 	r.addKeeper()
 	p.add(func(ctx context.Context) error {
@@ -200,6 +206,31 @@
 	return nil, last
 }
 
+// sidecarAt returns the client of the sidecar at an address.
+func (r *controlRole) sidecarAt(address string) wire.Sidecar {
+	return wire.NewSidecarProtobufClient(r.scheme+"://"+address, r.client)
+}
+
+// watchState tells when the state's files cannot be written or read.
+func (r *controlRole) watchState(ctx context.Context) error {
+	ticker := time.NewTicker(stateInterval)
+	defer ticker.Stop()
+	isBroken := false
+	for {
+		select {
+		case <-ctx.Done():
+			return nil
+		case <-ticker.C:
+		}
+		err := r.state.Err()
+		if err != nil && !isBroken {
+			r.process.log.WithError(err).Error("the state's files cannot be used; give the replica another disk")
+			r.process.events.Add(&wire.Event{Kind: "state-broken", Detail: err.Error()})
+		}
+		isBroken = err != nil
+	}
+}
+
 // close hands leadership over and closes the log.
 func (r *controlRole) close() {
 	r.closed.Do(func() {
@@ -207,6 +238,7 @@
 			r.process.log.WithError(err).Error("close of the replicated log")
 		}
 		r.sender.Close()
+		r.receiver.Close()
 	})
 }
 
--- a/ranks/group.go
+++ b/ranks/group.go
@@ -144,13 +144,20 @@
 	case result.Ending == mapswitch.Ran && g.planned:
 		g.switched(result.Layout.Map.Version)
 	case result.Ending == mapswitch.Ran && g.joined:
-		_ = k.balancer.Recovered(g.name(), balance.NewGroup(g.shape.Ranks, staging), time.Now())
+		g.note(k.balancer.Recovered(g.name(), balance.NewGroup(g.shape.Ranks, staging), time.Now()))
 	case g.planned:
-		_ = k.balancer.GivenUp(g.name(), time.Now())
+		g.note(k.balancer.GivenUp(g.name(), time.Now()))
 	}
 	g.planned = false
 }
 
+// note tells of an error that stops nothing.
+func (g *group) note(err error) {
+	if err != nil {
+		g.keeper.settings.OnError(eris.Wrapf(err, "group %s", g.name()))
+	}
+}
+
 // switched tells the balancer of the map in force.
 func (g *group) switched(version uint64) {
 	content := g.keeper.settings.State.MapContent(g.name(), version)
@@ -185,7 +192,7 @@
 	inForce := g.coordinator.State().InForce
 	seating := mapswitch.Seat(inForce, g.shape.Ranks, g.presences(now))
 	if seating.IsStalled && g.joined {
-		_ = g.keeper.balancer.Failing(g.name())
+		g.note(g.keeper.balancer.Failing(g.name()))
 	}
 	if g.asked || !seating.IsChanged || len(seating.Vacant) > 0 {
 		return
--- a/sidecar/attempt.go
+++ b/sidecar/attempt.go
@@ -80,7 +80,7 @@
 		if a.isHopeless(err) || time.Since(silentSince) > askAgainFor {
 			return nil, a.settle(ctx, err, "unreachable")
 		}
-		time.Sleep(askAgainPause)
+		pause(ctx)
 	}
 }
 
@@ -170,7 +170,7 @@
 	if piece.Load != nil && a.OnLoad != nil {
 		a.OnLoad(piece.Load)
 	}
-	if piece.Id.GetRequest() != a.request.Id.Request || piece.Id.GetAttempt() != a.request.Id.Attempt {
+	if !isSameAttempt(piece.Id, a.request.Id) {
 		return a.broken("crossed", "the piece belongs to another attempt")
 	}
 	if piece.Failure != nil && !a.started {
--- a/sidecar/attempt_test.go
+++ b/sidecar/attempt_test.go
@@ -131,3 +131,24 @@
 	_, failure = fetch(pieces(t, nil, []*wire.Piece{refused}))
 	require.Equal(t, outcome.Unknown, failure.Outcome, "an earlier copy may have run under that epoch")
 }
+
+func TestFetchWholeTakesTheWholeAnswerOnly(t *testing.T) {
+	id := &wire.AttemptID{Request: "r-1", Attempt: 1, Entry: "entry-1", Sequence: 3}
+	sum := xxhash.Sum64String(body)
+	fetch := func(rows ...*wire.Piece) *wire.Answer {
+		return sidecar.FetchWhole(context.Background(), func(context.Context, *wire.FetchRequest) (*wire.Piece, error) {
+			next := rows[0]
+			rows = rows[1:]
+			return next, nil
+		}, id, 7)
+	}
+	late := last(piece("r-1", 4, body[4:]), int64(len(body)), sum)
+	late.Status = 0
+	whole := fetch(piece("r-1", 0, body[:4]), late)
+	require.Equal(t, body, string(whole.Body))
+	require.EqualValues(t, 200, whole.Status, "a piece without a status changes none")
+	require.Nil(t, fetch(last(piece("r-2", 0, body), int64(len(body)), sum)), "crossed")
+	require.Nil(t, fetch(last(piece("r-1", 0, body), int64(len(body))+1, sum)), "cut")
+	require.Nil(t, fetch(last(piece("r-1", 0, body), int64(len(body)), sum+1)), "changed")
+	require.Nil(t, fetch(last(piece("r-1", 3, body), int64(len(body)), sum)), "elsewhere")
+}
--- a/sidecar/link.go
+++ b/sidecar/link.go
@@ -174,35 +174,30 @@
 		if err == nil {
 			return outcome.Outcome(reply.Outcome)
 		}
-		time.Sleep(askAgainPause)
+		pause(ctx)
 	}
 	return outcome.Unknown
 }
 
 // FetchWhole returns the whole answer of an attempt that may be another entry's, waiting for its end until
-// the context ends. It returns nil when the sidecar does not hold it.
+// the context ends. It returns nil when the sidecar does not hold it whole.
 func (l *Link) FetchWhole(ctx context.Context, id *wire.AttemptID, epoch uint64) *wire.Answer {
-	answer := &wire.Answer{}
-	for ctx.Err() == nil {
-		var piece *wire.Piece
-		err := l.call(ctx, WaitLimit, func(ctx context.Context, g *generation) (err error) {
-			piece, err = g.client.Fetch(ctx, &wire.FetchRequest{
-				Id: id, Epoch: epoch, Offset: int64(len(answer.Body)), WaitMs: WaitLimit.Milliseconds(),
-			})
+	fetch := func(ctx context.Context, request *wire.FetchRequest) (piece *wire.Piece, err error) {
+		err = l.call(ctx, WaitLimit, func(ctx context.Context, g *generation) (err error) {
+			piece, err = g.client.Fetch(ctx, request)
 			return err
 		})
-		if err != nil {
-			time.Sleep(askAgainPause)
-			continue
-		}
-		if piece.Failure != nil {
-			return nil
-		}
-		answer.Body = append(answer.Body, piece.Data...)
-		answer.Status, answer.Headers = piece.Status, piece.Headers
-		if piece.End {
-			return answer
-		}
+		return piece, err
+	}
+	return FetchWhole(ctx, fetch, id, epoch)
+}
+
+// pause waits a little before another try, or until the context ends.
+func pause(ctx context.Context) {
+	timer := time.NewTimer(askAgainPause)
+	defer timer.Stop()
+	select {
+	case <-timer.C:
+	case <-ctx.Done():
 	}
-	return nil
 }
