--- a/report/plot.go
+++ b/report/plot.go
@@ -26,7 +26,7 @@
 	// legendPadding is the space between two names in the legend.
 	legendPadding = 2
 	// legendRoom is the part of the height kept free above the lines for each name in the legend.
-	legendRoom = 0.1
+	legendRoom = 0.14
 	// ticksLimit is the most labelled times of a plot.
 	ticksLimit = 8
 )
