Ranks: allowance for an election, participants keep their place, fake engines retire in time

Cause: a leader lost in mid-switch stalled a group for an election; a new participant was made for each rank; a fake engine that retired left before the others had a successor. Change: the default allowance is set, a seat keeps its participant, and the fake retires at the step of the layout that replaces it.

--- a/fake/ranks.go
+++ b/fake/ranks.go
@@ -65,6 +65,9 @@
 		window  []float64
 		busy    time.Duration
 		since   time.Time
+		// isRetiring is true until the step from which on others hold the rank.
+		isRetiring bool
+		retireAt   uint64
 	}
 )
 
@@ -181,8 +184,22 @@
 	case mapswitch.ReleaseHold:
 		e.state.Hold = mapswitch.Hold{}
 	case mapswitch.Retire:
-		e.state.Layout, e.state.Pending, e.state.Hold = 0, 0, mapswitch.Hold{}
+		e.retireAt = o.Layout.Step
+		if o.Layout.Stalled {
+			e.retireAt = 0
+		}
+		e.isRetiring = true
+		e.retireIfDue()
+	}
+}
+
+// retireIfDue leaves the group when the step has come from which on others hold the rank.
+func (e *rankEngine) retireIfDue() {
+	if !e.isRetiring || e.state.Layout != 0 && e.state.Step+1 < e.retireAt {
+		return
 	}
+	e.state.Layout, e.state.Pending, e.state.Hold = 0, 0, mapswitch.Hold{}
+	e.isRetiring = false
 }
 
 func (r *Ranks) loop() {
@@ -217,6 +234,7 @@
 		if e.layouts[e.state.Layout].Map != layout.Map {
 			r.splits++
 		}
+		e.retireIfDue()
 	}
 	r.count(layout, members)
 }
--- a/ranks/group.go
+++ b/ranks/group.go
@@ -45,7 +45,9 @@
 	state, applied := k.settings.State.MapState(described.Name)
 	g := &group{keeper: k, described: described, applied: applied, shape: ShapeOf(described)}
 	g.coordinator = mapswitch.NewCoordinator(
-		mapswitch.Options{Group: described.Name, Replica: k.settings.Replica}.WithDefaults(), state, k.term)
+		mapswitch.Options{
+			Group: described.Name, Replica: k.settings.Replica, Allowance: mapswitch.DefaultAllowance,
+		}.WithDefaults(), state, k.term)
 	g.counts = newCounts(g.shape)
 	return g
 }
--- a/ranks/host.go
+++ b/ranks/host.go
@@ -59,7 +59,6 @@
 		client      *engineClient
 		port        *fencing.Port
 		participant *mapswitch.Participant
-		rank        int
 		inbox       chan instructed
 		waiting     []chan *wire.RankStatus
 		engine      mapswitch.EngineState
@@ -83,7 +82,8 @@
 		slot := settings.First + n
 		name := EngineName(settings.Upstream, slot)
 		s := &seat{
-			host: h, name: name, client: newEngineClient(settings.Engine, slot), inbox: make(chan instructed, inboxSize), rank: -1,
+			host: h, name: name, client: newEngineClient(settings.Engine, slot), inbox: make(chan instructed, inboxSize),
+			participant: mapswitch.NewParticipant(settings.Group, 0, name),
 		}
 		s.port = fencing.NewPort(name, fencing.NewGate(settings.ChecksFencing))
 		s.port.Send, s.port.Read = s.client.send, s.client.read
@@ -176,7 +176,6 @@
 func (s *seat) run(ctx context.Context) {
 	ticker := time.NewTicker(tickInterval)
 	defer ticker.Stop()
-	s.sit(0)
 	s.act(ctx, s.participant.Start(time.Now()))
 	for {
 		select {
@@ -190,18 +189,7 @@
 	}
 }
 
-// sit gives the engine the rank that it is asked to hold. A participant keeps nothing, so another rank has
-// another participant, which reads the engine before anything else.
-func (s *seat) sit(rank int) {
-	if s.rank == rank {
-		return
-	}
-	s.rank = rank
-	s.participant = mapswitch.NewParticipant(s.host.settings.Group, rank, s.name)
-}
-
 func (s *seat) receive(ctx context.Context, i instructed) {
-	s.sit(i.instruction.Rank)
 	s.waiting = append(s.waiting, i.answer)
 	s.act(ctx, s.participant.Receive(i.instruction, time.Now()))
 }
