Rates of organisations are kept; dev makes its folder

Cause: the inventory took RequestsPerSecond and TokensPerSecond and nothing used them; dev failed on a folder that did not exist.

--- a/command/running_test.go
+++ b/command/running_test.go
@@ -46,7 +46,7 @@
 		line, want string
 		code       int
 	}{
-		{"apply --change weights-1 --operator ana --reason 'skew counts for more' " + inventory, "change weights-1: revision 2 in force everywhere", command.ExitOK},
+		{"apply --change weights-1 --operator operations --reason 'skew counts for more' " + inventory, "change weights-1: revision 2 in force everywhere", command.ExitOK},
 		{"apply --change weights-1 --expect 1 --reason 'skew counts for more' " + inventory, "change weights-1: revision 2 in force everywhere", command.ExitOK},
 		{"apply --change weights-2 --expect 1 " + inventory, "change weights-2: refused: lost; change weights-1 took the revision", command.ExitFailed},
 		{"explain weights-1", "cause: skew counts for more", command.ExitOK},
--- a/daemon/cluster_test.go
+++ b/daemon/cluster_test.go
@@ -245,11 +245,15 @@
 }
 
 func send(client *http.Client, address, path, key, body string) answer {
+	return sendAs(client, address, path, "north", key, body)
+}
+
+func sendAs(client *http.Client, address, path, organisation, key, body string) answer {
 	request, err := http.NewRequest(http.MethodPost, "http://"+address+path, strings.NewReader(body))
 	if err != nil {
 		return answer{err: err}
 	}
-	request.Header.Set("Guavahitch-Organisation", "north")
+	request.Header.Set("Guavahitch-Organisation", organisation)
 	if key != "" {
 		request.Header.Set("Idempotency-Key", key)
 	}
--- a/dev/dev.go
+++ b/dev/dev.go
@@ -142,6 +142,9 @@
 		}
 		d.folder = folder
 	}
+	if err := os.MkdirAll(d.folder, 0o700); err != nil {
+		return eris.Wrap(err, "folder of the control replica")
+	}
 	authority, err := keys.NewAuthority(d.folder)
 	if err != nil {
 		return err
--- a/dev/dev_test.go
+++ b/dev/dev_test.go
@@ -6,6 +6,7 @@
 	"encoding/json"
 	"io"
 	"net/http"
+	"path/filepath"
 	"strings"
 	"testing"
 
@@ -36,7 +37,7 @@
 func startSystem(t *testing.T) *system {
 	log := logrus.New()
 	log.SetOutput(io.Discard)
-	d, err := dev.New(dev.Settings{Listen: "127.0.0.1:0", Operators: "127.0.0.1:0", Folder: t.TempDir()}, log)
+	d, err := dev.New(dev.Settings{Listen: "127.0.0.1:0", Operators: "127.0.0.1:0", Folder: filepath.Join(t.TempDir(), "new")}, log)
 	require.NoError(t, err)
 	ctx, cancel := context.WithCancel(context.Background())
 	ended := make(chan error, 1)
--- a/dispatch/dispatcher.go
+++ b/dispatch/dispatcher.go
@@ -64,6 +64,9 @@
 		hedges    map[string]*retry.Hedge
 		inFlight  sync.WaitGroup
 		draining  atomic.Bool
+		rates     rates
+		// entries is the number of entries that share the limits.
+		entries atomic.Int64
 	}
 
 	// waiting is a request in the fair queue with the place that it was given.
@@ -118,6 +121,10 @@
 		d.note("refused", request, "", refusal)
 		return refusal
 	}
+	if refusal := d.checkRate(now, request); refusal != nil {
+		d.note("refused", request, "", refusal)
+		return refusal
+	}
 	ctx, cancel := context.WithDeadline(ctx, request.Deadline)
 	defer cancel()
 	job := &job{d: d, request: request, sink: sink, alone: treatment == quarantine.Alone}
@@ -127,6 +134,14 @@
 	return job.run(ctx)
 }
 
+func (d *Dispatcher) checkRate(now time.Time, request *Request) *outcome.Error {
+	known, ok := d.inventory.Load().Organisation(request.Organisation)
+	if !ok {
+		return nil
+	}
+	return d.rates.check(now, request, known.Limits, int(d.entries.Load()))
+}
+
 // Drain refuses new requests and waits until all in flight have ended or the context ends.
 func (d *Dispatcher) Drain(ctx context.Context) error {
 	d.draining.Store(true)
--- a/dispatch/view.go
+++ b/dispatch/view.go
@@ -88,6 +88,7 @@
 		}
 		upstreams = append(upstreams, routing.UpstreamOf(member))
 	}
+	d.entries.Store(int64(entries))
 	return routing.Table{}.WithLease(holder.Expires()).WithEntries(entries).With(upstreams...)
 }
 
