--- a/command/processes_test.go
+++ b/command/processes_test.go
@@ -135,16 +135,30 @@
 	_ = p.running[name].Wait()
 }
 
-// stop ends all processes, as planned first.
+// stop ends all processes as planned: the sidecars first, since they take leave of control.
 func (p *processes) stop() {
-	for _, c := range p.running {
-		_ = c.Process.Signal(syscall.SIGTERM)
+	isReplica := map[string]bool{}
+	for _, replica := range p.replicas {
+		isReplica[replica.Name] = true
 	}
-	for _, c := range p.running {
-		late := time.AfterFunc(patience, func() { _ = c.Process.Kill() })
-		_ = c.Wait()
-		late.Stop()
+	p.end(func(name string) bool { return !isReplica[name] })
+	p.end(func(name string) bool { return isReplica[name] })
+}
+
+func (p *processes) end(isWanted func(name string) bool) {
+	var ends sync.WaitGroup
+	for name, c := range p.running {
+		if !isWanted(name) {
+			continue
+		}
+		ends.Go(func() {
+			_ = c.Process.Signal(syscall.SIGTERM)
+			late := time.AfterFunc(patience, func() { _ = c.Process.Kill() })
+			defer late.Stop()
+			_ = c.Wait()
+		})
 	}
+	ends.Wait()
 }
 
 func (p *processes) apply() {
