Leases: an overtaken renewal takes no acknowledgement back

Cause: a relay interrupts its request when there is more to acknowledge; when the old request reached control after the new one, its older acknowledgement stood until the next renewal, a second later. Ruled out: processor time (watching directly took 37 ms on the same machine), a lost wake-up (with acknowledgements kept the delay went). Change: the table keeps the newest revision that a process acknowledged, since none goes back to an older one.

--- a/lease/lease_test.go
+++ b/lease/lease_test.go
@@ -136,3 +136,12 @@
 		require.Positive(t, violations, name)
 	}
 }
+
+func TestOvertakenRenewalTakesNoAcknowledgementBack(t *testing.T) {
+	table := lease.NewTable()
+	now := time.Unix(1000, 0)
+	table.Renew("entry-1", 5, now)
+	table.Renew("entry-1", 4, now.Add(time.Millisecond))
+	require.EqualValues(t, 5, table.Lowest(9, now.Add(2*time.Millisecond)))
+	require.EqualValues(t, 9, table.Lowest(9, now.Add(2*lease.Duration)), "nobody is left that could hold it up")
+}
--- a/lease/table.go
+++ b/lease/table.go
@@ -59,9 +59,12 @@
 	return sent.Add(lease - lease*RateErrorPPM/1_000_000)
 }
 
-// Renew notes that a process asked for a lease at now and has a revision in force.
+// Renew notes that a process asked for a lease at now and has a revision in force. A process never goes back to an
+// older revision, and one that starts again acts on nothing before it was given the granter's own; so an older
+// revision comes from a request that a later one has overtaken, and does not take the later one back.
 func (t *Table) Renew(process string, revision uint64, now time.Time) {
 	expires := GranterExpiry(now, t.length)
+	revision = max(revision, t.entries[process].revision)
 	t.entries[process] = tableEntry{expires: expires, present: expires, revision: revision}
 }
 
