An engine that breaks a call off is no crash

Cause: any call that broke off counted as the death of its engine, so two broken connections made an entry refuse an innocent request as deadly for five minutes. Change: the sidecar looks whether the engine lives and says engine-died or engine-failed; only deaths count. A request that finds no further upstream ends with the failure that it met, with the advice when to come back. The fair queue's part of admit stands alone.

--- a/daemon/failure_test.go
+++ b/daemon/failure_test.go
@@ -234,3 +234,22 @@
 	})
 	s.requireHistory(allCalls)
 }
+
+func TestEngineThatBreaksOffIsNoCrash(t *testing.T) {
+	s := newSystem(t, 1)
+	ask := func() answer {
+		return send(s.client, s.entries[0].CallerAddress(), chatPath, "", chatBody("broken", 4, false))
+	}
+	for _, e := range s.engines {
+		e.BreakOff("broken")
+	}
+	for range 3 {
+		refusal, err := refusalOf(ask().body)
+		require.NoError(t, err)
+		require.Equal(t, "engine-failed", refusal.Reason, "the engines live, so the request is not taken for deadly")
+	}
+	for _, e := range s.engines {
+		e.BreakOff("")
+	}
+	require.Eventually(t, func() bool { return ask().status == http.StatusOK }, patience, 50*time.Millisecond)
+}
--- a/dispatch/job.go
+++ b/dispatch/job.go
@@ -20,16 +20,19 @@
 // job.go runs one request: the fair queue, then attempts until one brings the whole answer or no further one
 // is of use.
 
-// expectedAttempt is the shortest time that a further attempt is worth, until the request's own first
-// prediction is known.
-const expectedAttempt = 5 * time.Millisecond
+const (
+	// expectedAttempt is the shortest time that a further attempt is worth, until the request's own first
+	// prediction is known.
+	expectedAttempt = 5 * time.Millisecond
+	// crashLimit is the number of upstreams that one request may lose.
+	crashLimit = 2
+	// statusClientClosed is noted for a caller that has gone; it is never sent.
+	statusClientClosed = 499
+)
 
 // eventStart begins each event of a stream; an event brings a token.
 var eventStart = []byte("data: ")
 
-// crashLimit is the number of upstreams that one request may lose.
-const crashLimit = 2
-
 type job struct {
 	d       *Dispatcher
 	request *Request
@@ -71,26 +74,28 @@
 	}
 	w := &waiting{request: j.routingRequest()}
 	w.request.Admitted = false
-	gate := j.d.gate(j.request.Service)
-	var refusal *outcome.Error
-	if j.ticket == nil {
-		j.ticket = &fairness.Ticket{
-			Organisation: j.request.Organisation, Weight: j.request.Weight,
-			Cost:   float64(j.request.PromptTokens + j.request.OutputTokens),
-			Latest: j.d.picker.Latest(now, w.request), Value: w,
-		}
-		refusal = gate.Acquire(ctx, j.ticket)
-	} else {
-		j.ticket.Value = w
-		refusal = gate.Reacquire(ctx, j.ticket)
-	}
-	if refusal != nil {
+	if refusal := j.acquire(ctx, now, w); refusal != nil {
 		j.ticket = nil
 		return routing.Choice{}, refusal
 	}
 	return w.choice, w.refusal
 }
 
+// acquire waits in the fair queue, behind its own organisation the first time and before it afterwards.
+func (j *job) acquire(ctx context.Context, now time.Time, w *waiting) *outcome.Error {
+	gate := j.d.gate(j.request.Service)
+	if j.ticket != nil {
+		j.ticket.Value = w
+		return gate.Reacquire(ctx, j.ticket)
+	}
+	j.ticket = &fairness.Ticket{
+		Organisation: j.request.Organisation, Weight: j.request.Weight,
+		Cost:   float64(j.request.PromptTokens + j.request.OutputTokens),
+		Latest: j.d.picker.Latest(now, w.request), Value: w,
+	}
+	return gate.Acquire(ctx, j.ticket)
+}
+
 func (j *job) release() {
 	if j.ticket != nil {
 		j.d.gate(j.request.Service).Release(j.ticket, 0)
@@ -104,18 +109,20 @@
 	j.ran = outcome.NotRun
 	j.out = newOutput(j.request, j.sink)
 	j.d.budget(j.request.Service).Attempted(time.Now())
+	var last *outcome.Error
 	for {
 		choice, refusal := j.admit(ctx)
 		if refusal != nil {
-			return j.final(refusal)
+			return j.final(explained(refusal, last))
 		}
 		failure := j.attempt(ctx, choice, j.newAttempt(choice))
 		if failure == nil {
 			return nil
 		}
+		last = failure
 		j.doubt(failure)
 		j.isRoomless = failure.Reason == admission.ReasonOverloaded
-		if failure.Reason == engine.ReasonFailed {
+		if failure.Reason == engine.ReasonDied {
 			if refusal := j.crashed(ctx, failure); refusal != nil {
 				return j.final(refusal)
 			}
@@ -127,6 +134,17 @@
 	}
 }
 
+// explained returns the refusal of a further attempt, or in its place the failure that made it necessary, with the
+// refusal's advice when to come back.
+func explained(refusal, last *outcome.Error) *outcome.Error {
+	if last == nil {
+		return refusal
+	}
+	e := *last
+	e.RetryAfter = max(e.RetryAfter, refusal.RetryAfter)
+	return &e
+}
+
 // crashed counts the deaths of upstreams that ran this request. After the first one it waits for control's
 // verdict on that crash and, unless the request is refused then, has it tried alone. After the second one the
 // request is given up, so that it takes no third upstream with it.
@@ -270,9 +288,6 @@
 	}()
 }
 
-// statusClientClosed is noted for a caller that has gone; it is never sent.
-const statusClientClosed = 499
-
 // reportFailure tells the picker whether the upstream is to blame.
 func (j *job) reportFailure(choice routing.Choice, failure *outcome.Error, now time.Time) {
 	j.d.note("attempt-failed", j.request, choice.Upstream.Name, failure)
--- a/engine/client.go
+++ b/engine/client.go
@@ -21,6 +21,8 @@
 const (
 	// ReasonFailed is the reason of a call that broke off after it was sent.
 	ReasonFailed = "engine-failed"
+	// ReasonDied is the reason of a call that broke off because the engine died.
+	ReasonDied = "engine-died"
 
 	// dialTimeout bounds the opening of a connection to the engine.
 	dialTimeout = time.Second
--- a/fake/engine.go
+++ b/fake/engine.go
@@ -49,6 +49,7 @@
 		dead     bool
 		stopped  bool
 		paused   bool
+		breakOff string
 		server   *http.Server
 		address  string
 	}
@@ -135,6 +136,13 @@
 // Resume ends a Pause.
 func (e *Engine) Resume() { e.setPaused(false) }
 
+// BreakOff makes the engine cut the connection of each request whose prompt is this one; empty for none.
+func (e *Engine) BreakOff(prompt string) {
+	e.mutex.Lock()
+	defer e.mutex.Unlock()
+	e.breakOff = prompt
+}
+
 func (e *Engine) setPaused(paused bool) {
 	e.mutex.Lock()
 	defer e.mutex.Unlock()
@@ -280,7 +288,7 @@
 		return
 	}
 	s := newSequence(r, &request, e.settings.DeadlyWord)
-	if !e.enqueue(s) {
+	if e.breaksOff(&request) || !e.enqueue(s) {
 		panic(http.ErrAbortHandler)
 	}
 	if request.Stream {
@@ -290,6 +298,12 @@
 	e.whole(w, s, request.Model)
 }
 
+func (e *Engine) breaksOff(request *chatRequest) bool {
+	e.mutex.Lock()
+	defer e.mutex.Unlock()
+	return e.breakOff != "" && request.Messages[0].Content == e.breakOff
+}
+
 func newSequence(r *http.Request, request *chatRequest, deadlyWord string) *sequence {
 	messages, done := request.Messages, 0
 	if last := messages[len(messages)-1]; request.Continue && last.Role == "assistant" {
--- a/sidecar/server.go
+++ b/sidecar/server.go
@@ -158,11 +158,10 @@
 	defer s.running.Done()
 	failure := s.settings.Engine.Run(ctx, engineCall(request), call.Answer)
 	if failure != nil {
-		failure = failure.WithPeer(s.settings.Name)
+		failure = s.explain(failure)
 		s.settings.Events.Add(&wire.Event{
 			Kind: "run-failed", Request: request.Id.Request, Detail: failure.Error(), Outcome: failure.Outcome.String(),
 		})
-		s.look()
 	}
 	s.mutex.Lock()
 	defer s.mutex.Unlock()
@@ -174,6 +173,18 @@
 	s.dispatch(time.Now())
 }
 
+// explain names the upstream in the failure of a run, and tells an engine that died from one that broke off.
+func (s *Server) explain(failure *outcome.Error) *outcome.Error {
+	failure = failure.WithPeer(s.settings.Name)
+	s.look()
+	s.mutex.Lock()
+	defer s.mutex.Unlock()
+	if failure.Reason == engine.ReasonFailed && !s.alive {
+		failure.Reason = engine.ReasonDied
+	}
+	return failure
+}
+
 func engineCall(request *wire.StartRequest) engine.Call {
 	call := engine.Call{
 		RequestID: request.Id.Request, Method: request.Method, Path: request.Path, Body: request.Body,
