--- a/engine/client.go
+++ b/engine/client.go
@@ -10,6 +10,7 @@
 	"io"
 	"net"
 	"net/http"
+	"strconv"
 	"sync"
 	"time"
 
@@ -24,6 +25,9 @@
 	// ReasonDied is the reason of a call that broke off because the engine died.
 	ReasonDied = "engine-died"
 
+	// HeaderRank tells a model engine the rank that should hold the request.
+	HeaderRank = "Guavahitch-Rank"
+
 	// dialTimeout bounds the opening of a connection to the engine.
 	dialTimeout = time.Second
 	// loadTimeout bounds one question for the load.
@@ -42,6 +46,8 @@
 		Path      string
 		Headers   []admission.Header
 		Body      []byte
+		// Rank is the rank of the group that should hold the request; -1 leaves it to the engine.
+		Rank int
 		// Repeatable allows the call to be sent again on a broken connection.
 		Repeatable bool
 		// ResumeText is the text that earlier attempts delivered; the engine continues after it.
@@ -125,6 +131,9 @@
 		request.Header.Add(h.Name, h.Value)
 	}
 	request.Header.Set("X-Request-Id", call.RequestID)
+	if call.Rank >= 0 {
+		request.Header.Set(HeaderRank, strconv.Itoa(call.Rank))
+	}
 	return request, nil
 }
 
--- a/sidecar/server.go
+++ b/sidecar/server.go
@@ -156,7 +156,7 @@
 
 func (s *Server) run(ctx context.Context, call *admission.Call, request *wire.StartRequest) {
 	defer s.running.Done()
-	failure := s.settings.Engine.Run(ctx, engineCall(request), call.Answer)
+	failure := s.settings.Engine.Run(ctx, s.engineCall(request), call.Answer)
 	if failure != nil {
 		failure = s.explain(failure)
 		s.settings.Events.Add(&wire.Event{
@@ -185,10 +185,13 @@
 	return failure
 }
 
-func engineCall(request *wire.StartRequest) engine.Call {
+func (s *Server) engineCall(request *wire.StartRequest) engine.Call {
 	call := engine.Call{
 		RequestID: request.Id.Request, Method: request.Method, Path: request.Path, Body: request.Body,
-		ResumeText: request.ResumeText, Repeatable: request.Repeatable,
+		ResumeText: request.ResumeText, Repeatable: request.Repeatable, Rank: -1,
+	}
+	if s.settings.IsModel {
+		call.Rank = int(request.Rank)
 	}
 	for _, h := range request.Headers {
 		call.Headers = append(call.Headers, admission.Header{Name: h.Name, Value: h.Value})
