Read-through: one hash a request, one conversion of headers, dead code out

Cause: a request's body was hashed up to six times on its way through an entry; header fields were converted in five places; the Ping call, the seat's engine state and the dispatcher's region were used by nothing. Change: the fingerprint is made once for a job; HeadersToWire and HeadersFromWire serve all; what was dead is gone. Behaviour is as before.

--- a/daemon/entry.go
+++ b/daemon/entry.go
@@ -28,7 +28,7 @@
 	r := &entryRole{process: p, listener: listener}
 	r.dispatcher = dispatch.NewDispatcher(dispatch.Settings{
 		Entry: p.settings.Name, Incarnation: p.incarnation, FailureDomain: p.settings.FailureDomain,
-		Region: p.settings.Region, Subset: e.Subset, Leader: p.leader, Transport: p.transport, Events: p.events,
+		Subset: e.Subset, Leader: p.leader, Transport: p.transport, Events: p.events,
 		Scope: p.scope.SubScope("entry"),
 	})
 	r.server = caller.NewServer(caller.Settings{
--- a/dispatch/claimed.go
+++ b/dispatch/claimed.go
@@ -68,9 +68,8 @@
 // place claims too: its key may hold an answer already.
 func (j *job) claimAndRun(ctx context.Context, choice routing.Choice, refusal *outcome.Error) (*wire.Answer, *outcome.Error) {
 	attempt := j.newAttempt(choice)
-	fingerprint := j.request.fingerprint()
 	request := &wire.ClaimRequest{
-		Organisation: j.request.Organisation, Key: j.request.Key, Fingerprint: fingerprint.Bytes(), Id: attempt.ID(),
+		Organisation: j.request.Organisation, Key: j.request.Key, Fingerprint: j.fingerprint.Bytes(), Id: attempt.ID(),
 		Upstream: choice.Upstream.Name, Epoch: choice.Upstream.Epoch, Entry: j.d.settings.Entry,
 	}
 	for {
@@ -188,10 +187,7 @@
 	answer := &wire.Answer{}
 	j.out = newOutput(j.request, Sink{
 		Head: func(head admission.Head, _ int64) {
-			answer.Status = int32(head.Status)
-			for _, h := range head.Headers {
-				answer.Headers = append(answer.Headers, &wire.Header{Name: h.Name, Value: h.Value})
-			}
+			answer.Status, answer.Headers = int32(head.Status), sidecar.HeadersToWire(head.Headers)
 		},
 		Data: func(data []byte) error {
 			answer.Body = append(answer.Body, data...)
--- a/dispatch/dispatcher.go
+++ b/dispatch/dispatcher.go
@@ -40,7 +40,6 @@
 		Entry         string
 		Incarnation   string
 		FailureDomain string
-		Region        string
 		// Subset is the number of upstreams of one service that the entry uses; 0 for the default.
 		Subset    int
 		Leader    *leader.Client
@@ -116,7 +115,8 @@
 	d.inFlight.Add(1)
 	defer d.inFlight.Done()
 	now := time.Now()
-	treatment, refusal := d.verdicts.Check(now, request.Organisation, request.fingerprint(), request.Repeatable)
+	fingerprint := request.fingerprint()
+	treatment, refusal := d.verdicts.Check(now, request.Organisation, fingerprint, request.Repeatable)
 	if refusal != nil {
 		d.note("refused", request, "", refusal)
 		return refusal
@@ -127,7 +127,7 @@
 	}
 	ctx, cancel := context.WithDeadline(ctx, request.Deadline)
 	defer cancel()
-	job := &job{d: d, request: request, sink: sink, alone: treatment == quarantine.Alone}
+	job := &job{d: d, request: request, sink: sink, fingerprint: fingerprint, alone: treatment == quarantine.Alone}
 	if request.Key != "" && !request.Repeatable {
 		return job.runClaimed(ctx)
 	}
--- a/dispatch/job.go
+++ b/dispatch/job.go
@@ -37,7 +37,9 @@
 	d       *Dispatcher
 	request *Request
 	sink    Sink
-	alone   bool
+	// fingerprint names the request however it is resent; it is a hash over the body, made once.
+	fingerprint quarantine.Fingerprint
+	alone       bool
 	// number counts the attempts from 1.
 	number int
 	// isRoomless is true when the last attempt was refused for want of room.
@@ -56,7 +58,7 @@
 	r := j.request
 	aloneKey := uint64(0)
 	if j.alone {
-		aloneKey = r.fingerprint().Key()
+		aloneKey = j.fingerprint.Key()
 	}
 	return routing.Request{
 		Service: r.Service, Organisation: r.Organisation, PromptTokens: r.PromptTokens, OutputTokens: r.OutputTokens,
@@ -151,7 +153,7 @@
 func (j *job) crashed(ctx context.Context, failure *outcome.Error) *outcome.Error {
 	j.crashes++
 	if j.crashes >= crashLimit {
-		j.d.verdicts.Saw(time.Now(), j.request.Organisation, j.request.fingerprint())
+		j.d.verdicts.Saw(time.Now(), j.request.Organisation, j.fingerprint)
 		return &outcome.Error{
 			Step: "dispatch", Peer: failure.Peer, Outcome: failure.Outcome, Reason: "crashed-upstreams",
 			Detail: "two upstreams failed while they ran this request", Status: http.StatusBadGateway,
@@ -160,7 +162,7 @@
 	if !j.request.Repeatable || !j.out.canContinue() || !sleep(ctx, quarantine.TrialDelay) {
 		return failure
 	}
-	_, refusal := j.d.verdicts.Check(time.Now(), j.request.Organisation, j.request.fingerprint(), true)
+	_, refusal := j.d.verdicts.Check(time.Now(), j.request.Organisation, j.fingerprint, true)
 	j.alone = true
 	return refusal
 }
@@ -210,21 +212,17 @@
 func (j *job) newAttempt(choice routing.Choice) *sidecar.Attempt {
 	r := j.request
 	left, _ := retry.Pass(time.Now(), r.Deadline)
-	fingerprint := r.fingerprint()
 	start := &wire.StartRequest{
 		Id: &wire.AttemptID{
 			Request: r.ID, Attempt: int32(j.number), Entry: j.d.settings.Entry + "/" + j.d.settings.Incarnation,
 		},
 		Epoch: choice.Upstream.Epoch, Organisation: r.Organisation, Service: r.Service, Method: r.Method, Path: r.Path,
-		Body: r.Body, DeadlineMs: left.Milliseconds(), Priority: r.Priority, Repeatable: r.Repeatable,
-		Fingerprint: fingerprint.Bytes(), Alone: j.alone, Rank: int32(choice.Rank), Revision: j.d.Holder().Revision(),
+		Headers: sidecar.HeadersToWire(r.Headers), Body: r.Body, DeadlineMs: left.Milliseconds(), Priority: r.Priority, Repeatable: r.Repeatable,
+		Fingerprint: j.fingerprint.Bytes(), Alone: j.alone, Rank: int32(choice.Rank), Revision: j.d.Holder().Revision(),
 	}
 	if j.out != nil {
 		start.ResumeText = j.out.resumeText()
 	}
-	for _, h := range r.Headers {
-		start.Headers = append(start.Headers, &wire.Header{Name: h.Name, Value: h.Value})
-	}
 	return sidecar.NewAttempt(j.d.link(choice.Upstream.Address), choice.Upstream.Name, start)
 }
 
@@ -278,8 +276,7 @@
 	if !j.alone {
 		return
 	}
-	fingerprint := j.request.fingerprint()
-	request := &wire.ClearRequest{Fingerprint: fingerprint.Bytes(), Organisation: j.request.Organisation}
+	request := &wire.ClearRequest{Fingerprint: j.fingerprint.Bytes(), Organisation: j.request.Organisation}
 	ctx, cancel := context.WithTimeout(context.WithoutCancel(ctx), settleFor)
 	go func() {
 		defer cancel()
@@ -304,11 +301,7 @@
 }
 
 func headOf(piece *wire.Piece) admission.Head {
-	head := admission.Head{Status: int(piece.Status)}
-	for _, h := range piece.Headers {
-		head.Headers = append(head.Headers, admission.Header{Name: h.Name, Value: h.Value})
-	}
-	return head
+	return admission.Head{Status: int(piece.Status), Headers: sidecar.HeadersFromWire(piece.Headers)}
 }
 
 // StatusOf returns the HTTP status of a failure towards the caller.
--- a/ranks/host.go
+++ b/ranks/host.go
@@ -61,7 +61,6 @@
 		participant *mapswitch.Participant
 		inbox       chan instructed
 		waiting     []chan *wire.RankStatus
-		engine      mapswitch.EngineState
 		status      atomic.Pointer[wire.RankStatus]
 		counted     uint64
 	}
@@ -232,7 +231,6 @@
 
 // note keeps the engine's state for the reports of presence.
 func (s *seat) note(state mapswitch.EngineState, action mapswitch.Action) {
-	s.engine = state
 	if action.Order != nil {
 		s.host.settings.Events.Add(&wire.Event{
 			Kind: string(action.Order.Kind), Group: s.host.settings.Group, Peer: s.name, Detail: "token " + action.Order.Token.String(),
--- a/sidecar/link.go
+++ b/sidecar/link.go
@@ -153,15 +153,6 @@
 	return err
 }
 
-// Ping sends one heartbeat.
-func (l *Link) Ping(ctx context.Context, entry string) (reply *wire.PingReply, err error) {
-	err = l.call(ctx, 0, func(ctx context.Context, g *generation) error {
-		reply, err = g.client.Ping(ctx, &wire.PingRequest{Entry: entry})
-		return err
-	})
-	return reply, err
-}
-
 // Cancel asks for the cancellation of an attempt, which may be another entry's, until an answer comes or
 // the context ends, and returns what is known of its run.
 func (l *Link) Cancel(ctx context.Context, request *wire.CancelRequest) outcome.Outcome {
--- a/sidecar/server.go
+++ b/sidecar/server.go
@@ -188,14 +188,12 @@
 func (s *Server) engineCall(request *wire.StartRequest) engine.Call {
 	call := engine.Call{
 		RequestID: request.Id.Request, Method: request.Method, Path: request.Path, Body: request.Body,
+		Headers:    HeadersFromWire(request.Headers),
 		ResumeText: request.ResumeText, Repeatable: request.Repeatable, Rank: -1,
 	}
 	if s.settings.IsModel {
 		call.Rank = int(request.Rank)
 	}
-	for _, h := range request.Headers {
-		call.Headers = append(call.Headers, admission.Header{Name: h.Name, Value: h.Value})
-	}
 	return call
 }
 
@@ -258,7 +256,7 @@
 	if piece.Failure != nil {
 		sent.Failure = piece.Failure.Failure()
 	}
-	sent.Headers = headersOf(piece.Head)
+	sent.Headers = HeadersToWire(piece.Head.Headers)
 	return sent
 }
 
@@ -309,14 +307,6 @@
 	return outcome.Unknown
 }
 
-// Ping answers the heartbeat of a connection.
-func (s *Server) Ping(context.Context, *wire.PingRequest) (*wire.PingReply, error) {
-	s.mutex.Lock()
-	draining := s.gate.IsDraining()
-	s.mutex.Unlock()
-	return &wire.PingReply{Epoch: s.Epoch(), Draining: draining, Load: s.Load()}, nil
-}
-
 // Execute carries out an order of control.
 func (s *Server) Execute(ctx context.Context, order *wire.OrderRequest) (*wire.OrderReply, error) {
 	if s.settings.Execute == nil {
--- a/sidecar/stream.go
+++ b/sidecar/stream.go
@@ -122,20 +122,12 @@
 		sent.Failure = piece.Failure.Failure()
 	}
 	if !o.hasHead && piece.Head.Status != 0 {
-		sent.Status, sent.Headers = int32(piece.Head.Status), headersOf(piece.Head)
+		sent.Status, sent.Headers = int32(piece.Head.Status), HeadersToWire(piece.Head.Headers)
 		o.hasHead = true
 	}
 	return sent
 }
 
-func headersOf(head admission.Head) []*wire.Header {
-	headers := make([]*wire.Header, 0, len(head.Headers))
-	for _, h := range head.Headers {
-		headers = append(headers, &wire.Header{Name: h.Name, Value: h.Value})
-	}
-	return headers
-}
-
 func (o *streamWriter) write(piece *wire.Piece) error {
 	piece.Id = o.id
 	piece.Epoch = o.server.Epoch()
--- a/sidecar/watch.go
+++ b/sidecar/watch.go
@@ -134,7 +134,7 @@
 		request.Outcome = wire.Outcome(failure.Outcome)
 	default:
 		request.Outcome = wire.Outcome_OUTCOME_RAN
-		request.Answer = &wire.Answer{Status: int32(piece.Head.Status), Headers: headersOf(piece.Head), Body: piece.Data}
+		request.Answer = &wire.Answer{Status: int32(piece.Head.Status), Headers: HeadersToWire(piece.Head.Headers), Body: piece.Data}
 	}
 	return request
 }
