Streams leave a rank that holds up its group

New requests passed it over, but the eight streams it already had stayed, and all ranks run each pass together: the states of the ranks show passes of 0.45 s while it had streams of its own and of 0.06 s in the moment its last one ended, eight seconds later, at the same pace. Ruled out: the expert map (levelled to 1.14 of the mean by second 21.8, with no effect on the passes), admission (the other ranks were full and waited).

Change: an entry that hears of a rank whose token steps alone take half of the wanted pause breaks its streams there off and goes on at other ranks, where the route allows to resume, an attempt is left and the retry budget has room. Not when most of the group is slow. The map is levelled as far as it goes while a rank is slow: the passes seen until then say nothing of the next ones.

--- a/forward/attempt.go
+++ b/forward/attempt.go
@@ -9,6 +9,7 @@
 	"net/http"
 	"slices"
 	"strconv"
+	"sync/atomic"
 	"time"
 
 	"guavahitch.example/guavahitch/route"
@@ -24,6 +25,8 @@
 	unsent
 	// broken means that the request may have run and there is no whole answer.
 	broken
+	// migrated means that the exchange was broken off to go on elsewhere; its retry is paid for.
+	migrated
 )
 
 const (
@@ -47,6 +50,8 @@
 		conn     *upstream.Connection
 		// isWhole tells that the answer was read to its end, so that the connection may be used again.
 		isWhole bool
+		// isMigrating tells that the exchange was broken off to go on elsewhere.
+		isMigrating atomic.Bool
 	}
 )
 
@@ -67,6 +72,10 @@
 	}
 	stop := context.AfterFunc(a.job.request.Context(), a.conn.Abort)
 	defer a.release(stop)
+	if a.job.mayMigrate() {
+		a.upstream.streams.add(a)
+		defer a.upstream.streams.remove(a)
+	}
 	a.conn.SetDeadline(a.patience())
 	if err := a.conn.Send(a.job.request.Method, a.job.request.RequestURI, a.job.request.Host, a.header(), a.job.body); err != nil {
 		return a.fail(err)
@@ -195,6 +204,9 @@
 
 // fail notes a broken exchange.
 func (a *attempt) fail(err error) verdict {
+	if a.isMigrating.Load() && a.job.request.Context().Err() == nil {
+		return migrated
+	}
 	if a.job.request.Context().Err() == nil && !a.isOutOfTime(err) {
 		a.upstream.noteBroken(time.Now())
 	}
--- a/forward/fleet.go
+++ b/forward/fleet.go
@@ -38,8 +38,7 @@
 		// report.
 		inFlight atomic.Int64
 		others   atomic.Int64
-		// isSlow tells that the upstream takes much longer for its steps than a healthy one.
-		isSlow atomic.Bool
+		streams  streams
 
 		mutex          sync.Mutex
 		heard          time.Time
@@ -50,6 +49,8 @@
 		failureRate float64
 		sampled     time.Time
 		succeeded   time.Time
+		// pace is the time of a step over that of a healthy upstream, by the last report.
+		pace float64
 	}
 
 	// Fleet holds the upstreams of an entry. Frames change it; requests read an immutable view.
@@ -148,7 +149,7 @@
 	defer f.mutex.Unlock()
 	for _, load := range loads {
 		if u := f.byID[load.ID]; u != nil {
-			u.isSlow.Store(load.Pace > slowPace)
+			u.notePace(load.Pace)
 			u.others.Store(max(int64(load.Running+load.Waiting)-u.inFlight.Load(), 0))
 		}
 	}
@@ -182,6 +183,7 @@
 	latency     float64
 	failureRate float64
 	succeeded   time.Time
+	pace        float64
 }
 
 func (u *Upstream) condition(now time.Time) condition {
@@ -190,10 +192,16 @@
 	fade := math.Exp2(-now.Sub(u.sampled).Seconds() / statisticsHalfLife.Seconds())
 	return condition{
 		heard: u.heard, isSuspended: now.Before(u.suspendedUntil), latency: u.latency,
-		failureRate: u.failureRate * fade, succeeded: u.succeeded,
+		failureRate: u.failureRate * fade, succeeded: u.succeeded, pace: u.pace,
 	}
 }
 
+func (u *Upstream) notePace(pace float64) {
+	u.mutex.Lock()
+	defer u.mutex.Unlock()
+	u.pace = pace
+}
+
 // noteAnswer records an answer and the time it took.
 func (u *Upstream) noteAnswer(now time.Time, took time.Duration, isFailure bool) {
 	u.mutex.Lock()
--- a/forward/job.go
+++ b/forward/job.go
@@ -98,7 +98,7 @@
 		return
 	}
 	j.sent++
-	if v == broken {
+	if v == broken || v == migrated {
 		j.mayHaveRun = true
 	}
 }
@@ -109,8 +109,11 @@
 	if j.deadline.Sub(now) < leastTime {
 		return false
 	}
-	if v == unsent {
+	switch v {
+	case unsent:
 		return j.unsent <= maxUnsent
+	case migrated:
+		return true
 	}
 	if v == broken && !j.route.IsRepeatable() {
 		return false
--- /dev/null
+++ b/forward/migration_test.go
@@ -0,0 +1,114 @@
+package forward_test
+
+import (
+	"fmt"
+	"net"
+	"net/http"
+	"strconv"
+	"testing"
+	"time"
+
+	"github.com/stretchr/testify/require"
+
+	"guavahitch.example/guavahitch/registry"
+	"guavahitch.example/guavahitch/route"
+)
+
+// engineConfiguration is the usual configuration with engines whose token steps take a fifth of the wanted pause.
+func engineConfiguration() *route.Configuration {
+	c := configuration()
+	c.Version = 2
+	c.Services[0].Engine = &route.Engine{Slots: 4, Stride: 5, Step: 5 * time.Millisecond}
+	for i := range c.Routes {
+		c.Routes[i].GapObjective = 120 * time.Millisecond
+		c.Routes[i].Timeout = 10 * time.Second
+	}
+	return c
+}
+
+// newEngineEntry returns an entry that never takes a stream as broken for its silence.
+func newEngineEntry(t *testing.T, upstreams ...*fakeUpstream) *entry {
+	settings := testSettings()
+	settings.Silence = time.Hour
+	e := newEntryWith(t, settings, upstreams...)
+	require.True(t, e.server.SetTable(route.NewTable(engineConfiguration())))
+	return e
+}
+
+// slowStream is an upstream that writes two events of three, and the third one once it may.
+func slowStream(t *testing.T) (u *fakeUpstream, written, finish chan struct{}) {
+	written, finish = make(chan struct{}), make(chan struct{})
+	u = newUpstream(t, func(conn net.Conn, r *http.Request, _ string) bool {
+		events(conn, r, 1, 2)
+		close(written)
+		select {
+		case <-finish:
+		case <-t.Context().Done():
+		}
+		chunk(conn, "id: 3\ndata: piece 3\n\n")
+		fmt.Fprint(conn, "0\r\n\r\n")
+		return true
+	})
+	return u, written, finish
+}
+
+// restOfStream is an upstream that writes the events up to the third that the caller has not.
+func restOfStream(t *testing.T) *fakeUpstream {
+	return newUpstream(t, func(conn net.Conn, r *http.Request, _ string) bool {
+		last, _ := strconv.Atoi(r.Header.Get("Last-Event-Id"))
+		var rest []int
+		for id := last + 1; id <= 3; id++ {
+			rest = append(rest, id)
+		}
+		events(conn, r, rest...)
+		fmt.Fprint(conn, "0\r\n\r\n")
+		return true
+	})
+}
+
+// Load pattern: one rank of a group turns slow while it writes streams, and each pass of the group waits for it. Its
+// streams go on elsewhere, where that is allowed and pays.
+func TestStreamsLeaveASlowRank(t *testing.T) {
+	for _, c := range []struct {
+		name, target string
+		pace         float64
+		leaves       bool
+	}{
+		{name: "far slower", target: "/match/", pace: 4, leaves: true},
+		{name: "a little slower", target: "/match/", pace: 1.5},
+		{name: "may not be resumed", target: "/match/once/", pace: 4},
+	} {
+		t.Run(c.name, func(t *testing.T) {
+			slow, written, finish := slowStream(t)
+			other := restOfStream(t)
+			e := newEngineEntry(t, slow, other)
+			go func() {
+				<-written
+				e.server.NoteLoads([]registry.Load{{ID: "u0", Running: 1, Pace: c.pace}, {ID: "u1", Pace: 1}})
+				if !c.leaves {
+					close(finish)
+				}
+			}()
+			response, body, err := e.send("POST", c.target, "x", "X-Deadline", "60000")
+			require.NoError(t, err)
+			require.Equal(t, http.StatusOK, response.StatusCode)
+			require.Equal(t, "id: 1\ndata: piece 1\n\nid: 2\ndata: piece 2\n\nid: 3\ndata: piece 3\n\n", body)
+			require.Equal(t, c.leaves, len(other.received()) == 1)
+		})
+	}
+}
+
+// Streams stay where they are when most of the group is slow: there is no better place.
+func TestStreamsStayInASlowGroup(t *testing.T) {
+	slow, written, finish := slowStream(t)
+	e := newEngineEntry(t, slow)
+	go func() {
+		<-written
+		e.server.NoteLoads([]registry.Load{{ID: "u0", Running: 1, Pace: 4}})
+		close(finish)
+	}()
+	_, body, err := e.send("POST", "/match/", "x", "X-Deadline", "60000")
+	require.NoError(t, err)
+	require.Contains(t, body, "piece 3")
+	require.Len(t, slow.received(), 1)
+}
--- a/forward/pick.go
+++ b/forward/pick.go
@@ -96,19 +96,19 @@
 func (s *Server) likeliest(all []candidate, latest, now time.Time) []candidate {
 	least := math.MaxInt
 	for i := range all {
-		all[i].rank = s.rank(all[i].Upstream, all[i].condition, latest, now)
+		all[i].rank = s.rank(all[i].condition, latest, now)
 		least = min(least, all[i].rank)
 	}
 	return slices.DeleteFunc(all, func(c candidate) bool { return c.rank != least })
 }
 
 // rank sorts upstreams by whether they are expected to answer at all; lower is better.
-func (s *Server) rank(u *Upstream, c condition, latest, now time.Time) int {
+func (s *Server) rank(c condition, latest, now time.Time) int {
 	isSilent := latest.Sub(c.heard) > s.settings.HeardLimit && now.Sub(c.succeeded) > s.settings.HeardLimit/2
 	switch {
 	case isSilent:
 		return 2
-	case c.isSuspended || u.isSlow.Load() && now.Sub(*s.fleet.reported.Load()) < slowLimit:
+	case c.isSuspended || c.pace > slowPace && now.Sub(*s.fleet.reported.Load()) < slowLimit:
 		return 1
 	default:
 		return 0
--- a/forward/server_test.go
+++ b/forward/server_test.go
@@ -132,11 +132,18 @@
 	}
 }
 
-func newEntry(t *testing.T, upstreams ...*fakeUpstream) *entry {
-	settings := forward.Settings{
+func testSettings() forward.Settings {
+	return forward.Settings{
 		Headers: testHeaders, KeyScheme: "Token", Retry: forward.RetryLimits{Ratio: 1, Slack: 50},
 		Random: func() float64 { return 0 },
 	}
+}
+
+func newEntry(t *testing.T, upstreams ...*fakeUpstream) *entry {
+	return newEntryWith(t, testSettings(), upstreams...)
+}
+
+func newEntryWith(t *testing.T, settings forward.Settings, upstreams ...*fakeUpstream) *entry {
 	fleet := forward.NewFleet(settings)
 	var announced []roster.Entry
 	for i, u := range upstreams {
--- a/lockstep/coordinator.go
+++ b/lockstep/coordinator.go
@@ -3,6 +3,7 @@
 import (
 	"context"
 	"math"
+	"slices"
 	"sync"
 	"sync/atomic"
 	"time"
@@ -33,6 +34,8 @@
 	leastChoices = 2.0
 	// leastGoal is the evenness beyond which a map is not levelled.
 	leastGoal = 1.15
+	// slowPace is the time of a step over that of a healthy rank from which a rank counts as slow.
+	slowPace = 1.25
 	// termBits leaves room for the orders of one term below the next term's tokens.
 	termBits = 24
 )
@@ -247,12 +250,16 @@
 	return next, event, nil
 }
 
-// goal returns how even the map has to be for passes of the comfortable time: the busiest rank over the mean.
+// goal returns how even the map has to be for passes of the comfortable time: the busiest rank over the mean. While a
+// rank is slow, the passes that were seen tell little of the next ones, and the map is made as even as it can be.
 func (c *Coordinator) goal(paces []float64) float64 {
 	pass := c.pace.pass
 	if c.settings.Comfort == 0 || pass == 0 {
 		return 1
 	}
+	if slices.Max(paces) > slowPace {
+		return leastGoal
+	}
 	skew := 0.0
 	for set, layer := range c.maps {
 		skew += balance.Skew(layer, c.demand.load[set], paces) / float64(len(c.maps))
--- a/routed/entry.go
+++ b/routed/entry.go
@@ -88,7 +88,7 @@
 		Seeds: settings.Seeds, IsEntry: true, Log: settings.Log,
 		OnDocument:  e.takeDocument,
 		OnUpstreams: func(announced, renewals []roster.Entry) { e.fleet.Update(announced, renewals) },
-		OnLoads:     e.fleet.NoteLoads,
+		OnLoads:     e.server.NoteLoads,
 		OnEntries:   e.server.SetEntries,
 	})
 	e.front = &http.Server{
