Requests wait a little for what is about to be there

The lines show that all twelve upstreams were known by then; the group itself was forming, and every rank refused. Each request spent both of its attempts on that, was told to come back in 30 ms, and was lost. Ruled out: late announcements (known 30 ms after control had started).

Change: an entry that has just started lets a request wait for the configuration and the upstreams; a group that refuses as a whole counts as down: nothing is sent to it but one request each 200 ms, requests wait if all of its ranks are heard or if they come for the second time, and are otherwise refused at once with a time that fits. No wait is longer than 0.9 s or a quarter of the time to the deadline. The bound of streams follows the places as ranks come and go.

--- a/forward/attempt.go
+++ b/forward/attempt.go
@@ -173,6 +173,7 @@
 		return refused
 	}
 	a.upstream.noteAnswer(now, now.Sub(a.started), true)
+	a.gate.noteRefused(now, a.upstream, response.Header.Get(a.job.server.settings.Headers.Culprit))
 	return refused
 }
 
--- a/forward/fleet.go
+++ b/forward/fleet.go
@@ -62,6 +62,8 @@
 		view     atomic.Pointer[view]
 		// reported is when loads were reported last.
 		reported atomic.Pointer[time.Time]
+		// changes tells of new upstreams and configurations.
+		changes broadcast
 	}
 
 	// view is an immutable index of the upstreams that take work.
@@ -140,6 +142,7 @@
 	}
 	f.byID = kept
 	f.view.Store(next)
+	f.changes.wake()
 }
 
 // NoteLoads takes a report of what upstreams have to do. Other entries' part of it is what this entry does not
--- a/forward/gate.go
+++ b/forward/gate.go
@@ -21,6 +21,7 @@
 	engine   *route.Engine
 	inFlight int
 	pacing   *pacing.Controller
+	outage   outage
 }
 
 // gate returns the gate of a service.
@@ -46,13 +47,16 @@
 	g.mutex.Lock()
 	defer g.mutex.Unlock()
 	j.inFlight = g.inFlight
+	upstreams := j.server.fleet.Service(j.service)
+	if len(upstreams) == 0 {
+		return &refusal{status: http.StatusServiceUnavailable, reason: "no upstream", retryAfter: brokenRetry}
+	}
 	if g.engine == nil {
 		g.inFlight++
 		return nil
 	}
-	upstreams := j.server.fleet.Service(j.service)
-	if len(upstreams) == 0 {
-		return &refusal{status: http.StatusServiceUnavailable, reason: "no upstream", retryAfter: brokenRetry}
+	if g.outage.blocks(time.Now()) {
+		return j.downRefusal()
 	}
 	work := g.work(upstreams, j.arrived)
 	bound := g.pacing.Bound(j.arrived, work, float64(g.engine.Slots*len(upstreams)))
@@ -77,18 +81,20 @@
 	return float64(work)
 }
 
-func (g *gate) leave(*job) {
+func (g *gate) leave() {
 	g.mutex.Lock()
 	g.inFlight--
 	g.mutex.Unlock()
 }
 
 // noteEvent takes the time since the event before; the first event of a stream tells nothing of passes.
-func (g *gate) noteEvent(j *job, pause time.Duration, isFirst bool) {
-	if isFirst {
-		return
-	}
+func (g *gate) noteEvent(j *job, now time.Time, pause time.Duration, isFirst bool) {
 	g.mutex.Lock()
 	defer g.mutex.Unlock()
-	g.pacing.Note(pause, j.route.GapObjective)
+	if g.outage.noteServed(now) {
+		g.server.fleet.changes.wake()
+	}
+	if !isFirst {
+		g.pacing.Note(pause, j.route.GapObjective)
+	}
 }
--- a/forward/job.go
+++ b/forward/job.go
@@ -29,12 +29,15 @@
 
 // job is one request of a caller on its way.
 type job struct {
-	server       *Server
-	writer       http.ResponseWriter
-	request      *http.Request
-	id           string
-	arrived      time.Time
-	deadline     time.Time
+	server   *Server
+	writer   http.ResponseWriter
+	request  *http.Request
+	id       string
+	arrived  time.Time
+	deadline time.Time
+	// heldSince is since when the request may be waiting for its group.
+	heldSince    time.Time
+	gate         *gate
 	table        *route.Table
 	route        *route.Route
 	organisation string
@@ -60,12 +63,12 @@
 func (j *job) run() {
 	s := j.server
 	j.service = j.route.Choose(s.random())
-	gate := s.gate(j.service, j.table.Service(j.service))
-	if refused := gate.admit(j); refused != nil {
+	j.gate = s.gate(j.service, j.table.Service(j.service))
+	if refused := j.awaitPlace(j.gate); refused != nil {
 		j.refuse(refused)
 		return
 	}
-	defer gate.leave(j)
+	defer j.gate.leave()
 	s.budget(j.service).Attempted(time.Now())
 	for {
 		u := j.next()
@@ -73,13 +76,13 @@
 			j.giveUp()
 			return
 		}
-		a := newAttempt(j, u, gate)
+		a := newAttempt(j, u, j.gate)
 		verdict := a.run()
 		if verdict == answered || j.request.Context().Err() != nil {
 			return
 		}
 		j.note(a, verdict)
-		if !j.mayGoOn(verdict) {
+		if !j.mayGoOn(verdict) || !j.awaitReopening(j.gate) || !j.pay(verdict) {
 			j.giveUp()
 			return
 		}
@@ -98,6 +101,9 @@
 		return
 	}
 	j.sent++
+	if j.isCommitted {
+		j.heldSince = time.Now()
+	}
 	if v == broken || v == migrated {
 		j.mayHaveRun = true
 	}
@@ -105,23 +111,21 @@
 
 // mayGoOn reports whether another attempt is allowed and worthwhile.
 func (j *job) mayGoOn(v verdict) bool {
-	now := time.Now()
-	if j.deadline.Sub(now) < leastTime {
+	if j.deadline.Sub(time.Now()) < leastTime {
 		return false
 	}
-	switch v {
-	case unsent:
+	if v == unsent {
 		return j.unsent <= maxUnsent
-	case migrated:
-		return true
 	}
 	if v == broken && !j.route.IsRepeatable() {
 		return false
 	}
-	if j.sent >= max(j.route.Attempts, 1) {
-		return false
-	}
-	return j.server.budget(j.service).Spend(now)
+	return j.sent < max(j.route.Attempts, 1)
+}
+
+// pay takes another attempt from the retry budget, unless it is paid for or nothing was sent.
+func (j *job) pay(v verdict) bool {
+	return v == unsent || v == migrated || j.server.budget(j.service).Spend(time.Now())
 }
 
 // giveUp ends a request that no upstream answered.
@@ -144,10 +148,14 @@
 
 // retryAfter returns when a request that was not run may come again.
 func (j *job) retryAfter() time.Duration {
-	if j.sent > 0 {
+	switch {
+	case j.gate.isDown():
+		return j.outageRetry()
+	case j.sent > 0:
 		return shedRetry
+	default:
+		return brokenRetry
 	}
-	return brokenRetry
 }
 
 // refuse answers with the entry's own status and reason.
--- a/forward/relay.go
+++ b/forward/relay.go
@@ -37,7 +37,7 @@
 		}
 		now := time.Now()
 		j.noteEvent(now, now.Sub(previous), isFirst)
-		a.gate.noteEvent(j, now.Sub(previous), isFirst)
+		a.gate.noteEvent(j, now, now.Sub(previous), isFirst)
 		previous, isFirst = now, false
 		if err := j.passEvent(response, event, id, hasID); err != nil {
 			return answered
--- a/forward/server.go
+++ b/forward/server.go
@@ -31,6 +31,7 @@
 		// isRefusing tells that new requests are refused.
 		isRefusing atomic.Bool
 		inFlight   sync.WaitGroup
+		started    time.Time
 
 		mutex   sync.Mutex
 		budgets map[string]sharedBudget
@@ -55,7 +56,7 @@
 // NewServer returns a server over a fleet; it answers 503 until it has a table.
 func NewServer(settings Settings, fleet *Fleet) *Server {
 	return &Server{
-		settings: settings.withDefaults(), fleet: fleet,
+		settings: settings.withDefaults(), fleet: fleet, started: time.Now(),
 		budgets: map[string]sharedBudget{}, gates: map[string]*gate{},
 	}
 }
@@ -68,6 +69,7 @@
 			return false
 		}
 		if s.table.CompareAndSwap(held, table) {
+			s.fleet.changes.wake()
 			return true
 		}
 	}
@@ -100,6 +102,7 @@
 		w.Header().Set("Connection", "close")
 	}
 	j := &job{server: s, writer: w, request: r, arrived: time.Now()}
+	j.heldSince = j.arrived
 	if refused := j.prepare(); refused != nil {
 		j.refuse(refused)
 		return
@@ -111,9 +114,8 @@
 func (j *job) prepare() *refusal {
 	s := j.server
 	j.id = j.request.Header.Get(s.settings.Headers.RequestID)
-	j.table = s.table.Load()
-	if j.table == nil {
-		return &refusal{status: http.StatusServiceUnavailable, reason: "no configuration", retryAfter: time.Second}
+	if refused := j.awaitTable(); refused != nil {
+		return refused
 	}
 	j.route = j.table.Route(j.request.Host, j.request.URL.EscapedPath())
 	if j.route == nil {
@@ -148,9 +150,8 @@
 // setDeadline takes the earlier of the caller's deadline and the route's timeout.
 func (j *job) setDeadline() {
 	left := j.route.Timeout
-	value := j.request.Header.Get(j.server.settings.Headers.Deadline)
-	if ms, err := strconv.ParseInt(value, 10, 64); err == nil && ms >= 0 {
-		left = min(left, time.Duration(ms)*time.Millisecond)
+	if requested, isGiven := j.requestedTime(); isGiven {
+		left = min(left, requested)
 	}
 	if left <= 0 {
 		left = defaultDeadline
@@ -158,6 +159,16 @@
 	j.deadline = j.arrived.Add(left)
 }
 
+// requestedTime returns how long the caller will wait, if it says so.
+func (j *job) requestedTime() (time.Duration, bool) {
+	value := j.request.Header.Get(j.server.settings.Headers.Deadline)
+	ms, err := strconv.ParseInt(value, 10, 64)
+	if err != nil || ms < 0 {
+		return 0, false
+	}
+	return time.Duration(ms) * time.Millisecond, true
+}
+
 func (j *job) readBody() *refusal {
 	limit := j.table.Configuration().Limits.BodyBytes
 	body := io.Reader(j.request.Body)
--- a/pacing/controller.go
+++ b/pacing/controller.go
@@ -50,8 +50,9 @@
 		settings Settings
 		// mean and deviation are moving averages of pauses over the wanted pause.
 		mean, deviation float64
-		bound           float64
-		changed         time.Time
+		// bound is the most streams at once, of a group with so many places.
+		bound, places float64
+		changed       time.Time
 		// lateSince is since when pauses are above lateRatio; isFull tells that the group runs full for it.
 		lateSince time.Time
 		isFull    bool
@@ -94,9 +95,13 @@
 // Bound returns the most streams at once, given those that run and the places of the group.
 func (c *Controller) Bound(now time.Time, running, places float64) float64 {
 	if c.bound == 0 {
-		c.bound = c.settings.First * places
+		c.bound, c.places = c.settings.First*places, places
 		c.changed = now
 	}
+	if places != c.places && places > 0 {
+		// Ranks came or left.
+		c.bound, c.places = c.bound*places/c.places, places
+	}
 	if now.Sub(c.changed) >= interval {
 		c.changed = now
 		c.adjust(now, running, places)
--- a/pacing/controller_test.go
+++ b/pacing/controller_test.go
@@ -140,3 +140,12 @@
 		})
 	}
 }
+
+// Load pattern: an entry starts and hears of the ranks of a group one by one.
+func TestBoundFollowsThePlaces(t *testing.T) {
+	c := pacing.NewController(pacing.Settings{})
+	now := time.Date(2026, 1, 2, 3, 4, 5, 0, time.UTC)
+	first := c.Bound(now, 0, 12)
+	require.InDelta(t, 12*first, c.Bound(now, 0, 144), 1e-9)
+	require.InDelta(t, 11*first, c.Bound(now, 0, 132), 1e-9)
+}
