--- /dev/null
+++ b/forward/bench_test.go
@@ -0,0 +1,212 @@
+package forward_test
+
+import (
+	"bufio"
+	"fmt"
+	"io"
+	"net"
+	"net/http"
+	"runtime"
+	"strings"
+	"syscall"
+	"testing"
+	"time"
+
+	"github.com/stretchr/testify/require"
+
+	"guavahitch.example/guavahitch/forward"
+	"guavahitch.example/guavahitch/roster"
+	"guavahitch.example/guavahitch/route"
+)
+
+// streamEvents is the number of events of a usual stream.
+const streamEvents = 28
+
+var (
+	plainRequest = "GET /balance/7 HTTP/1.1\r\nHost: bank.test\r\nX-Request: q1\r\nAuthorization: Token k1\r\n" +
+		"X-Deadline: 1000\r\n\r\n"
+	streamRequest = "POST /match/ HTTP/1.1\r\nHost: bank.test\r\nX-Request: q1\r\nAuthorization: Token k1\r\n" +
+		"X-Deadline: 8000\r\nContent-Length: 6\r\n\r\nprompt"
+)
+
+// benchUpstream answers plain requests with 800 bytes and streams with events that come one by one.
+func benchUpstream(b *testing.B) net.Listener {
+	listener, err := net.Listen("tcp", "127.0.0.1:0")
+	require.NoError(b, err)
+	b.Cleanup(func() { _ = listener.Close() })
+	text := strings.Repeat("x", 800)
+	go func() {
+		for {
+			conn, err := listener.Accept()
+			if err != nil {
+				return
+			}
+			go answerBench(conn, text)
+		}
+	}()
+	return listener
+}
+
+func answerBench(conn net.Conn, text string) {
+	defer conn.Close()
+	reader := bufio.NewReader(conn)
+	for {
+		request, err := http.ReadRequest(reader)
+		if err != nil {
+			return
+		}
+		if _, err := io.Copy(io.Discard, request.Body); err != nil {
+			return
+		}
+		if request.Method == http.MethodGet {
+			whole(conn, request, 200, text)
+			continue
+		}
+		events(conn, request)
+		for id := range streamEvents {
+			chunk(conn, fmt.Sprintf("id: %d\ndata: piece %d\n\n", id+1, id))
+		}
+		fmt.Fprint(conn, "0\r\n\r\n")
+	}
+}
+
+// benchSidecar passes requests on beside an upstream, and needs no keys.
+func benchSidecar(b *testing.B, before string) string {
+	c := configuration()
+	c.Organisations = nil
+	return benchServer(b, before, c)
+}
+
+// benchEntry serves routed traffic before an address, and returns its own.
+func benchEntry(b *testing.B, before string) string { return benchServer(b, before, configuration()) }
+
+func benchServer(b *testing.B, before string, c *route.Configuration) string {
+	fleet := forward.NewFleet(testSettings())
+	fleet.Update([]roster.Entry{{Heard: time.Now().Add(time.Hour), Instance: roster.Instance{
+		ID: "u0", Born: 1, Service: "ledger", Address: before, State: roster.Ready,
+	}}}, nil)
+	server := forward.NewServer(testSettings(), fleet)
+	server.SetTable(route.NewTable(c))
+	listener, err := net.Listen("tcp", "127.0.0.1:0")
+	require.NoError(b, err)
+	front := &http.Server{Handler: server}
+	b.Cleanup(func() { _ = front.Close() })
+	go func() { _ = front.Serve(listener) }()
+	return listener.Addr().String()
+}
+
+// benchCopy passes bytes on between connections and looks at none of them.
+func benchCopy(b *testing.B, before string) string {
+	listener, err := net.Listen("tcp", "127.0.0.1:0")
+	require.NoError(b, err)
+	b.Cleanup(func() { _ = listener.Close() })
+	go func() {
+		for {
+			near, err := listener.Accept()
+			if err != nil {
+				return
+			}
+			far, err := net.Dial("tcp", before)
+			if err != nil {
+				return
+			}
+			go func() {
+				_, _ = io.Copy(far, near)
+				_ = far.Close()
+			}()
+			go func() {
+				_, _ = io.Copy(near, far)
+				_ = near.Close()
+			}()
+		}
+	}()
+	return listener.Addr().String()
+}
+
+// processorTime returns what the process has used.
+func processorTime(b *testing.B) time.Duration {
+	var usage syscall.Rusage
+	require.NoError(b, syscall.Getrusage(syscall.RUSAGE_SELF, &usage))
+	return time.Duration(usage.Utime.Nano() + usage.Stime.Nano())
+}
+
+// BenchmarkForward is one request over a kept connection: through an entry, through an entry and a second process
+// beside the upstream, through a loop that copies bytes, and without anything between. The processor time is that of
+// caller, upstream and what is between; the row without anything is what the first two take.
+func BenchmarkForward(b *testing.B) {
+	for _, kind := range []struct {
+		name, request string
+		events        int
+	}{{"plain", plainRequest, 0}, {"stream", streamRequest, streamEvents}} {
+		for _, way := range []struct {
+			name string
+			open func(b *testing.B, upstream string) string
+		}{
+			{"direct", func(_ *testing.B, upstream string) string { return upstream }},
+			{"copy", benchCopy},
+			{"entry", benchEntry},
+			{"entry and sidecar", func(b *testing.B, upstream string) string { return benchEntry(b, benchSidecar(b, upstream)) }},
+		} {
+			b.Run(kind.name+"/"+way.name, func(b *testing.B) {
+				address := way.open(b, benchUpstream(b).Addr().String())
+				conn, err := net.Dial("tcp", address)
+				require.NoError(b, err)
+				defer conn.Close()
+				reader := bufio.NewReader(conn)
+				runtime.GC()
+				began := processorTime(b)
+				b.ReportAllocs()
+				for b.Loop() {
+					exchangeBench(b, conn, reader, kind.request)
+				}
+				used := float64(processorTime(b)-began) / float64(time.Microsecond) / float64(b.N)
+				b.ReportMetric(used, "cpu-µs/op")
+				if kind.events > 0 {
+					b.ReportMetric(used/float64(kind.events), "cpu-µs/event")
+				}
+			})
+		}
+	}
+}
+
+func exchangeBench(b *testing.B, conn net.Conn, reader *bufio.Reader, request string) {
+	if _, err := io.WriteString(conn, request); err != nil {
+		b.Fatal(err)
+	}
+	response, err := http.ReadResponse(reader, nil)
+	if err != nil {
+		b.Fatal(err)
+	}
+	if _, err := io.Copy(io.Discard, response.Body); err != nil || response.StatusCode != http.StatusOK {
+		b.Fatal(response.Status, err)
+	}
+}
+
+// BenchmarkConnections is the memory of an entry for each connection that callers keep open, after a request on each.
+func BenchmarkConnections(b *testing.B) {
+	const connections = 4000
+	address := benchEntry(b, benchUpstream(b).Addr().String())
+	for b.Loop() {
+		var open []net.Conn
+		before := heapInUse()
+		for range connections {
+			conn, err := net.Dial("tcp", address)
+			require.NoError(b, err)
+			open = append(open, conn)
+			exchangeBench(b, conn, bufio.NewReaderSize(conn, 16), plainRequest)
+		}
+		b.ReportMetric(float64(heapInUse()-before)/connections/1024, "KB/connection")
+		b.ReportMetric(float64(heapInUse())/(1<<20), "MB")
+		for _, conn := range open {
+			_ = conn.Close()
+		}
+	}
+}
+
+// heapInUse returns heap and stacks in use, in bytes.
+func heapInUse() uint64 {
+	runtime.GC()
+	var stats runtime.MemStats
+	runtime.ReadMemStats(&stats)
+	return stats.HeapInuse + stats.StackInuse
+}
--- a/forward/server.go
+++ b/forward/server.go
@@ -117,6 +117,9 @@
 	if refused := j.awaitTable(); refused != nil {
 		return refused
 	}
+	if limit := j.table.Configuration().Limits.HeaderBytes; limit > 0 && headerBytes(j.request) > limit {
+		return &refusal{status: http.StatusRequestHeaderFieldsTooLarge, reason: "header too large"}
+	}
 	j.route = j.table.Route(j.request.Host, j.request.URL.EscapedPath())
 	if j.route == nil {
 		return &refusal{status: http.StatusNotFound, reason: "no route"}
@@ -131,6 +134,18 @@
 	return j.readBody()
 }
 
+// headerBytes returns the size of a request's head: the request line and the header lines.
+func headerBytes(r *http.Request) int {
+	const separators = len(": \r\n")
+	size := len(r.Method) + len(r.RequestURI) + len(r.Host) + len(r.Proto)
+	for name, values := range r.Header {
+		for _, value := range values {
+			size += len(name) + len(value) + separators
+		}
+	}
+	return size
+}
+
 func (j *job) authenticate() *refusal {
 	if j.route.IsOpen || !j.table.NeedsKeys() {
 		return nil
--- a/forward/server_test.go
+++ b/forward/server_test.go
@@ -128,7 +128,7 @@
 			{Name: "open", Host: "open.test", Prefix: "/", Kind: route.Safe, Timeout: time.Second, Attempts: 1, Split: share, IsOpen: true},
 		},
 		Organisations: []route.Organisation{{Name: "levis", Keys: []string{"k1"}}},
-		Limits:        route.Limits{BodyBytes: 1000},
+		Limits:        route.Limits{BodyBytes: 1000, HeaderBytes: 4000},
 	}
 }
 
@@ -222,6 +222,7 @@
 		{"prefix ends with a slash", "/credit", "", nil, 404},
 		{"unknown key", "/credit/", "", []string{"Authorization", "Token k2"}, 401},
 		{"other scheme", "/credit/", "", []string{"Authorization", "Bearer k1"}, 401},
+		{"long header", "/credit/", "", []string{"X-Long", strings.Repeat("x", 4001)}, 431},
 		{"long body", "/credit/", strings.Repeat("x", 1001), nil, 413},
 	} {
 		t.Run(c.name, func(t *testing.T) {
@@ -502,3 +503,10 @@
 	require.Equal(t, 16, one)
 	require.Equal(t, 4, four)
 }
+
+// allowBodies lifts the bound of bodies.
+func (e *entry) allowBodies() {
+	c := configuration()
+	c.Version, c.Limits.BodyBytes = 2, 1<<30
+	require.True(e.t, e.server.SetTable(route.NewTable(c)))
+}
--- a/forward/settings.go
+++ b/forward/settings.go
@@ -37,8 +37,6 @@
 		Organisation string
 		// LastEvent holds the ID of the last event that was received.
 		LastEvent string
-		// Tokens holds the prompt's tokens and the most tokens of the answer.
-		Tokens string
 		// Culprit names the upstream at fault in a refusal by another.
 		Culprit string
 	}
--- a/registry/state.go
+++ b/registry/state.go
@@ -27,8 +27,7 @@
 	return s.document
 }
 
-// apply takes one committed command and returns the encoded version that is held afterwards. The first
-// configuration of a version stays.
+// apply takes one committed command; it has no result. The first configuration of a version stays.
 func (s *state) apply(command []byte) []byte {
 	next := &wire.RoutingDocument{}
 	if err := proto.Unmarshal(command, next); err != nil {
--- a/route/configuration.go
+++ b/route/configuration.go
@@ -46,8 +46,6 @@
 		Attempts int
 		// IsOpen tells that requests need no key.
 		IsOpen bool
-		// HasPrompt tells that requests describe a prompt.
-		HasPrompt bool
 		// IsResumable tells that a stream may go on at another upstream.
 		IsResumable bool
 	}
@@ -73,28 +71,15 @@
 	Engine struct {
 		// Slots is the number of requests in one batch.
 		Slots int
-		// Tokens is the memory of an engine.
-		Tokens int
 		// Stride is the number of token steps in a pass with writing requests.
 		Stride int
-		// Step, PerSequence and ContextPerThousand make up the time of a token step: a fixed part, a part
-		// for each writing request, and one for each thousand tokens of its context.
-		Step               time.Duration
-		PerSequence        time.Duration
-		ContextPerThousand time.Duration
-		// ReadPerSecond is the rate at which prompts are read, in tokens.
-		ReadPerSecond float64
-		// Chunk is the most prompt tokens read in one step.
-		Chunk int
-		// UsualPrompt and UsualAnswer are mean sizes in tokens.
-		UsualPrompt, UsualAnswer int
+		// Step is the time of a token step without what each request adds to it.
+		Step time.Duration
 		// Sets, Experts, Places and Spare describe the expert map: sets of layers, experts of a set, the most
 		// experts on a rank in a set, and the most new ones that a rank can prepare beside those.
 		Sets, Experts, Places, Spare int
 		// ExpertShare is the part of a token's work that is done by experts.
 		ExpertShare float64
-		// Form is the time in which a group opens once all its ranks are there.
-		Form time.Duration
 	}
 
 	// Organisation is a customer with its keys.
--- a/upstream/connection.go
+++ b/upstream/connection.go
@@ -37,7 +37,6 @@
 	idleSince time.Time
 	// idleLimit is the time for which the upstream keeps an idle connection, 0 when it did not say.
 	idleLimit time.Duration
-	isUsed    bool
 	isSpent   bool
 }
 
@@ -58,9 +57,6 @@
 	}
 }
 
-// IsUsed reports whether an earlier request went over the connection.
-func (c *Connection) IsUsed() bool { return c.isUsed }
-
 // Close closes an idle connection.
 func (c *Connection) Close() {
 	c.isSpent = true
@@ -88,7 +84,6 @@
 
 // Send writes a request: the request line, the header lines and the body.
 func (c *Connection) Send(method, target, host string, header http.Header, body []byte) error {
-	c.isUsed = true
 	w := c.writer
 	_, _ = w.WriteString(method)
 	_ = w.WriteByte(' ')
