check and dev know the routed interface

Cause: routed configurations could only be written in the platform's format, check did not read them, and dev did not show the interface.

A request without an identifier was answered 502: the answer to it was taken for another request's; found by the test of dev, mended, and a test of its own.

--- a/command/check.go
+++ b/command/check.go
@@ -10,14 +10,32 @@
 
 	"guavahitch.example/guavahitch/document"
 	"guavahitch.example/guavahitch/inventory"
+	"guavahitch.example/guavahitch/route"
 	"guavahitch.example/guavahitch/settings"
 )
 
 const (
 	kindInventory = "inventory"
 	kindSettings  = "settings"
+	kindRoutes    = "routes"
 )
 
+// parsers read each kind of file, and return document.Problems for what is wrong with it.
+var parsers = map[string]func(file string, text []byte) error{
+	kindInventory: func(file string, text []byte) error {
+		_, err := inventory.Parse(file, text)
+		return err
+	},
+	kindSettings: func(file string, text []byte) error {
+		_, err := settings.Parse(file, text)
+		return err
+	},
+	kindRoutes: func(file string, text []byte) error {
+		_, err := route.Parse(file, text)
+		return err
+	},
+}
+
 type (
 	// checked is the result of one file in JSON.
 	checked struct {
@@ -39,16 +57,16 @@
 	var kind, format string
 	c := &cobra.Command{
 		Use:   "check FILE...",
-		Short: "Check inventories or settings without a running system",
-		Long: `Check inventories or settings without a running system.
+		Short: "Check inventories, settings or routes without a running system",
+		Long: `Check inventories, settings or routes without a running system.
 
 Every problem is printed at once as FILE:LINE:COLUMN, field, what is wrong, value and what is allowed.
 The exit code is 0 when there is none, 1 when there are some and 2 when an argument is wrong.`,
 		Example: "  guavahitch check inventory.json\n  guavahitch check --kind settings --format json entry.json",
 		Args:    cobra.MinimumNArgs(1),
 		RunE: func(c *cobra.Command, files []string) error {
-			if kind != kindInventory && kind != kindSettings {
-				return usageError("check: --kind %s: takes %s or %s", kind, kindInventory, kindSettings)
+			if parsers[kind] == nil {
+				return usageError("check: --kind %s: takes %s, %s or %s", kind, kindInventory, kindSettings, kindRoutes)
 			}
 			if err := checkFormat("check", format); err != nil {
 				return err
@@ -56,7 +74,7 @@
 			return runCheck(c, kind, format, files)
 		},
 	}
-	c.Flags().StringVar(&kind, "kind", kindInventory, "what the files are: inventory or settings")
+	c.Flags().StringVar(&kind, "kind", kindInventory, "what the files are: inventory, settings or routes")
 	addFormat(c, &format)
 	return c
 }
@@ -91,11 +109,7 @@
 	if err != nil {
 		return nil, eris.Wrapf(err, "check %s", file)
 	}
-	if kind == kindSettings {
-		_, err = settings.Parse(file, text)
-	} else {
-		_, err = inventory.Parse(file, text)
-	}
+	err = parsers[kind](file, text)
 	var problems document.Problems
 	if err != nil && !errors.As(err, &problems) {
 		return nil, err
--- a/command/dev.go
+++ b/command/dev.go
@@ -16,7 +16,8 @@
 		Short: "Run all roles and fake upstreams in one process on loopback",
 		Long: `Run all roles and fake upstreams in one process on loopback.
 
-Prints "ready http://ADDRESS" when a request would be answered, and a request to try.
+Prints "ready http://ADDRESS" when a request would be answered, and requests to try: one to a model, and routed ones by
+host and path.
 SIGINT and SIGTERM stop it when every request in flight has ended.`,
 		Example: "  guavahitch dev\n  guavahitch dev --settings dev.json",
 		Args:    cobra.NoArgs,
@@ -34,6 +35,6 @@
 			return d.Run(ctx, c.OutOrStdout())
 		},
 	}
-	c.Flags().StringVar(&path, "settings", "", "settings file; Listen, Inventory, Folder and Log may stand in it")
+	c.Flags().StringVar(&path, "settings", "", "settings file; Listen, Operators, Routed, Inventory, Folder and Log may stand in it")
 	return c
 }
--- a/dev/dev.go
+++ b/dev/dev.go
@@ -69,6 +69,8 @@
 		Listen string
 		// Operators is the IP address and port for operators.
 		Operators string
+		// Routed is the IP address and port for routed requests.
+		Routed string
 		// Inventory is the path of an inventory; empty for the sample.
 		Inventory string
 		// Folder holds the control replica's files; empty for a folder that is removed at the end.
@@ -97,12 +99,13 @@
 		engines   []*fake.Engine
 		services  []*fake.Service
 		processes []*daemon.Process
+		routed    *routed
 	}
 )
 
 // ReadSettings reads the settings file of the dev verb; an empty path gives the defaults.
 func ReadSettings(path string) (Settings, error) {
-	s := Settings{Listen: DefaultListen, Operators: DefaultOperators}
+	s := Settings{Listen: DefaultListen, Operators: DefaultOperators, Routed: DefaultRouted}
 	if path == "" {
 		return s, nil
 	}
@@ -115,6 +118,9 @@
 
 // New assembles the system. Nothing runs before Run.
 func New(s Settings, log *logrus.Logger) (*Dev, error) {
+	if s.Routed == "" {
+		s.Routed = loopback
+	}
 	d := &Dev{settings: s, log: log, text: sampleInventory, groups: map[string]*fakeGroup{}}
 	name := "sample_inventory.json"
 	if s.Inventory != "" {
@@ -176,6 +182,10 @@
 			Listen: d.settings.Listen, Connections: settings.DefaultConnections, BodyBytes: settings.DefaultBodyBytes,
 		},
 	})
+	if err != nil {
+		return err
+	}
+	d.routed, err = newRouted(d.settings.Routed)
 	return err
 }
 
@@ -216,6 +226,9 @@
 // CallerAddress returns the address that callers are served on.
 func (d *Dev) CallerAddress() string { return d.entry.CallerAddress() }
 
+// RoutedAddress returns the address that routed requests are served on.
+func (d *Dev) RoutedAddress() string { return d.routed.listener.Addr().String() }
+
 // Run runs the system until the context ends. When a request would be answered it prints the ready line and
 // a request to try.
 func (d *Dev) Run(ctx context.Context, out io.Writer) error {
@@ -230,9 +243,10 @@
 		go func() { ends <- p.Run(end) }()
 	}
 	go d.reviveEngines(ctx)
+	go d.routed.serve(ctx)
 	err := d.start(ctx)
 	if err == nil {
-		fmt.Fprintf(out, "ready http://%s\n%s", d.CallerAddress(), d.hint())
+		fmt.Fprintf(out, "ready http://%s\n%s%s", d.CallerAddress(), d.hint(), d.routed.hint())
 		<-ctx.Done()
 	}
 	return d.stop(ends, stopControl, err)
@@ -248,6 +262,7 @@
 	if ended := <-ends; err == nil {
 		err = ended
 	}
+	d.routed.stop()
 	for _, e := range d.engines {
 		e.Stop()
 	}
--- a/dev/dev_test.go
+++ b/dev/dev_test.go
@@ -32,6 +32,8 @@
 type system struct {
 	t    *testing.T
 	base string
+	// routed is where routed requests are served.
+	routed string
 }
 
 func startSystem(t *testing.T) *system {
@@ -48,7 +50,7 @@
 		require.NoError(t, <-ended)
 	})
 	<-out.ready
-	return &system{t: t, base: "http://" + d.CallerAddress()}
+	return &system{t: t, base: "http://" + d.CallerAddress(), routed: "http://" + d.RoutedAddress()}
 }
 
 func (s *system) send(method, path, key, body string) (int, string) {
@@ -133,3 +135,30 @@
 		require.Equal(t, "NotRun", refusal.Outcome)
 	})
 }
+
+// Routed requests reach a plain service and a stream, with a key.
+func TestRoutedRequests(t *testing.T) {
+	s := startSystem(t)
+	send := func(method, path, key string) (int, string) {
+		request, err := http.NewRequest(method, s.routed+path, strings.NewReader("prompt"))
+		require.NoError(t, err)
+		request.Host = "dev.example"
+		request.Header.Set("Authorization", "Bearer "+key)
+		response, err := http.DefaultClient.Do(request)
+		require.NoError(t, err)
+		defer func() { _ = response.Body.Close() }()
+		text, err := io.ReadAll(response.Body)
+		require.NoError(t, err)
+		return response.StatusCode, string(text)
+	}
+	status, text := send(http.MethodGet, "/balance/7", "dev-key")
+	require.Equal(t, http.StatusOK, status)
+	require.JSONEq(t, `{"Organisation":"laurentides","Hours":12}`, text)
+	status, text = send(http.MethodPost, "/draft/1", "dev-key")
+	require.Equal(t, http.StatusOK, status)
+	require.True(t, strings.HasPrefix(text, "id: 1\ndata: piece 1\n\n") && strings.HasSuffix(text, "piece 8\n\n"), text)
+	status, _ = send(http.MethodGet, "/balance/7", "other")
+	require.Equal(t, http.StatusUnauthorized, status)
+	status, _ = send(http.MethodGet, "/nowhere/", "dev-key")
+	require.Equal(t, http.StatusNotFound, status)
+}
--- /dev/null
+++ b/dev/routed.go
@@ -0,0 +1,144 @@
+package dev
+
+import (
+	"context"
+	_ "embed"
+	"fmt"
+	"net"
+	"net/http"
+	"strconv"
+	"time"
+
+	"github.com/rotisserie/eris"
+
+	"guavahitch.example/guavahitch/forward"
+	"guavahitch.example/guavahitch/roster"
+	"guavahitch.example/guavahitch/route"
+)
+
+// routed.go shows the routed interface: an entry's server over fixed routes and two fake upstreams, without control.
+
+const (
+	// DefaultRouted is where routed requests are served unless the settings say otherwise.
+	DefaultRouted = "127.0.0.1:8602"
+	// routedEvents is the number of events of a fake stream, routedPause the time between them.
+	routedEvents = 8
+	routedPause  = 50 * time.Millisecond
+	// routedRetry and routedSlack bound what is sent once more.
+	routedRetry = 0.2
+	routedSlack = 10
+)
+
+//go:embed sample_routes.json
+var sampleRoutes []byte
+
+var routedHeaders = forward.Headers{
+	RequestID: "Guavahitch-Request", Deadline: "Guavahitch-Deadline-Ms", Seal: "Guavahitch-Seal",
+	NotExecuted: "Guavahitch-Not-Executed", ExpectInstance: "Guavahitch-Instance", Organisation: "Guavahitch-Organisation",
+	LastEvent: "Last-Event-Id", Culprit: "Guavahitch-Culprit",
+}
+
+// routed is the routed interface with its upstreams.
+type routed struct {
+	front     *http.Server
+	listener  net.Listener
+	upstreams []*http.Server
+}
+
+func newRouted(listen string) (*routed, error) {
+	configuration, err := route.Parse("sample_routes.json", sampleRoutes)
+	if err != nil {
+		return nil, err
+	}
+	settings := forward.Settings{
+		Headers: routedHeaders, KeyScheme: "Bearer", Retry: forward.RetryLimits{Ratio: routedRetry, Slack: routedSlack},
+	}
+	r := &routed{}
+	fleet := forward.NewFleet(settings)
+	for service, handler := range map[string]http.HandlerFunc{"model": serveStream, "ledger": serveBalance} {
+		address, err := r.startUpstream(handler)
+		if err != nil {
+			r.stop()
+			return nil, err
+		}
+		fleet.Update([]roster.Entry{{Heard: time.Now(), Instance: roster.Instance{
+			ID: service + "-1", Service: service, Address: address, State: roster.Ready,
+		}}}, nil)
+	}
+	server := forward.NewServer(settings, fleet)
+	server.SetTable(route.NewTable(configuration))
+	r.front = &http.Server{Handler: server, ReadHeaderTimeout: readyTimeout}
+	if r.listener, err = net.Listen("tcp", listen); err != nil {
+		r.stop()
+		return nil, eris.Wrapf(err, "listen on %s", listen)
+	}
+	return r, nil
+}
+
+func (r *routed) startUpstream(handler http.Handler) (string, error) {
+	listener, err := net.Listen("tcp", loopback)
+	if err != nil {
+		return "", eris.Wrap(err, "listen for a fake upstream")
+	}
+	server := &http.Server{Handler: handler, ReadHeaderTimeout: readyTimeout}
+	r.upstreams = append(r.upstreams, server)
+	go func() { _ = server.Serve(listener) }()
+	return listener.Addr().String(), nil
+}
+
+// serve serves callers until the context ends.
+func (r *routed) serve(ctx context.Context) {
+	stop := context.AfterFunc(ctx, r.stop)
+	defer stop()
+	_ = r.front.Serve(r.listener)
+}
+
+func (r *routed) stop() {
+	if r.front != nil {
+		_ = r.front.Close()
+	}
+	for _, server := range r.upstreams {
+		_ = server.Close()
+	}
+}
+
+func (r *routed) hint() string {
+	address := r.listener.Addr()
+	return fmt.Sprintf(`routed:
+  curl -N http://%s/draft/1 -H 'Host: dev.example' -H 'Authorization: Bearer dev-key' -d prompt
+  curl http://%s/balance/7 -H 'Host: dev.example' -H 'Authorization: Bearer dev-key'
+`, address, address)
+}
+
+// seal marks an answer as the fake upstream's own.
+func seal(w http.ResponseWriter, r *http.Request) {
+	w.Header().Set(routedHeaders.Seal, "dev")
+	if id := r.Header.Get(routedHeaders.RequestID); id != "" {
+		w.Header().Set(routedHeaders.RequestID, id)
+	}
+}
+
+func serveBalance(w http.ResponseWriter, r *http.Request) {
+	seal(w, r)
+	_, _ = fmt.Fprintf(w, "{\"Organisation\":%q,\"Hours\":12}\n", r.Header.Get(routedHeaders.Organisation))
+}
+
+// serveStream writes events, from the one after the last that the caller has.
+func serveStream(w http.ResponseWriter, r *http.Request) {
+	seal(w, r)
+	w.Header().Set("Content-Type", "text/event-stream")
+	last, err := strconv.Atoi(r.Header.Get(routedHeaders.LastEvent))
+	if err != nil {
+		last = 0
+	}
+	control := http.NewResponseController(w)
+	for id := last + 1; id <= routedEvents; id++ {
+		if _, err := fmt.Fprintf(w, "id: %d\ndata: piece %d\n\n", id, id); err != nil {
+			return
+		}
+		if err := control.Flush(); err != nil {
+			return
+		}
+		time.Sleep(routedPause)
+	}
+}
--- a/forward/attempt.go
+++ b/forward/attempt.go
@@ -137,9 +137,13 @@
 	return header
 }
 
-// isOurs reports whether an answer belongs to this request. Refusals may lack the request's ID.
+// isOurs reports whether an answer belongs to this request. Refusals may lack the request's ID; the answers to requests
+// without one can't be told apart.
 func (a *attempt) isOurs(header http.Header) bool {
 	names := a.job.server.settings.Headers
+	if a.job.id == "" {
+		return true
+	}
 	id := header.Get(names.RequestID)
 	if id == "" {
 		return header.Get(names.NotExecuted) != "" || header.Get(names.Seal) == ""
--- a/forward/server_test.go
+++ b/forward/server_test.go
@@ -510,3 +510,14 @@
 	c.Version, c.Limits.BodyBytes = 2, 1<<30
 	require.True(e.t, e.server.SetTable(route.NewTable(c)))
 }
+
+// A request without an ID gets the answer that comes.
+func TestRequestsWithoutAnID(t *testing.T) {
+	u := newUpstream(t, func(conn net.Conn, _ *http.Request, _ string) bool {
+		fmt.Fprint(conn, "HTTP/1.1 200 OK\r\nX-Seal: s1\r\nContent-Length: 4\r\n\r\ndone")
+		return true
+	})
+	_, body, err := newEntry(t, u).send("POST", "/credit/", "x", "X-Request", "")
+	require.NoError(t, err)
+	require.Equal(t, "done", body)
+}
--- /dev/null
+++ b/route/document.go
@@ -0,0 +1,97 @@
+package route
+
+import (
+	"errors"
+	"time"
+
+	"guavahitch.example/guavahitch/document"
+)
+
+// The configuration in the project's own format. Fields are named as here; text may hold comments.
+
+const (
+	kindSafe   = "Safe"
+	kindUnsafe = "Unsafe"
+	kindStream = "Stream"
+)
+
+type (
+	configurationDocument struct {
+		Version       uint64 `document:"required,min=1"`
+		Routes        []routeDocument
+		Services      []serviceDocument
+		Organisations []organisationDocument
+		Limits        limitsDocument
+	}
+
+	routeDocument struct {
+		Name         string `document:"required"`
+		Host         string `document:"required"`
+		Prefix       string `document:"required"`
+		Kind         string `document:"required,oneof=Safe|Unsafe|Stream"`
+		Timeout      time.Duration
+		Objective    time.Duration
+		GapObjective time.Duration
+		Attempts     int `document:"min=1"`
+		Open         bool
+		Resumable    bool
+		Split        []Share
+	}
+
+	serviceDocument struct {
+		Name           string `document:"required"`
+		MaxConnections int    `document:"min=0"`
+		Engine         *Engine
+	}
+
+	organisationDocument struct {
+		Name string `document:"required"`
+		Keys []string
+	}
+
+	limitsDocument struct {
+		HeaderBytes int `document:"min=0"`
+		BodyBytes   int `document:"min=0"`
+	}
+)
+
+// Parse reads a configuration in the project's own format. The error is document.Problems when the text is at fault.
+func Parse(file string, text []byte) (*Configuration, error) {
+	var read configurationDocument
+	d := document.Decode(file, text, &read)
+	if err := d.Err(); err != nil {
+		return nil, err
+	}
+	c := read.configuration()
+	var invalid *Invalid
+	if err := c.Check(); errors.As(err, &invalid) {
+		d.Add("", invalid.Error(), "")
+		return nil, d.Err()
+	}
+	return c, nil
+}
+
+func (d *configurationDocument) configuration() *Configuration {
+	c := &Configuration{
+		Version: d.Version,
+		Limits:  Limits{HeaderBytes: d.Limits.HeaderBytes, BodyBytes: int64(d.Limits.BodyBytes)},
+	}
+	for i := range d.Routes {
+		c.Routes = append(c.Routes, d.Routes[i].route())
+	}
+	for _, s := range d.Services {
+		c.Services = append(c.Services, Service{Name: s.Name, MaxConnections: s.MaxConnections, Engine: s.Engine})
+	}
+	for _, o := range d.Organisations {
+		c.Organisations = append(c.Organisations, Organisation{Name: o.Name, Keys: o.Keys})
+	}
+	return c
+}
+
+func (d *routeDocument) route() Route {
+	kinds := map[string]Kind{kindSafe: Safe, kindUnsafe: Unsafe, kindStream: Stream}
+	return Route{
+		Name: d.Name, Host: d.Host, Prefix: d.Prefix, Kind: kinds[d.Kind], Timeout: d.Timeout, Objective: d.Objective,
+		GapObjective: d.GapObjective, Attempts: max(d.Attempts, 1), IsOpen: d.Open, IsResumable: d.Resumable, Split: d.Split,
+	}
+}
