A new leader fences all ranks before it takes anything back

Cause: a model of hold, arm and go broke: a leader of term 2 fenced a rank by disarming the version that was prepared there; if the leader of term 1 armed both ranks and let the group go between the look at the rank and that order, one rank was disarmed and the other went on to the new map. Ruled out: a fault of the model. A directed test of the real coordinator splits the fake group in its first pass.

Change: settling gives every rank an order that changes nothing in any state, reads them, and disarms what is armed only under a hold of its own.

--- a/lockstep/coordinator.go
+++ b/lockstep/coordinator.go
@@ -122,7 +122,7 @@
 		return nil
 	}
 	if c.needsSettling(states) {
-		return c.settle(ctx, states)
+		return c.settle(ctx, states[0].Epoch)
 	}
 	next, event, err := c.plan(ctx, states)
 	if err != nil || next == nil {
--- a/lockstep/coordinator_test.go
+++ b/lockstep/coordinator_test.go
@@ -3,7 +3,9 @@
 import (
 	"context"
 	"fmt"
+	"math"
 	"os"
+	"slices"
 	"strconv"
 	"testing"
 	"testing/synctest"
@@ -11,6 +13,7 @@
 
 	"github.com/stretchr/testify/require"
 
+	"guavahitch.example/guavahitch/balance"
 	"guavahitch.example/guavahitch/lockstep"
 )
 
@@ -50,7 +53,7 @@
 	for seed := range seeds() {
 		t.Run(fmt.Sprint(seed), func(t *testing.T) {
 			synctest.Test(t, func(t *testing.T) {
-				h := runHistory(t, seed, lockstep.Mechanisms{})
+				h := runHistory(t, seed)
 				require.Empty(t, h.splits, "seed %d", seed)
 				require.Greater(t, h.passes, uint64(50), "seed %d: the group stands still", seed)
 				require.Less(t, h.skew, 1.5, "seed %d: no switch since the faults stopped", seed)
@@ -59,26 +62,162 @@
 	}
 }
 
-// Without any of its mechanisms the protocol splits a group, or leaves it standing, in some history.
-func TestMechanismsAreNeeded(t *testing.T) {
-	for name, without := range map[string]lockstep.Mechanisms{
-		"hold": {Hold: true}, "settle": {Settle: true}, "fence": {Fence: true},
-	} {
-		t.Run(name, func(t *testing.T) {
-			isNeeded := false
-			for seed := uint64(0); seed < mutationSeeds && !isNeeded; seed++ {
-				synctest.Test(t, func(t *testing.T) {
-					h := runHistory(t, seed, without)
-					isNeeded = len(h.splits) > 0 || h.passes == 0
-				})
+// A group passes on while ranks are being armed: without a hold it would begin the pass while some are not.
+func TestHoldIsNeeded(t *testing.T) {
+	requireNeeded(t, lockstep.Mechanisms{Hold: true}, func(g *fakeGroup, without lockstep.Mechanisms) *lockstep.Coordinator {
+		engine, arms := g.engine(), 0
+		engine.Give = func(ctx context.Context, rank int, order lockstep.Order) (*lockstep.State, error) {
+			after, err := g.give(ctx, rank, order)
+			isFirst := false
+			g.locked(func() {
+				if order.Kind == lockstep.Arm && err == nil {
+					arms++
+					isFirst = arms == 1
+				}
+			})
+			for k := 0; isFirst && k < 2*lockstep.DefaultLead; k++ {
+				g.pass()
 			}
-			require.True(t, isNeeded)
+			return after, err
+		}
+		return lockstep.NewCoordinator(lockstep.Settings{Group: "g", Shape: smallShape, Without: without}, engine, 1)
+	})
+}
+
+// An order of an earlier leader to arm a rank is carried out just before the next leader lets the group go.
+func TestFenceIsNeeded(t *testing.T) {
+	requireNeeded(t, lockstep.Mechanisms{Fence: true}, func(g *fakeGroup, without lockstep.Mechanisms) *lockstep.Coordinator {
+		token := uint64(1)
+		if without.Fence {
+			token = math.MaxUint64
+		}
+		g.prepareAll(1)
+		time.Sleep(2 * copyTime)
+		held := lockstep.Order{Kind: lockstep.Hold, Step: g.now() + 1, Epoch: g.epoch, Fence: token}
+		g.locked(func() { _ = g.carryOut(0, held) })
+		engine := g.engine()
+		engine.Give = func(ctx context.Context, rank int, order lockstep.Order) (*lockstep.State, error) {
+			if order.Kind == lockstep.Go {
+				late := lockstep.Order{Kind: lockstep.Arm, Version: 1, Step: held.Step, Epoch: held.Epoch, Fence: token}
+				g.locked(func() { _ = g.carryOut(1, late) })
+			}
+			return g.give(ctx, rank, order)
+		}
+		return lockstep.NewCoordinator(lockstep.Settings{Group: "g", Shape: smallShape, Without: without}, engine, 2)
+	})
+}
+
+// requireNeeded makes sure that a group that a coordinator tends is split without a mechanism, and is not with it.
+func requireNeeded(
+	t *testing.T, mechanism lockstep.Mechanisms, open func(*fakeGroup, lockstep.Mechanisms) *lockstep.Coordinator,
+) {
+	for name, without := range map[string]lockstep.Mechanisms{"whole": {}, "without": mechanism} {
+		t.Run(name, func(t *testing.T) {
+			synctest.Test(t, func(t *testing.T) {
+				g := newFakeGroup(1, smallShape)
+				coordinator := open(g, without)
+				for range 40 {
+					ctx, cancel := context.WithTimeout(t.Context(), 5*time.Second)
+					_ = coordinator.Tend(ctx)
+					cancel()
+					g.pass()
+					time.Sleep(lockstep.DefaultInterval)
+				}
+				require.Equal(t, without == mechanism, len(g.splits) > 0, "%.80s", fmt.Sprint(g.splits))
+			})
 		})
 	}
 }
 
-// mutationSeeds is the number of histories in which a missing mechanism has to show.
-const mutationSeeds = 60
+// A leader that ends after it has held the group leaves it standing; the next one lets it go, and would not without
+// settling what is left.
+func TestNextLeaderReleasesAHold(t *testing.T) {
+	for name, without := range map[string]lockstep.Mechanisms{"whole": {}, "without settling": {Settle: true}} {
+		t.Run(name, func(t *testing.T) {
+			synctest.Test(t, func(t *testing.T) {
+				passes := passesAfterAHold(t, without)
+				require.Equal(t, without.Settle, passes == 0, "%d passes", passes)
+			})
+		})
+	}
+}
+
+// passesAfterAHold returns how many passes the group runs under a second leader after the first one ended in a hold.
+func passesAfterAHold(t *testing.T, without lockstep.Mechanisms) uint64 {
+	g := newFakeGroup(1, smallShape)
+	ctx, cancel := context.WithCancel(t.Context())
+	defer func() {
+		cancel()
+		time.Sleep(time.Minute)
+	}()
+	go g.run(ctx)
+	first, stop := context.WithCancel(ctx)
+	engine := g.engine()
+	engine.Give = func(ctx context.Context, rank int, order lockstep.Order) (*lockstep.State, error) {
+		after, err := g.give(ctx, rank, order)
+		if order.Kind == lockstep.Hold && err == nil {
+			stop()
+		}
+		return after, err
+	}
+	go func() {
+		_ = lockstep.NewCoordinator(lockstep.Settings{Group: "g", Shape: smallShape}, engine, 1).Run(first)
+	}()
+	<-first.Done()
+	second := lockstep.NewCoordinator(lockstep.Settings{Group: "g", Shape: smallShape, Without: without}, g.engine(), 2)
+	go func() { _ = second.Run(ctx) }()
+	time.Sleep(10 * time.Second)
+	step := g.now()
+	time.Sleep(5 * time.Second)
+	return g.now() - step
+}
+
+// A leader of an earlier term arms the ranks and lets the group go while the next one settles. The next one then takes
+// nothing back on one rank that the group may begin its next pass with on another.
+func TestEarlierLeaderGoesOnWhileTheNextSettles(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		g := newFakeGroup(1, smallShape)
+		g.prepareAll(1)
+		time.Sleep(2 * copyTime)
+		engine, isArmed := g.engine(), false
+		engine.Give = func(ctx context.Context, rank int, order lockstep.Order) (*lockstep.State, error) {
+			g.locked(func() {
+				if !isArmed {
+					isArmed = true
+					for r := range g.ranks {
+						_ = g.carryOut(r, lockstep.Order{Kind: lockstep.Arm, Version: 1, Step: g.step + 1, Epoch: g.epoch, Fence: 1})
+					}
+				}
+			})
+			after, err := g.give(ctx, rank, order)
+			if order.Kind == lockstep.Disarm && err == nil {
+				g.pass()
+			}
+			return after, err
+		}
+		second := lockstep.NewCoordinator(lockstep.Settings{Group: "g", Shape: smallShape}, engine, 2)
+		for range 3 {
+			_ = second.Tend(t.Context())
+		}
+		require.True(t, isArmed)
+		require.Empty(t, g.splits)
+	})
+}
+
+// prepareAll has all ranks hold a copy of the present map under a version.
+func (g *fakeGroup) prepareAll(version uint64) {
+	g.locked(func() {
+		next := make([]balance.Placement, smallShape.Sets)
+		for set := range next {
+			for _, r := range g.ranks {
+				next[set] = append(next[set], slices.Clone(r.placement[set]))
+			}
+		}
+		for r := range g.ranks {
+			_ = g.carryOut(r, lockstep.Order{Kind: lockstep.Prepare, Version: version, Epoch: g.epoch, Fence: 1, Map: next})
+		}
+	})
+}
 
 // history is what a run of faults came to.
 type history struct {
@@ -88,7 +227,7 @@
 	skew   float64
 }
 
-func runHistory(t *testing.T, seed uint64, without lockstep.Mechanisms) history {
+func runHistory(t *testing.T, seed uint64) history {
 	g := newFakeGroup(seed, smallShape)
 	ctx, cancel := context.WithCancel(t.Context())
 	defer func() {
@@ -100,7 +239,7 @@
 	lead := func(term uint64) {
 		inner, stop := context.WithCancel(ctx)
 		leaders[term] = stop
-		c := lockstep.NewCoordinator(lockstep.Settings{Group: "g", Shape: smallShape, Without: without}, g.engine(), term)
+		c := lockstep.NewCoordinator(lockstep.Settings{Group: "g", Shape: smallShape}, g.engine(), term)
 		go func() { _ = c.Run(inner) }()
 	}
 	term := uint64(1)
--- a/lockstep/settle.go
+++ b/lockstep/settle.go
@@ -8,17 +8,10 @@
 	"guavahitch.example/guavahitch/wait"
 )
 
-// settle ends what an earlier leader, or a switch that failed, may have left: every rank gets an order with a
-// token of this term, after which no earlier order has an effect; armed ranks are finished or disarmed while the
-// group is held; then the group goes on.
-func (c *Coordinator) settle(ctx context.Context, states []State) error {
-	epoch := states[0].Epoch
-	step, isArmed := firstArmed(states)
-	if isArmed {
-		if err := c.holdBefore(ctx, states, epoch, step); err != nil {
-			return err
-		}
-	}
+// settle ends what an earlier leader, or a switch that failed, may have left. Every rank gets an order with a token of
+// this term that changes nothing, after which no earlier order has an effect; only then is it certain what is armed.
+// Armed ranks are disarmed while this leader holds the group; then the group goes on.
+func (c *Coordinator) settle(ctx context.Context, epoch uint64) error {
 	if err := c.fenceOff(ctx, epoch); err != nil {
 		return err
 	}
@@ -26,6 +19,14 @@
 	if err != nil {
 		return err
 	}
+	if step, isArmed := firstArmed(states); isArmed && isWhole(states) {
+		if err := c.disarmHeld(ctx, states, epoch, step); err != nil {
+			return err
+		}
+		if states, err = c.readAll(ctx, false, false); err != nil {
+			return err
+		}
+	}
 	if states[0].Epoch != epoch || !isWhole(states) {
 		return nil
 	}
@@ -43,6 +44,23 @@
 	return nil
 }
 
+// disarmHeld takes back what ranks are armed for, while the group is held before the first pass of it.
+func (c *Coordinator) disarmHeld(ctx context.Context, states []State, epoch, step uint64) error {
+	if err := c.holdBefore(ctx, states, epoch, step); err != nil {
+		return err
+	}
+	return c.insist(ctx, func(ctx context.Context, rank int) (bool, error) {
+		if states[rank].ArmedVersion == 0 {
+			return true, nil
+		}
+		_, err := c.give(ctx, rank, Order{Kind: Disarm, Version: states[rank].ArmedVersion, Epoch: epoch})
+		if eris.Is(err, ErrFenced) || eris.Is(err, ErrUnfit) {
+			return false, err
+		}
+		return err == nil, nil
+	})
+}
+
 // firstArmed returns the earliest pass that a rank is armed for.
 func firstArmed(states []State) (uint64, bool) {
 	step, isArmed := uint64(0), false
@@ -82,15 +100,26 @@
 	return holder
 }
 
-// fenceOff disarms every rank with a token of this term.
+// fenceOff gives every rank an order of this term that changes nothing: a version that no map has is disarmed.
 func (c *Coordinator) fenceOff(ctx context.Context, epoch uint64) error {
+	return c.insist(ctx, func(ctx context.Context, rank int) (bool, error) {
+		_, err := c.give(ctx, rank, Order{Kind: Disarm, Version: c.token(), Epoch: epoch})
+		if eris.Is(err, ErrFenced) {
+			return false, err
+		}
+		return err == nil || eris.Is(err, ErrUnfit), nil
+	})
+}
+
+// insist calls a function for each rank until it is done there.
+func (c *Coordinator) insist(ctx context.Context, call func(ctx context.Context, rank int) (isDone bool, err error)) error {
 	done := make([]bool, c.settings.Shape.Ranks)
 	for {
-		err := c.each(ctx, func(ctx context.Context, rank int) error {
-			if done[rank] {
-				return nil
+		err := c.each(ctx, func(ctx context.Context, rank int) (err error) {
+			if !done[rank] {
+				done[rank], err = call(ctx, rank)
 			}
-			return c.disarm(ctx, rank, epoch, &done[rank])
+			return err
 		})
 		if err != nil {
 			return err
@@ -103,24 +132,3 @@
 		}
 	}
 }
-
-// disarm takes back what a rank is armed for, or sends it an order without effect.
-func (c *Coordinator) disarm(ctx context.Context, rank int, epoch uint64, done *bool) error {
-	state, err := c.read(ctx, rank, false, false)
-	if err != nil {
-		return nil
-	}
-	if state.Epoch != epoch {
-		return eris.Errorf("rank %d is in epoch %d", rank, state.Epoch)
-	}
-	version := max(state.ArmedVersion, state.Prepared)
-	if version == 0 {
-		version = c.token()
-	}
-	_, err = c.give(ctx, rank, Order{Kind: Disarm, Version: version, Epoch: epoch})
-	if eris.Is(err, ErrFenced) {
-		return err
-	}
-	*done = err == nil || eris.Is(err, ErrUnfit) && state.ArmedVersion == 0
-	return nil
-}
