--- a/registry/replica_test.go
+++ b/registry/replica_test.go
@@ -38,10 +38,12 @@
 
 // group is a few replicas over loopback.
 type group struct {
-	t         *testing.T
+	t         testing.TB
 	seeds     []string
 	tolerance int
 	running   map[string]*replica
+	// written counts the bytes that replicas write to connections that others opened.
+	written atomic.Int64
 }
 
 type replica struct {
@@ -50,7 +52,7 @@
 	folder string
 }
 
-func newGroup(t *testing.T, size, tolerance int) *group {
+func newGroup(t testing.TB, size, tolerance int) *group {
 	g := &group{t: t, tolerance: tolerance, running: map[string]*replica{}}
 	var listeners []net.Listener
 	for range size {
@@ -79,7 +81,8 @@
 	})
 	require.NoError(g.t, err)
 	server := &http.Server{Handler: r.Handler()}
-	go func() { _ = server.Serve(listener) }()
+	counting := countingListener{Listener: listener, written: &g.written}
+	go func() { _ = server.Serve(counting) }()
 	g.running[id] = &replica{Replica: r, server: server, folder: folder}
 }
 
