Slow ranks, outages and moved streams are told of

An entry did not tell that it held a group for down, nor which streams it had moved.

Change: control writes a line when a rank becomes slow or is so no more; an entry when a group goes down and serves again, with who refused and for how long no event had come; lines of requests and a counter tell of moved streams.

--- a/forward/decision.go
+++ b/forward/decision.go
@@ -16,7 +16,9 @@
 	Upstream string
 	// Attempts counts the upstreams that received the request, Unsent those that could not be reached.
 	Attempts, Unsent int
-	Took             time.Duration
+	// Migrated counts the attempts that were broken off because their upstream held up its group.
+	Migrated int
+	Took     time.Duration
 	// First is the time to the first event of a stream, LongestPause the longest time between two events.
 	First, LongestPause time.Duration
 	// InFlight and Limit are the requests of the service at this entry and the most that it admits, 0 for no
--- a/forward/gate.go
+++ b/forward/gate.go
@@ -92,6 +92,7 @@
 	g.mutex.Lock()
 	defer g.mutex.Unlock()
 	if g.outage.noteServed(now) {
+		g.tell(Outage{Service: j.service})
 		g.server.fleet.changes.wake()
 	}
 	if !isFirst {
--- a/forward/job.go
+++ b/forward/job.go
@@ -48,6 +48,8 @@
 	tried []*Upstream
 	// sent counts the attempts that reached an upstream, unsent those that reached none.
 	sent, unsent int
+	// migrated counts the attempts that were broken off to go on elsewhere.
+	migrated int
 	// mayHaveRun tells that some attempt may have run the request.
 	mayHaveRun bool
 	// isCommitted tells that the answer's head is with the caller; lastEvent is the last event passed on.
@@ -104,6 +106,9 @@
 	if j.isCommitted {
 		j.heldSince = time.Now()
 	}
+	if v == migrated {
+		j.migrated++
+	}
 	if v == broken || v == migrated {
 		j.mayHaveRun = true
 	}
@@ -190,7 +195,7 @@
 		return
 	}
 	d := Decision{
-		Request: j.id, Status: status, Reason: reason, Service: j.service, Attempts: j.sent, Unsent: j.unsent,
+		Request: j.id, Status: status, Reason: reason, Service: j.service, Attempts: j.sent, Unsent: j.unsent, Migrated: j.migrated,
 		Took: time.Since(j.arrived), First: j.first, LongestPause: j.longestPause,
 		InFlight: j.inFlight, Limit: j.limit,
 	}
--- a/forward/outage.go
+++ b/forward/outage.go
@@ -35,11 +35,13 @@
 	return wasDown
 }
 
-// noteRefused takes a refusal that speaks for the whole group.
-func (o *outage) noteRefused(now time.Time) {
-	if !o.isDown {
-		o.isDown, o.probed = true, now
+// noteRefused takes a refusal that speaks for the whole group, and reports whether it began an outage.
+func (o *outage) noteRefused(now time.Time) bool {
+	if o.isDown {
+		return false
 	}
+	o.isDown, o.probed = true, now
+	return true
 }
 
 // blocks reports whether a request is not to be sent now. While the group is down, one goes in each interval.
@@ -64,8 +66,19 @@
 	instance := u.Instance()
 	isOthers := culprit != "" && culprit != instance.Address
 	isQuiet := g.inFlight > 1 && now.Sub(g.outage.served) > quietTime
-	if isOthers || isQuiet || instance.Group.Size > 0 && !instance.Group.IsOpen {
-		g.outage.noteRefused(now)
+	isWhole := isOthers || isQuiet || instance.Group.Size > 0 && !instance.Group.IsOpen
+	if isWhole && g.outage.noteRefused(now) {
+		g.tell(Outage{
+			Service: instance.Service, IsDown: true, Upstream: instance.ID, Culprit: culprit,
+			Quiet: now.Sub(g.outage.served),
+		})
+	}
+}
+
+// tell hands on that the group is down, or serves again.
+func (g *gate) tell(o Outage) {
+	if onOutage := g.server.settings.OnOutage; onOutage != nil {
+		onOutage(o)
 	}
 }
 
--- a/forward/outage_test.go
+++ b/forward/outage_test.go
@@ -20,6 +20,8 @@
 type downGroup struct {
 	isDown atomic.Bool
 	ranks  []*fakeUpstream
+	// told holds what the entry told of outages.
+	told []bool
 }
 
 func newDownGroup(t *testing.T) *downGroup {
@@ -41,8 +43,10 @@
 
 // entryOf returns a server whose warm-up is over, over the ranks of the group. It is called in a bubble.
 func (g *downGroup) entryOf(isOpen bool) *forward.Server {
-	fleet := forward.NewFleet(testSettings())
-	server := forward.NewServer(testSettings(), fleet)
+	settings := testSettings()
+	settings.OnOutage = func(o forward.Outage) { g.told = append(g.told, o.IsDown) }
+	fleet := forward.NewFleet(settings)
+	server := forward.NewServer(settings, fleet)
 	server.SetTable(route.NewTable(engineConfiguration()))
 	time.Sleep(10 * time.Second)
 	announced := entriesOf(g.ranks...)
@@ -70,6 +74,7 @@
 			<-p.done
 			require.Equal(t, http.StatusOK, p.recorder.Code)
 		}
+		require.Equal(t, []bool{true, false}, group.told)
 	})
 }
 
--- a/forward/settings.go
+++ b/forward/settings.go
@@ -41,6 +41,16 @@
 		Culprit string
 	}
 
+	// Outage tells that a group of ranks is down, or serves again.
+	Outage struct {
+		Service string
+		IsDown  bool
+		// Upstream is the one that refused, Culprit the address of the one at fault by its own word.
+		Upstream, Culprit string
+		// Quiet is the time since the last event of any stream of the service at this entry.
+		Quiet time.Duration
+	}
+
 	// RetryLimits bound what is sent to a service beyond the first attempt of each request.
 	RetryLimits struct {
 		// Ratio is the part of the requests that may be sent once more.
@@ -63,6 +73,8 @@
 		Retry          RetryLimits
 		// Log takes one line for a decision, nil for none.
 		Log func(Decision)
+		// OnOutage is told when a group of a service begins to refuse requests as a whole, and when it serves again.
+		OnOutage func(Outage)
 		// Random returns a number in [0, 1), and replaces the system's generator in tests.
 		Random func() float64
 	}
--- a/lockstep/coordinator.go
+++ b/lockstep/coordinator.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"fmt"
 	"math"
 	"slices"
 	"sync"
@@ -57,6 +58,8 @@
 	arming      arming
 	// noted is when a failure was told of last.
 	noted time.Time
+	// slow holds the ranks that were slow at the last look.
+	slow map[int]bool
 }
 
 // NewCoordinator returns a coordinator for a leader of the given term.
@@ -73,7 +76,7 @@
 	if settings.Lead == 0 {
 		settings.Lead = DefaultLead
 	}
-	return &Coordinator{settings: settings, engine: engine, term: term, demand: newDemand(settings.Shape, settings.HalfLife)}
+	return &Coordinator{settings: settings, engine: engine, term: term, demand: newDemand(settings.Shape, settings.HalfLife), slow: map[int]bool{}}
 }
 
 // Run looks after the group until the context ends, or until a later leader gives orders; the error is then
@@ -117,6 +120,7 @@
 	now := time.Now()
 	c.demand.add(states, now)
 	c.pace.add(states[0], now)
+	c.notePaces(states)
 	if !isWhole(states) {
 		c.maps = nil
 		return nil
@@ -131,6 +135,17 @@
 	return c.change(ctx, states, next, event)
 }
 
+// notePaces tells of ranks that have become slow, or are so no more.
+func (c *Coordinator) notePaces(states []State) {
+	for rank, s := range states {
+		if isSlow := s.Pace > slowPace; isSlow != c.slow[rank] {
+			c.slow[rank] = isSlow
+			c.tell(Event{Kind: "pace", Epoch: s.Epoch, Version: s.Mapping, Step: s.Step, Detail: fmt.Sprintf(
+				"rank %d takes %.2f of the usual time, with %d requests running", rank, s.Pace, s.Running)})
+		}
+	}
+}
+
 // token returns the next fencing token of the term.
 func (c *Coordinator) token() uint64 {
 	return c.term<<termBits | c.count.Add(1)
--- a/lockstep/rank.go
+++ b/lockstep/rank.go
@@ -126,7 +126,7 @@
 
 	// Event explains a decision.
 	Event struct {
-		// Kind is "switch", "switched", "abandoned" or "settled".
+		// Kind is "switch", "switched", "abandoned", "settled", "waiting", "failed" or "pace".
 		Kind    string
 		Group   string
 		Version uint64
--- a/routed/decisions.go
+++ b/routed/decisions.go
@@ -41,6 +41,7 @@
 		Counter("requests").Inc(1)
 	service.Counter("attempts").Inc(int64(decision.Attempts))
 	service.Counter("unsent").Inc(int64(decision.Unsent))
+	service.Counter("migrated").Inc(int64(decision.Migrated))
 	service.Gauge("work").Update(float64(decision.InFlight))
 	service.Gauge("limit").Update(float64(decision.Limit))
 	service.Histogram("took_seconds", latencyBuckets).RecordDuration(decision.Took)
@@ -62,7 +63,7 @@
 	fields := logrus.Fields{
 		"request": decision.Request, "status": decision.Status, "route": decision.Route, "service": decision.Service,
 		"version": decision.Version, "upstream": decision.Upstream, "attempts": decision.Attempts,
-		"unsent": decision.Unsent, "took_ms": milliseconds(decision.Took), "in_flight": decision.InFlight,
+		"unsent": decision.Unsent, "migrated": decision.Migrated, "took_ms": milliseconds(decision.Took), "in_flight": decision.InFlight,
 		"limit": decision.Limit,
 	}
 	if decision.First > 0 {
@@ -75,4 +76,19 @@
 	d.log.WithFields(fields).Info(decision.Reason)
 }
 
+// outage logs that a group is down, or serves again.
+func (d *decisions) outage(o forward.Outage) {
+	down := d.scope.Tagged(map[string]string{"service": o.Service}).Gauge("group_down")
+	line := d.log.WithField("service", o.Service)
+	if !o.IsDown {
+		down.Update(0)
+		line.Info("group serves again")
+		return
+	}
+	down.Update(1)
+	line.WithFields(logrus.Fields{
+		"upstream": o.Upstream, "culprit": o.Culprit, "quiet_ms": milliseconds(o.Quiet),
+	}).Warn("group down")
+}
+
 func milliseconds(d time.Duration) float64 { return float64(d.Microseconds()) / 1000 }
--- a/routed/entry.go
+++ b/routed/entry.go
@@ -81,7 +81,8 @@
 // NewEntry assembles an entry.
 func NewEntry(settings EntrySettings) *Entry {
 	e := &Entry{settings: settings, drained: make(chan struct{})}
-	settings.Forward.Log = newDecisions(settings.Log, settings.scope()).write
+	decided := newDecisions(settings.Log, settings.scope())
+	settings.Forward.Log, settings.Forward.OnOutage = decided.write, decided.outage
 	e.fleet = forward.NewFleet(settings.Forward)
 	e.server = forward.NewServer(settings.Forward, e.fleet)
 	e.follower = registry.NewFollower(registry.FollowerSettings{
--- a/soak/process_test.go
+++ b/soak/process_test.go
@@ -49,6 +49,7 @@
 	command := exec.Command(p.binary, "platform", p.role)
 	command.Env = append(os.Environ(), "GUAVAHITCH_BOOT="+path)
 	command.Stdout, command.Stderr = log, log
+	endWithParent(command)
 	require.NoError(p.t, command.Start())
 	_ = log.Close()
 	ended := make(chan struct{})
