Few switches of the map while ranks are hard to reach

Ruled out: load (76 streams as before), slow ranks.

Change: for 1.5 s after a rank was not read, or did not answer an order, a switch has to save a fifth of the busiest rank's load, unless events are late as it is.

--- a/lockstep/coordinator.go
+++ b/lockstep/coordinator.go
@@ -55,6 +55,7 @@
 	mapsEpoch   uint64
 	isSettled   bool
 	losses      losses
+	trouble     trouble
 	arming      arming
 	// noted is when a failure was told of last.
 	noted time.Time
@@ -177,7 +178,11 @@
 func (c *Coordinator) read(ctx context.Context, rank int, withCounts, withPlacement bool) (State, error) {
 	bounded, cancel := context.WithTimeout(ctx, readTimeout)
 	defer cancel()
-	return c.engine.Read(bounded, rank, withCounts, withPlacement)
+	state, err := c.engine.Read(bounded, rank, withCounts, withPlacement)
+	if err != nil {
+		c.trouble.note(time.Now())
+	}
+	return state, err
 }
 
 // give hands an order with the next fencing token to one rank, and returns the rank's state after it if that is known.
@@ -188,6 +193,9 @@
 	after, err := c.engine.Give(bounded, rank, order)
 	isLost := err != nil && !eris.Is(err, ErrFenced) && !eris.Is(err, ErrUnfit)
 	c.losses.add(isLost)
+	if isLost {
+		c.trouble.note(time.Now())
+	}
 	return after, err
 }
 
@@ -259,7 +267,7 @@
 		event.After += levelled.After / float64(shape.Sets)
 		event.Moved += levelled.Moved
 	}
-	if event.Moved == 0 || event.Before-event.After < c.settings.Gain*event.Before {
+	if event.Moved == 0 || event.Before-event.After < c.leastGain(time.Now())*event.Before {
 		return nil, Event{}, nil
 	}
 	return next, event, nil
--- a/lockstep/coordinator_test.go
+++ b/lockstep/coordinator_test.go
@@ -11,6 +11,7 @@
 	"testing/synctest"
 	"time"
 
+	"github.com/rotisserie/eris"
 	"github.com/stretchr/testify/require"
 
 	"guavahitch.example/guavahitch/balance"
@@ -294,3 +295,40 @@
 	defer g.mutex.Unlock()
 	return g.step
 }
+
+// Load pattern: links lose packets, so that a switch may hold the group for longer than the wanted pause, while other
+// experts come into demand again and again. Only switches that save much are made.
+func TestFewSwitchesWhileRanksAreHardToReach(t *testing.T) {
+	for name, gap := range map[string]time.Duration{"careful": time.Hour, "careless": 0} {
+		t.Run(name, func(t *testing.T) {
+			synctest.Test(t, func(t *testing.T) {
+				smallest := 1.0
+				g := newFakeGroup(3, smallShape)
+				engine, failed := g.engine(), time.Time{}
+				engine.Read = func(ctx context.Context, rank int, withCounts, withPlacement bool) (lockstep.State, error) {
+					if rank == 1 && time.Since(failed) > time.Second {
+						failed = time.Now()
+						return lockstep.State{}, eris.New("no answer")
+					}
+					return g.read(ctx, rank, withCounts, withPlacement)
+				}
+				c := lockstep.NewCoordinator(lockstep.Settings{Group: "g", Shape: smallShape, Gap: gap, OnEvent: func(e lockstep.Event) {
+					if e.Kind == "switch" {
+						smallest = min(smallest, (e.Before-e.After)/e.Before)
+					}
+				}}, engine, 1)
+				ctx, cancel := context.WithCancel(t.Context())
+				go g.run(ctx)
+				go func() { _ = c.Run(ctx) }()
+				for range 20 {
+					time.Sleep(time.Second)
+					g.locked(g.shift)
+				}
+				cancel()
+				time.Sleep(time.Minute)
+				require.Less(t, smallest, 1.0, "there were switches")
+				require.Equal(t, gap > 0, smallest >= 0.2, "least saving %.2f", smallest)
+			})
+		})
+	}
+}
--- a/lockstep/losses.go
+++ b/lockstep/losses.go
@@ -18,6 +18,10 @@
 	armingFade   = 0.8
 	// maxLead bounds how many passes ahead a switch is armed.
 	maxLead = 30
+	// troubleTime is how long ranks count as hard to reach after one was not read, or did not answer an order.
+	troubleTime = 1500 * time.Millisecond
+	// riskyGain is the least part of the busiest ranks' load that a switch has to save while ranks are hard to reach.
+	riskyGain = 0.2
 	// usualPass stands for the time of a pass that was not measured.
 	usualPass = 60 * time.Millisecond
 )
@@ -48,6 +52,33 @@
 	return math.Log(float64(ranks)/missingRank) / -math.Log(min(l.share, 0.9))
 }
 
+// trouble notes when a rank could not be reached last.
+type trouble struct {
+	mutex sync.Mutex
+	last  time.Time
+}
+
+func (t *trouble) note(now time.Time) {
+	t.mutex.Lock()
+	defer t.mutex.Unlock()
+	t.last = now
+}
+
+func (t *trouble) isRecent(now time.Time) bool {
+	t.mutex.Lock()
+	defer t.mutex.Unlock()
+	return now.Sub(t.last) < troubleTime
+}
+
+// leastGain returns the least part of the busiest ranks' load that a switch has to save. While ranks are hard to reach
+// and events are in time, it has to be worth a group that may be held for a while.
+func (c *Coordinator) leastGain(now time.Time) float64 {
+	if c.trouble.isRecent(now) && c.pace.pass < c.settings.Gap {
+		return max(c.settings.Gain, riskyGain)
+	}
+	return c.settings.Gain
+}
+
 // arming measures how long it takes to arm all ranks: the longest time of late, which fades with each switch.
 type arming struct{ longest time.Duration }
 
--- a/lockstep/rank.go
+++ b/lockstep/rank.go
@@ -102,6 +102,9 @@
 		// Comfort is the time of a pass at which the map is even enough; each second above it is worth moving
 		// experts for. 0 levels the map as far as it goes.
 		Comfort time.Duration
+		// Gap is the longest wanted pause between two events. While ranks are hard to reach, a switch may hold the group
+		// for longer than that, and the map is left alone as long as passes keep to it. 0 for no such care.
+		Gap time.Duration
 		// ExpertShare is the part of a pass' work that is done by experts.
 		ExpertShare float64
 		// Lead is how many passes ahead a switch is armed.
--- a/routed/groups.go
+++ b/routed/groups.go
@@ -53,6 +53,7 @@
 	groupSettings struct {
 		shape       lockstep.Shape
 		comfort     time.Duration
+		gap         time.Duration
 		expertShare float64
 	}
 )
@@ -100,7 +101,7 @@
 		inner, cancel := context.WithCancel(ctx)
 		active[name] = tended{cancel: cancel, settings: settings}
 		coordinator := lockstep.NewCoordinator(lockstep.Settings{
-			Group: name, Shape: settings.shape, Comfort: settings.comfort, ExpertShare: settings.expertShare,
+			Group: name, Shape: settings.shape, Comfort: settings.comfort, Gap: settings.gap, ExpertShare: settings.expertShare,
 			OnEvent: g.explain, OnStates: func(states []lockstep.State) { g.noteLoads(name, states) },
 		}, g.engine(name), term)
 		go func() {
@@ -135,11 +136,13 @@
 	if engine == nil || engine.Sets == 0 || engine.Experts == 0 {
 		return groupSettings{}, false
 	}
+	gap := table.LeastGap(service.Name)
 	return groupSettings{
+		gap: gap,
 		shape: lockstep.Shape{
 			Ranks: ranks, Sets: engine.Sets, Experts: engine.Experts, Places: engine.Places, Spare: engine.Spare,
 		},
-		comfort:     time.Duration(comfortShare * float64(table.LeastGap(service.Name))),
+		comfort:     time.Duration(comfortShare * float64(gap)),
 		expertShare: engine.ExpertShare,
 	}, true
 }
