A group that forms anew is evened out for the demand that it had

Cause: after a rank was lost the group forms with map 0, at three times the mean on its busiest rank, and all streams were late until counts of the new engines had come in, 0.4 s and more after its first pass.

Change: the coordinator remembers the last demand that rested on enough counts and plans by it while the map is 0 and requests run. Nothing is ordered while the group is idle: it would begin no pass.

--- a/lockstep/coordinator.go
+++ b/lockstep/coordinator.go
@@ -231,6 +231,11 @@
 	return true
 }
 
+// isBusy reports whether the group runs requests; a group without any begins no pass.
+func isBusy(states []State) bool {
+	return slices.ContainsFunc(states, func(s State) bool { return s.Running > 0 })
+}
+
 // hasLeftovers reports whether a switch was begun and not finished.
 func hasLeftovers(states []State) bool {
 	for _, s := range states {
@@ -251,17 +256,18 @@
 // plan returns the next map, or nil when the present one is even enough.
 func (c *Coordinator) plan(ctx context.Context, states []State) ([]balance.Placement, Event, error) {
 	shape := c.settings.Shape
-	if total(c.demand.load) < leastChoices*float64(shape.Sets*shape.Experts) {
+	load := c.demand.estimate(states[0].Mapping == 0 && isBusy(states))
+	if load == nil {
 		return nil, Event{}, nil
 	}
 	if err := c.readMaps(ctx, states); err != nil {
 		return nil, Event{}, err
 	}
 	event := Event{Kind: "switch", Epoch: states[0].Epoch}
-	goal := c.goal(pacesOf(states))
+	goal := c.goal(load, pacesOf(states))
 	next := make([]balance.Placement, shape.Sets)
 	for set := range next {
-		levelled := balance.LevelLayer(c.maps[set], c.demand.load[set], pacesOf(states), shape.Places, shape.Spare, goal)
+		levelled := balance.LevelLayer(c.maps[set], load[set], pacesOf(states), shape.Places, shape.Spare, goal)
 		next[set] = levelled.Placement
 		event.Before += levelled.Before / float64(shape.Sets)
 		event.After += levelled.After / float64(shape.Sets)
@@ -276,7 +282,7 @@
 // goal returns how even the map has to be for passes of the comfortable time: the busiest rank over the mean. After the
 // group has formed, and while a rank is slow, the passes that were seen tell little of the next ones: the map is made
 // as even as it can be.
-func (c *Coordinator) goal(paces []float64) float64 {
+func (c *Coordinator) goal(load [][]float64, paces []float64) float64 {
 	pass := c.pace.pass
 	if c.settings.Comfort == 0 || pass == 0 {
 		return 1
@@ -286,7 +292,7 @@
 	}
 	skew := 0.0
 	for set, layer := range c.maps {
-		skew += balance.Skew(layer, c.demand.load[set], paces) / float64(len(c.maps))
+		skew += balance.Skew(layer, load[set], paces) / float64(len(c.maps))
 	}
 	share := c.settings.ExpertShare
 	wanted := (1 - share + share*skew) * float64(c.settings.Comfort) / float64(pass)
--- a/lockstep/coordinator_test.go
+++ b/lockstep/coordinator_test.go
@@ -7,6 +7,7 @@
 	"os"
 	"slices"
 	"strconv"
+	"sync/atomic"
 	"testing"
 	"testing/synctest"
 	"time"
@@ -332,3 +333,40 @@
 		})
 	}
 }
+
+// Load pattern: a rank was lost, and the group forms anew with map 0 under the load that it had before. It is evened out
+// for what was in demand then, before there are counts again; while it is idle nothing is ordered.
+func TestGroupIsEvenedOutAsItForms(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		g := newFakeGroup(1, smallShape)
+		var switches atomic.Int64
+		var withoutCounts atomic.Bool
+		engine := g.engine()
+		engine.Read = func(ctx context.Context, rank int, withCounts, withPlacement bool) (lockstep.State, error) {
+			state, err := g.read(ctx, rank, withCounts && !withoutCounts.Load(), withPlacement)
+			return state, err
+		}
+		c := lockstep.NewCoordinator(lockstep.Settings{Group: "g", Shape: smallShape, OnEvent: func(e lockstep.Event) {
+			if e.Kind == "switched" {
+				switches.Add(1)
+			}
+		}}, engine, 1)
+		ctx, cancel := context.WithCancel(t.Context())
+		go g.run(ctx)
+		go func() { _ = c.Run(ctx) }()
+		time.Sleep(5 * time.Second)
+		withoutCounts.Store(true)
+		g.locked(func() { g.isIdle = true })
+		time.Sleep(10 * time.Second)
+		g.reform()
+		before := switches.Load()
+		time.Sleep(5 * time.Second)
+		require.Equal(t, before, switches.Load())
+		g.locked(func() { g.isIdle = false })
+		time.Sleep(time.Second)
+		require.Greater(t, switches.Load(), before)
+		require.Less(t, g.skew(), 1.5)
+		cancel()
+		time.Sleep(time.Minute)
+	})
+}
--- a/lockstep/demand.go
+++ b/lockstep/demand.go
@@ -20,7 +20,9 @@
 		last     map[int]counted
 		// load is the estimate, latest one that forgets sooner; both by set and expert.
 		load, latest [][]float64
-		updated      time.Time
+		// known is the last estimate that rested on enough counts, nil before there was one.
+		known   [][]float64
+		updated time.Time
 	}
 
 	// counted is what a rank reported last.
@@ -54,6 +56,40 @@
 			copy(d.load[set], d.latest[set])
 		}
 	}
+	d.keep()
+}
+
+// isKnown reports whether the estimate rests on enough counts.
+func (d *demand) isKnown() bool {
+	return total(d.load) >= leastChoices*float64(len(d.load)*len(d.load[0]))
+}
+
+// keep remembers an estimate that rests on enough counts.
+func (d *demand) keep() {
+	if !d.isKnown() {
+		return
+	}
+	if d.known == nil {
+		for _, set := range d.load {
+			d.known = append(d.known, make([]float64, len(set)))
+		}
+	}
+	for set := range d.load {
+		copy(d.known[set], d.load[set])
+	}
+}
+
+// estimate returns the demand to plan for, nil when too little is known. A group that has formed anew lost its counts,
+// and is asked for what it was asked for before.
+func (d *demand) estimate(isNew bool) [][]float64 {
+	switch {
+	case d.isKnown():
+		return d.load
+	case isNew:
+		return d.known
+	default:
+		return nil
+	}
 }
 
 func fade(load [][]float64, passed, halfLife time.Duration) {
--- a/lockstep/group_test.go
+++ b/lockstep/group_test.go
@@ -184,10 +184,18 @@
 	r := g.ranks[rank]
 	return lockstep.State{
 		Born: 1, Epoch: g.epoch, IsOpen: true, Rank: rank, Size: len(g.ranks), Step: g.step,
-		Mapping: r.mapping, Prepared: r.prepared, ArmedVersion: r.armed, ArmedStep: r.armedStep, Held: r.held, Pace: 1,
+		Mapping: r.mapping, Prepared: r.prepared, ArmedVersion: r.armed, ArmedStep: r.armedStep, Held: r.held, Pace: 1, Running: g.running(),
 	}
 }
 
+// running returns the requests of each rank; the mutex is held.
+func (g *fakeGroup) running() int {
+	if g.isIdle {
+		return 0
+	}
+	return 1
+}
+
 func (g *fakeGroup) give(_ context.Context, rank int, order lockstep.Order) (*lockstep.State, error) {
 	time.Sleep(time.Millisecond)
 	g.mutex.Lock()
