Requests go to groups that run

Cause: a service may have several groups of ranks. One that does not run refuses at once, so that its ranks always had the least work of an entry and were chosen first; and its refusals made the whole service count as down.

Change: ranks of a group that does not run serve only when there are no others. The rank with the newest epoch speaks for its group, so that a group that has just formed is not narrowed to the ranks that were heard since.

--- a/forward/fleet.go
+++ b/forward/fleet.go
@@ -2,6 +2,7 @@
 
 import (
 	"math"
+	"slices"
 	"sync"
 	"sync/atomic"
 	"time"
@@ -38,6 +39,8 @@
 		// report.
 		inFlight atomic.Int64
 		others   atomic.Int64
+		// isClosed tells that the upstream is a rank of a group that does not run.
+		isClosed atomic.Bool
 		streams  streams
 
 		mutex          sync.Mutex
@@ -140,6 +143,7 @@
 			u.pool.Shut()
 		}
 	}
+	noteGroups(kept)
 	f.byID = kept
 	f.view.Store(next)
 	f.changes.wake()
@@ -187,6 +191,7 @@
 	failureRate float64
 	succeeded   time.Time
 	pace        float64
+	isClosed    bool
 }
 
 func (u *Upstream) condition(now time.Time) condition {
@@ -196,9 +201,32 @@
 	return condition{
 		heard: u.heard, isSuspended: now.Before(u.suspendedUntil), latency: u.latency,
 		failureRate: u.failureRate * fade, succeeded: u.succeeded, pace: u.pace,
+		isClosed: u.isClosed.Load(),
 	}
 }
 
+// noteGroups notes which upstreams are ranks of groups that do not run. One rank that tells of a run in the newest epoch
+// speaks for its whole group.
+func noteGroups(upstreams map[string]*Upstream) {
+	newest := map[string]roster.Group{}
+	for _, u := range upstreams {
+		group := u.Instance().Group
+		held := newest[group.Name]
+		if group.Epoch > held.Epoch || group.Epoch == held.Epoch && group.IsOpen {
+			newest[group.Name] = group
+		}
+	}
+	for _, u := range upstreams {
+		group := u.Instance().Group
+		u.isClosed.Store(group.Size > 0 && !newest[group.Name].IsOpen)
+	}
+}
+
+// hasOpenRank reports whether some upstream of a service is not a rank of a group that does not run.
+func (f *Fleet) hasOpenRank(service string) bool {
+	return slices.ContainsFunc(f.Service(service), func(u *Upstream) bool { return !u.isClosed.Load() })
+}
+
 func (u *Upstream) notePace(pace float64) {
 	u.mutex.Lock()
 	defer u.mutex.Unlock()
--- a/forward/outage.go
+++ b/forward/outage.go
@@ -66,7 +66,11 @@
 	instance := u.Instance()
 	isOthers := culprit != "" && culprit != instance.Address
 	isQuiet := g.inFlight > 1 && now.Sub(g.outage.served) > quietTime
-	isWhole := isOthers || isQuiet || instance.Group.Size > 0 && !instance.Group.IsOpen
+	isWhole := isOthers || isQuiet || u.isClosed.Load()
+	if u.isClosed.Load() && g.server.fleet.hasOpenRank(instance.Service) {
+		// Another group of the service takes its requests.
+		isWhole = false
+	}
 	if isWhole && g.outage.noteRefused(now) {
 		g.tell(Outage{
 			Service: instance.Service, IsDown: true, Upstream: instance.ID, Culprit: culprit,
--- a/forward/outage_test.go
+++ b/forward/outage_test.go
@@ -106,6 +106,29 @@
 	})
 }
 
+// One of two groups of a service does not run: requests go to the other one, which has more to do.
+func TestRequestsGoToTheGroupThatRuns(t *testing.T) {
+	closed, open := newDownGroup(t), newDownGroup(t)
+	open.isDown.Store(false)
+	synctest.Test(t, func(t *testing.T) {
+		fleet := forward.NewFleet(testSettings())
+		server := forward.NewServer(testSettings(), fleet)
+		server.SetTable(route.NewTable(engineConfiguration()))
+		time.Sleep(10 * time.Second)
+		announced := entriesOf(append(closed.ranks, open.ranks...)...)
+		for i := range announced {
+			announced[i].Instance.Group = roster.Group{Name: fmt.Sprint("g", i/2), Rank: i % 2, Size: 2, IsOpen: i >= 2}
+		}
+		fleet.Update(announced, nil)
+		for range 8 {
+			p := begin(server, "/match/", 8*time.Second)
+			<-p.done
+			require.Equal(t, http.StatusOK, p.recorder.Code)
+		}
+		require.Empty(t, closed.arrivals())
+	})
+}
+
 func (g *downGroup) arrivals() []received {
 	var all []received
 	for _, u := range g.ranks {
--- a/forward/pick.go
+++ b/forward/pick.go
@@ -108,7 +108,7 @@
 	switch {
 	case isSilent:
 		return 2
-	case c.isSuspended || c.pace > slowPace && now.Sub(*s.fleet.reported.Load()) < slowLimit:
+	case c.isSuspended || c.isClosed || c.pace > slowPace && now.Sub(*s.fleet.reported.Load()) < slowLimit:
 		return 1
 	default:
 		return 0
