A failure in place of the rest of a stream is not passed on

Cause: the soak failed once: seven of twelve events and a proper end. The line of the request names it: the first upstream broke off, the second answered 500, and the entry delivered that answer into the stream that had begun.

Change: once the caller has a part of a stream, an answer that is none counts as a failed attempt; the stream ends visibly broken.

--- a/forward/attempt.go
+++ b/forward/attempt.go
@@ -161,6 +161,11 @@
 	case response.Header.Get(names.Seal) == "" || response.Header.Get("Content-Encoding") != "":
 		a.upstream.noteBroken(time.Now())
 		return broken
+	case a.job.isCommitted && response.StatusCode >= http.StatusMultipleChoices:
+		// The caller has a part of a stream: nothing but the rest of it may follow.
+		now := time.Now()
+		a.upstream.noteAnswer(now, now.Sub(a.started), true)
+		return broken
 	case a.job.route.Kind == route.Stream && response.StatusCode < http.StatusMultipleChoices:
 		return a.relay(response)
 	default:
--- a/forward/server_test.go
+++ b/forward/server_test.go
@@ -374,6 +374,23 @@
 	require.Equal(t, "2", good.received()[0].header.Get("Last-Event-Id"))
 }
 
+// A failure that another upstream answers to the rest of a stream is no part of it: the stream ends without looking
+// complete.
+func TestFailureInPlaceOfTheRestOfAStream(t *testing.T) {
+	bad := newUpstream(t, func(conn net.Conn, r *http.Request, _ string) bool {
+		events(conn, r, 1, 2)
+		return false
+	})
+	failing := newUpstream(t, func(conn net.Conn, r *http.Request, _ string) bool {
+		whole(conn, r, 500, "broken")
+		return true
+	})
+	_, body, err := newEntry(t, bad, failing).send("POST", "/match/", "x")
+	require.Error(t, err)
+	require.Equal(t, "id: 1\ndata: piece 1\n\nid: 2\ndata: piece 2\n\n", body)
+	require.Len(t, failing.received(), 1)
+}
+
 // A stream that cannot go on does not look complete.
 func TestBrokenStreamsDoNotLookComplete(t *testing.T) {
 	for _, c := range []struct {
--- a/soak/soak_test.go
+++ b/soak/soak_test.go
@@ -24,7 +24,9 @@
 var regressions = []struct {
 	seed  uint64
 	cause string
-}{}
+}{
+	{703000, "a failure that another upstream answered to the rest of a stream was passed on as its end"},
+}
 
 // disturbed counts the faults under way; promises with a time bound hold only without one.
 type disturbed struct {
