Read-through: defaults, one gate of a request, figures of benchmarks

Cause: read as a newcomer would, the change since wrote the same thing again: defaults by four ifs where the standard library has cmp.Or; a request handed its own gate to its own methods; the paces of ranks and the condition of slow upstreams were worked out several times a look; two benchmark files had the same functions for processor time and memory. Ruled out: other behaviour.

Change: cmp.Or in forward, lockstep and pacing; methods of a request use its gate; paces are read once; package measure/process. Figures: none; nothing here was measured.

--- a/forward/bench_test.go
+++ b/forward/bench_test.go
@@ -8,13 +8,13 @@
 	"net/http"
 	"runtime"
 	"strings"
-	"syscall"
 	"testing"
 	"time"
 
 	"github.com/stretchr/testify/require"
 
 	"guavahitch.example/guavahitch/forward"
+	"guavahitch.example/guavahitch/measure/process"
 	"guavahitch.example/guavahitch/roster"
 	"guavahitch.example/guavahitch/route"
 )
@@ -125,9 +125,9 @@
 
 // processorTime returns what the process has used.
 func processorTime(b *testing.B) time.Duration {
-	var usage syscall.Rusage
-	require.NoError(b, syscall.Getrusage(syscall.RUSAGE_SELF, &usage))
-	return time.Duration(usage.Utime.Nano() + usage.Stime.Nano())
+	used, err := process.ProcessorTime()
+	require.NoError(b, err)
+	return used
 }
 
 // BenchmarkForward is one request over a kept connection: through an entry, through an entry and a second process
@@ -188,25 +188,17 @@
 	address := benchEntry(b, benchUpstream(b).Addr().String())
 	for b.Loop() {
 		var open []net.Conn
-		before := heapInUse()
+		before := process.HeapInUse()
 		for range connections {
 			conn, err := net.Dial("tcp", address)
 			require.NoError(b, err)
 			open = append(open, conn)
 			exchangeBench(b, conn, bufio.NewReaderSize(conn, 16), plainRequest)
 		}
-		b.ReportMetric(float64(heapInUse()-before)/connections/1024, "KB/connection")
-		b.ReportMetric(float64(heapInUse())/(1<<20), "MB")
+		b.ReportMetric(float64(process.HeapInUse()-before)/connections/1024, "KB/connection")
+		b.ReportMetric(float64(process.HeapInUse())/(1<<20), "MB")
 		for _, conn := range open {
 			_ = conn.Close()
 		}
 	}
 }
-
-// heapInUse returns heap and stacks in use, in bytes.
-func heapInUse() uint64 {
-	runtime.GC()
-	var stats runtime.MemStats
-	runtime.ReadMemStats(&stats)
-	return stats.HeapInuse + stats.StackInuse
-}
--- a/forward/job.go
+++ b/forward/job.go
@@ -66,7 +66,7 @@
 	s := j.server
 	j.service = j.route.Choose(s.random())
 	j.gate = s.gate(j.service, j.table.Service(j.service))
-	if refused := j.awaitPlace(j.gate); refused != nil {
+	if refused := j.awaitPlace(); refused != nil {
 		j.refuse(refused)
 		return
 	}
@@ -84,7 +84,7 @@
 			return
 		}
 		j.note(a, verdict)
-		if !j.mayGoOn(verdict) || !j.awaitReopening(j.gate) || !j.pay(verdict) {
+		if !j.mayGoOn(verdict) || !j.awaitReopening() || !j.pay(verdict) {
 			j.giveUp()
 			return
 		}
--- a/forward/migration.go
+++ b/forward/migration.go
@@ -66,19 +66,19 @@
 	if service.Engine == nil {
 		return
 	}
-	var slow []*Upstream
+	slow := map[*Upstream]float64{}
 	upstreams := s.fleet.Service(service.Name)
 	for _, u := range upstreams {
-		if u.condition(now).pace > slowPace {
-			slow = append(slow, u)
+		if pace := u.condition(now).pace; pace > slowPace {
+			slow[u] = pace
 		}
 	}
 	if len(slow) == 0 || 2*len(slow) > len(upstreams) {
 		return
 	}
 	gap := table.LeastGap(service.Name)
-	for _, u := range slow {
-		if isBlocking(service.Engine, u.condition(now).pace, gap) {
+	for u, pace := range slow {
+		if isBlocking(service.Engine, pace, gap) {
 			u.streams.migrate(now)
 		}
 	}
--- a/forward/outage.go
+++ b/forward/outage.go
@@ -115,11 +115,11 @@
 }
 
 // isWorthHolding reports whether a request that can't be sent now is expected to be within the time that it may wait.
-func (j *job) isWorthHolding(g *gate, now time.Time) bool {
+func (j *job) isWorthHolding(now time.Time) bool {
 	if j.server.isWarming(now) && !j.server.fleet.isComplete(j.service) {
 		return true
 	}
-	return g.isDown() && (j.isReturning() || j.isCommitted || j.server.fleet.areHeard(j.service, now))
+	return j.gate.isDown() && (j.isReturning() || j.isCommitted || j.server.fleet.areHeard(j.service, now))
 }
 
 // areHeard reports whether all ranks of a service were heard a short time ago.
@@ -133,14 +133,14 @@
 }
 
 // awaitReopening returns once a request whose group was down may be sent again, or reports that it is not worth it.
-func (j *job) awaitReopening(g *gate) bool {
+func (j *job) awaitReopening() bool {
 	for {
 		changed := j.server.fleet.changes.next()
 		now := time.Now()
-		if !g.blocks(now) {
+		if !j.gate.blocks(now) {
 			return true
 		}
-		if !j.isWorthHolding(g, now) || !j.awaitChange(changed) {
+		if !j.isWorthHolding(now) || !j.awaitChange(changed) {
 			return false
 		}
 	}
--- a/forward/settings.go
+++ b/forward/settings.go
@@ -4,6 +4,7 @@
 package forward
 
 import (
+	"cmp"
 	"net/http"
 	"time"
 )
@@ -81,18 +82,10 @@
 )
 
 func (s Settings) withDefaults() Settings {
-	if s.ConnectTimeout == 0 {
-		s.ConnectTimeout = DefaultConnectTimeout
-	}
-	if s.Silence == 0 {
-		s.Silence = DefaultSilence
-	}
-	if s.HeardLimit == 0 {
-		s.HeardLimit = DefaultHeardLimit
-	}
-	if s.AnswerBytes == 0 {
-		s.AnswerBytes = DefaultAnswerBytes
-	}
+	s.ConnectTimeout = cmp.Or(s.ConnectTimeout, DefaultConnectTimeout)
+	s.Silence = cmp.Or(s.Silence, DefaultSilence)
+	s.HeardLimit = cmp.Or(s.HeardLimit, DefaultHeardLimit)
+	s.AnswerBytes = cmp.Or(s.AnswerBytes, DefaultAnswerBytes)
 	return s
 }
 
--- a/forward/warmup.go
+++ b/forward/warmup.go
@@ -94,11 +94,11 @@
 
 // awaitPlace admits the request. One that finds no place waits while the rest of the upstreams is not known yet, or
 // while its group is about to serve again.
-func (j *job) awaitPlace(g *gate) *refusal {
+func (j *job) awaitPlace() *refusal {
 	for {
 		changed := j.server.fleet.changes.next()
-		refused := g.admit(j)
-		if refused == nil || !j.isWorthHolding(g, time.Now()) || !j.awaitChange(changed) {
+		refused := j.gate.admit(j)
+		if refused == nil || !j.isWorthHolding(time.Now()) || !j.awaitChange(changed) {
 			return refused
 		}
 	}
--- a/lockstep/coordinator.go
+++ b/lockstep/coordinator.go
@@ -1,6 +1,7 @@
 package lockstep
 
 import (
+	"cmp"
 	"context"
 	"fmt"
 	"math"
@@ -65,18 +66,10 @@
 
 // NewCoordinator returns a coordinator for a leader of the given term.
 func NewCoordinator(settings Settings, engine Engine, term uint64) *Coordinator {
-	if settings.Interval == 0 {
-		settings.Interval = DefaultInterval
-	}
-	if settings.HalfLife == 0 {
-		settings.HalfLife = DefaultHalfLife
-	}
-	if settings.Gain == 0 {
-		settings.Gain = DefaultGain
-	}
-	if settings.Lead == 0 {
-		settings.Lead = DefaultLead
-	}
+	settings.Interval = cmp.Or(settings.Interval, DefaultInterval)
+	settings.HalfLife = cmp.Or(settings.HalfLife, DefaultHalfLife)
+	settings.Gain = cmp.Or(settings.Gain, DefaultGain)
+	settings.Lead = cmp.Or(settings.Lead, DefaultLead)
 	return &Coordinator{settings: settings, engine: engine, term: term, demand: newDemand(settings.Shape, settings.HalfLife), slow: map[int]bool{}}
 }
 
@@ -264,10 +257,11 @@
 		return nil, Event{}, err
 	}
 	event := Event{Kind: "switch", Epoch: states[0].Epoch}
-	goal := c.goal(load, pacesOf(states))
+	paces := pacesOf(states)
+	goal := c.goal(load, paces)
 	next := make([]balance.Placement, shape.Sets)
 	for set := range next {
-		levelled := balance.LevelLayer(c.maps[set], load[set], pacesOf(states), shape.Places, shape.Spare, goal)
+		levelled := balance.LevelLayer(c.maps[set], load[set], paces, shape.Places, shape.Spare, goal)
 		next[set] = levelled.Placement
 		event.Before += levelled.Before / float64(shape.Sets)
 		event.After += levelled.After / float64(shape.Sets)
--- a/pacing/controller.go
+++ b/pacing/controller.go
@@ -5,6 +5,7 @@
 package pacing
 
 import (
+	"cmp"
 	"math"
 	"time"
 )
@@ -61,15 +62,9 @@
 
 // NewController returns a controller without samples.
 func NewController(settings Settings) *Controller {
-	if settings.Target == 0 {
-		settings.Target = DefaultTarget
-	}
-	if settings.Least == 0 {
-		settings.Least = DefaultLeast
-	}
-	if settings.First == 0 {
-		settings.First = DefaultFirst
-	}
+	settings.Target = cmp.Or(settings.Target, DefaultTarget)
+	settings.Least = cmp.Or(settings.Least, DefaultLeast)
+	settings.First = cmp.Or(settings.First, DefaultFirst)
 	return &Controller{settings: settings}
 }
 
--- a/registry/bench_test.go
+++ b/registry/bench_test.go
@@ -4,15 +4,14 @@
 	"context"
 	"fmt"
 	"net"
-	"runtime"
 	"strings"
 	"sync/atomic"
-	"syscall"
 	"testing"
 	"time"
 
 	"github.com/stretchr/testify/require"
 
+	"guavahitch.example/guavahitch/measure/process"
 	"guavahitch.example/guavahitch/registry"
 	"guavahitch.example/guavahitch/roster"
 	"guavahitch.example/guavahitch/wire"
@@ -156,9 +155,9 @@
 
 // processorTime returns what the process has used.
 func processorTime(b *testing.B) time.Duration {
-	var usage syscall.Rusage
-	require.NoError(b, syscall.Getrusage(syscall.RUSAGE_SELF, &usage))
-	return time.Duration(usage.Utime.Nano() + usage.Stime.Nano())
+	used, err := process.ProcessorTime()
+	require.NoError(b, err)
+	return used
 }
 
 // catchUp is the time after which a replica that came back counts as whole.
@@ -210,18 +209,10 @@
 		g := newGroup(b, 5, 2)
 		g.submit(1)
 		leader := g.leader()
-		before := heapInUse()
+		before := process.HeapInUse()
 		for version := range uint64(changes) {
 			require.NoError(b, leader.Submit(b.Context(), source(version+2, 10)))
 		}
-		b.ReportMetric(float64(heapInUse()-before)/5/(1<<20), "MB/replica")
+		b.ReportMetric(float64(process.HeapInUse()-before)/5/(1<<20), "MB/replica")
 	}
 }
-
-// heapInUse returns heap and stacks in use, in bytes.
-func heapInUse() uint64 {
-	runtime.GC()
-	var stats runtime.MemStats
-	runtime.ReadMemStats(&stats)
-	return stats.HeapInuse + stats.StackInuse
-}
