lockstep, routed: lines that tell the causes of a refused hold apart

Cause: the lines of the incident did not tell a stale state from a slow leader or an executed hold without an answer. A refused hold now names rank, pass asked for, pass read, held pass and the time since the read; settling says why it begins; a switch lists its phases; a sidecar that did not answer leaves a line with the call and its duration, and a counter sidecars_skipped.

--- a/lockstep/coordinator.go
+++ b/lockstep/coordinator.go
@@ -99,9 +99,16 @@
 	}
 }
 
-// needsSettling reports whether an earlier leader or a failed switch may have left orders in effect.
-func (c *Coordinator) needsSettling(states []State) bool {
-	return !c.settings.Disabled.Settle && (!c.isSettled || hasUnfinishedSwitch(states))
+// settlingReason returns why an earlier leader or a failed switch may have left orders in effect, "" if none has.
+func (c *Coordinator) settlingReason(states []State) string {
+	switch {
+	case c.settings.Disabled.Settle:
+		return ""
+	case !c.isSettled:
+		return "orders of a failed switch or of an earlier leader may be in effect"
+	default:
+		return unfinishedSwitch(states)
+	}
 }
 
 // reportFailure emits a "failed" event, at most one for each noticeInterval.
@@ -128,7 +135,8 @@
 		c.maps = nil
 		return nil
 	}
-	if c.needsSettling(states) {
+	if reason := c.settlingReason(states); reason != "" {
+		c.emit(Event{Kind: "settling", Epoch: states[0].Epoch, Version: states[0].MapVersion, Detail: reason})
 		return c.settle(ctx, states[0].Epoch)
 	}
 	next, event, err := c.plan(ctx, states)
@@ -240,14 +248,17 @@
 	return slices.ContainsFunc(states, func(s State) bool { return s.Running > 0 })
 }
 
-// hasUnfinishedSwitch reports whether a rank is held or armed, or uses another map than rank 0.
-func hasUnfinishedSwitch(states []State) bool {
-	for _, s := range states {
+// unfinishedSwitch describes a rank that is held or armed, or that uses another map than rank 0. It returns "" if there
+// is none.
+func unfinishedSwitch(states []State) string {
+	for rank, s := range states {
 		if s.HeldStep != 0 || s.ArmedVersion != 0 || s.MapVersion != states[0].MapVersion {
-			return true
+			return fmt.Sprintf("rank %d at pass %d holds pass %d, is armed with version %d for pass %d, uses version %d; "+
+				"rank 0 uses version %d", rank, s.Step, s.HeldStep, s.ArmedVersion, s.ArmedStep, s.MapVersion,
+				states[0].MapVersion)
 		}
 	}
-	return false
+	return ""
 }
 
 func (c *Coordinator) emit(e Event) {
--- a/lockstep/protocol.go
+++ b/lockstep/protocol.go
@@ -140,7 +140,7 @@
 
 	// Event describes a decision or a problem, for logs and metrics.
 	Event struct {
-		// Kind is "switch", "switched", "abandoned", "settled", "waiting", "failed" or "pace".
+		// Kind is "switch", "switched", "abandoned", "settling", "settled", "waiting", "failed" or "pace".
 		Kind    string
 		Group   string
 		Version uint64
--- a/lockstep/settle.go
+++ b/lockstep/settle.go
@@ -83,7 +83,7 @@
 			return nil
 		}
 		if eris.Is(err, ErrFenced) || eris.Is(err, ErrInvalidState) {
-			return err
+			return eris.Wrapf(err, "hold pass %d at rank %d, read at pass %d", step, rank, states[rank].Step)
 		}
 		wait.For(ctx, pollInterval)
 	}
--- a/lockstep/switch.go
+++ b/lockstep/switch.go
@@ -29,17 +29,17 @@
 	// leaders, and no two maps share a version.
 	event.Version = c.nextToken()
 	c.emit(event)
+	var phases phaseTimer
+	phases.start()
 	if err := c.prepare(ctx, states[0].Epoch, event.Version, next); err != nil {
-		event.Kind, event.Detail = "abandoned", err.Error()
-		c.emit(event)
-		return err
+		return c.abandon(event, phases, err)
 	}
+	phases.end(Prepare)
 	step, err := c.hold(ctx, states[0].Epoch)
 	if err != nil {
-		event.Kind, event.Detail = "abandoned", err.Error()
-		c.emit(event)
-		return err
+		return c.abandon(event, phases, err)
 	}
+	phases.end(Hold)
 	// From here on the switch either finishes or the group gets another epoch. If this leader ends in between, the
 	// next leader settles the group.
 	began := time.Now()
@@ -48,16 +48,25 @@
 		return err
 	}
 	c.armingTime.add(time.Since(began))
+	phases.end(Arm)
 	if err := c.release(ctx, holdRank, states[0].Epoch, step); err != nil {
 		c.isSettled = false
 		return err
 	}
 	c.maps, c.mapsEpoch, c.mapsVersion = next, states[0].Epoch, event.Version
-	event.Kind, event.Step = "switched", step
+	phases.end(Release)
+	event.Kind, event.Step, event.Detail = "switched", step, phases.String()
 	c.emit(event)
 	return c.awaitMap(ctx, states[0].Epoch, event.Version)
 }
 
+// abandon reports a switch that ended before its hold took effect, and returns the error that ended it.
+func (c *Coordinator) abandon(event Event, phases phaseTimer, err error) error {
+	event.Kind, event.Detail = "abandoned", fmt.Sprintf("%v; %v", err, phases)
+	c.emit(event)
+	return err
+}
+
 // prepare makes all ranks copy the experts that are new to them, and waits until all copies are complete.
 func (c *Coordinator) prepare(ctx context.Context, epoch, version uint64, next []balance.Placement) error {
 	ctx, cancel := context.WithTimeout(ctx, prepareTimeout)
@@ -76,13 +85,15 @@
 	if c.settings.Disabled.Hold {
 		return step, nil
 	}
+	readAt := time.Now()
 	_, err = c.sendOrder(ctx, holdRank, Order{Kind: Hold, Step: step, Epoch: epoch})
-	if err == nil || eris.Is(err, ErrFenced) || eris.Is(err, ErrInvalidState) {
+	if err == nil || eris.Is(err, ErrFenced) {
 		return step, err
 	}
-	// The rank may still execute the unanswered hold, so the group is settled before the next switch.
-	c.isSettled = false
-	return 0, err
+	// The rank may still execute an unanswered hold, so the group is settled before the next switch.
+	c.isSettled = c.isSettled && eris.Is(err, ErrInvalidState)
+	return 0, eris.Wrapf(err, "hold pass %d at rank %d, read %v before the answer at pass %d with pass %d held",
+		step, holdRank, time.Since(readAt).Round(time.Millisecond), state.Step, state.HeldStep)
 }
 
 // armAll arms every rank for the pass, and repeats orders that are not answered.
--- a/routed/group_coordinators.go
+++ b/routed/group_coordinators.go
@@ -188,7 +188,10 @@
 	defer g.mutex.Unlock()
 	if g.links[found.Address] == nil {
 		client := wire.NewLockstepProtobufClient("http://"+g.sidecarAddress(found.Address), g.client)
-		g.links[found.Address] = &rankLink{remote: lockstep.Remote{Client: client}, direct: g.directEngine(found.Address)}
+		g.links[found.Address] = &rankLink{
+			remote: lockstep.Remote{Client: client}, direct: g.directEngine(found.Address),
+			onSkipped: func(call string, took time.Duration, err error) { g.logSkipped(group, rank, call, took, err) },
+		}
 	}
 	return g.links[found.Address], nil
 }
@@ -209,6 +212,14 @@
 	g.replica.UpdateLoads(group, loads)
 }
 
+// logSkipped counts and logs a sidecar that did not answer and is not used for sidecarBackoff.
+func (g *groupCoordinators) logSkipped(group string, rank int, call string, took time.Duration, err error) {
+	g.scope.Tagged(map[string]string{"group": group}).Counter("sidecars_skipped").Inc(1)
+	g.log.WithError(err).WithFields(logrus.Fields{
+		"group": group, "rank": rank, "call": call, "took_ms": took.Milliseconds(),
+	}).Warn("sidecar does not answer, its engine is called directly")
+}
+
 // logEvent counts and logs an event of an expert map.
 func (g *groupCoordinators) logEvent(e lockstep.Event) {
 	g.scope.Tagged(map[string]string{"group": e.Group, "event": e.Kind}).Counter("expert_map_events").Inc(1)
--- a/routed/rank_link.go
+++ b/routed/rank_link.go
@@ -22,6 +22,8 @@
 type rankLink struct {
 	remote lockstep.Remote
 	direct lockstep.Sidecar
+	// onSkipped, when set, is called when the sidecar did not answer a call and a backoff begins.
+	onSkipped func(call string, took time.Duration, err error)
 
 	mutex        sync.Mutex
 	skippedUntil time.Time
@@ -30,10 +32,11 @@
 // read returns the state of the rank.
 func (l *rankLink) read(ctx context.Context, withCounts, withPlacement bool) (lockstep.State, error) {
 	if l.usesSidecar(time.Now()) {
+		began := time.Now()
 		bounded, cancel := context.WithTimeout(ctx, sidecarReadTimeout)
 		state, err := l.remote.Read(bounded, withCounts, withPlacement)
 		cancel()
-		if !l.isUnreachable(err) {
+		if !l.isUnreachable("read", began, err) {
 			return state, err
 		}
 	}
@@ -44,10 +47,11 @@
 // sendOrder sends an order to the rank. The state after the order is nil if the engine was called directly.
 func (l *rankLink) sendOrder(ctx context.Context, order lockstep.Order) (*lockstep.State, error) {
 	if l.usesSidecar(time.Now()) {
+		began := time.Now()
 		bounded, cancel := context.WithTimeout(ctx, sidecarOrderTimeout)
 		after, err := l.remote.Give(bounded, order)
 		cancel()
-		if !l.isUnreachable(err) {
+		if !l.isUnreachable(string(order.Kind), began, err) {
 			return after, err
 		}
 	}
@@ -61,11 +65,14 @@
 	return now.After(l.skippedUntil)
 }
 
-// isUnreachable reports whether an error means that the sidecar did not answer. It then starts the backoff.
-func (l *rankLink) isUnreachable(err error) bool {
+// isUnreachable reports whether the error of a call means that the sidecar did not answer. It then starts the backoff.
+func (l *rankLink) isUnreachable(call string, began time.Time, err error) bool {
 	if err == nil || lockstep.IsAnswer(err) {
 		return false
 	}
+	if l.onSkipped != nil {
+		l.onSkipped(call, time.Since(began), err)
+	}
 	l.mutex.Lock()
 	defer l.mutex.Unlock()
 	l.skippedUntil = time.Now().Add(sidecarBackoff)
