lockstep: the states of ranks carry their age

What callers saw: on a group of 63 ranks, seconds in which half of the streams came late (pauses over the objective, none refused); once a sidecar had not answered, its rank was read directly for 0.8 s, and an engine reports to another instance the state of report_lag_ms (200 ms) before. Cause: the coordinator took such a state for the present one. A hold was placed two passes (110 ms) after a pass of 200 ms ago, refused, and the prepared map thrown away; a version still armed 200 ms ago looked like an unfinished switch, and the group was held to settle it; an armed rank was waited for during the hold. By reading, then by test, worse: settling judged what is armed by states from before its own fences, so a late order of an earlier leader could split the group. Class: a delayed observation without its age. Evidence: a hold refused 3 ms after the read that it was counted from (commit before). Ruled out: that the leader or the answer of the hold was slow. Change: State.MaxAge; States from before the last switch are no evidence of orders in effect, settling and release wait for states from after their own orders, a hold allows for the passes since the state and is tried up to three times, an answered arm needs no read, a delayed state does not measure passes, a placement of another version is not planned with. The age is report_lag_ms of the configuration, 300 ms if it gives none. The fake group counts experts on its last rank, as rank 0 may be delayed.

--- a/lockstep/coordinator.go
+++ b/lockstep/coordinator.go
@@ -13,6 +13,7 @@
 	"github.com/rotisserie/eris"
 
 	"guavahitch.example/guavahitch/balance"
+	"guavahitch.example/guavahitch/wait"
 )
 
 const (
@@ -55,9 +56,12 @@
 	demand    *demand
 	passTimer passTimer
 	// maps is the map in use by set, nil until it was read. mapsVersion and mapsEpoch are its version and epoch.
-	maps            []balance.Placement
-	mapsVersion     uint64
-	mapsEpoch       uint64
+	maps        []balance.Placement
+	mapsVersion uint64
+	mapsEpoch   uint64
+	// changedAt is the time at which the last switch was in use or the group was settled. Earlier states of a rank say
+	// nothing about the orders in effect.
+	changedAt       time.Time
 	isSettled       bool
 	losses          losses
 	contactFailures contactFailures
@@ -107,7 +111,7 @@
 	case !c.isSettled:
 		return "orders of a failed switch or of an earlier leader may be in effect"
 	default:
-		return unfinishedSwitch(states)
+		return unfinishedSwitch(statesSince(states, c.changedAt))
 	}
 }
 
@@ -129,7 +133,9 @@
 	}
 	now := time.Now()
 	c.demand.add(states, now)
-	c.passTimer.add(states[0], now)
+	if states[0].MaxAge == 0 {
+		c.passTimer.add(states[0], now)
+	}
 	c.reportSlowRanks(states)
 	if !isComplete(states) {
 		c.maps = nil
@@ -139,13 +145,22 @@
 		c.emit(Event{Kind: "settling", Epoch: states[0].Epoch, Version: states[0].MapVersion, Detail: reason})
 		return c.settle(ctx, states[0].Epoch)
 	}
-	next, event, err := c.plan(ctx, states)
+	current := statesSince(states, c.changedAt)
+	if len(current) == 0 {
+		return nil
+	}
+	next, event, err := c.plan(ctx, states, current[0].MapVersion)
 	if err != nil || next == nil {
 		return err
 	}
 	return c.switchMap(ctx, states, next, event)
 }
 
+// statesSince returns the states that are not from before a time.
+func statesSince(states []State, since time.Time) []State {
+	return slices.DeleteFunc(slices.Clone(states), func(s State) bool { return s.asOf.Before(since) })
+}
+
 // reportSlowRanks emits an event for each rank that has become slow or has recovered.
 func (c *Coordinator) reportSlowRanks(states []State) {
 	for rank, s := range states {
@@ -184,14 +199,29 @@
 	return states, err
 }
 
+// readAllSince reads all ranks until every state is from after a time.
+func (c *Coordinator) readAllSince(ctx context.Context, since time.Time) ([]State, error) {
+	for {
+		states, err := c.readAll(ctx, false, false)
+		if err != nil || len(statesSince(states, since)) == len(states) {
+			return states, err
+		}
+		if !wait.For(ctx, pollInterval) {
+			return nil, ctx.Err()
+		}
+	}
+}
+
 // read reads one rank and records a failure to reach it.
 func (c *Coordinator) read(ctx context.Context, rank int, withCounts, withPlacement bool) (State, error) {
 	bounded, cancel := context.WithTimeout(ctx, readTimeout)
 	defer cancel()
+	began := time.Now()
 	state, err := c.engine.Read(bounded, rank, withCounts, withPlacement)
 	if err != nil {
 		c.contactFailures.record(time.Now())
 	}
+	state.asOf = began.Add(-state.MaxAge)
 	return state, err
 }
 
@@ -248,14 +278,14 @@
 	return slices.ContainsFunc(states, func(s State) bool { return s.Running > 0 })
 }
 
-// unfinishedSwitch describes a rank that is held or armed, or that uses another map than rank 0. It returns "" if there
-// is none.
+// unfinishedSwitch describes a rank that is held or armed, or that uses another map than the first one. It returns ""
+// if there is none.
 func unfinishedSwitch(states []State) string {
-	for rank, s := range states {
+	for _, s := range states {
 		if s.HeldStep != 0 || s.ArmedVersion != 0 || s.MapVersion != states[0].MapVersion {
 			return fmt.Sprintf("rank %d at pass %d holds pass %d, is armed with version %d for pass %d, uses version %d; "+
-				"rank 0 uses version %d", rank, s.Step, s.HeldStep, s.ArmedVersion, s.ArmedStep, s.MapVersion,
-				states[0].MapVersion)
+				"rank %d uses version %d", s.Rank, s.Step, s.HeldStep, s.ArmedVersion, s.ArmedStep, s.MapVersion,
+				states[0].Rank, states[0].MapVersion)
 		}
 	}
 	return ""
@@ -268,15 +298,15 @@
 	}
 }
 
-// plan returns the next map and the event that describes the switch. The map is nil when too little is known of the
-// demand or the gain is too small.
-func (c *Coordinator) plan(ctx context.Context, states []State) ([]balance.Placement, Event, error) {
+// plan returns the map to use after that of the given version, and the event that describes the switch. The map is nil
+// when too little is known of the demand or the gain is too small.
+func (c *Coordinator) plan(ctx context.Context, states []State, version uint64) ([]balance.Placement, Event, error) {
 	shape := c.settings.Shape
-	load := c.demand.estimate(states[0].MapVersion == 0 && isBusy(states))
+	load := c.demand.estimate(version == 0 && isBusy(states))
 	if load == nil {
 		return nil, Event{}, nil
 	}
-	if err := c.readMaps(ctx, states); err != nil {
+	if err := c.readMaps(ctx, states[0].Epoch, version); err != nil {
 		return nil, Event{}, err
 	}
 	event := Event{Kind: "switch", Epoch: states[0].Epoch}
@@ -326,9 +356,10 @@
 	return paces
 }
 
-// readMaps reads the placement in use into c.maps, unless c.maps has the current epoch and version already.
-func (c *Coordinator) readMaps(ctx context.Context, states []State) error {
-	if c.maps != nil && c.mapsEpoch == states[0].Epoch && c.mapsVersion == states[0].MapVersion {
+// readMaps reads the placement of the map in use into c.maps, unless it is there already. It returns an error while a
+// rank reports the placement of another version.
+func (c *Coordinator) readMaps(ctx context.Context, epoch, version uint64) error {
+	if c.maps != nil && c.mapsEpoch == epoch && c.mapsVersion == version {
 		return nil
 	}
 	read, err := c.readAll(ctx, false, true)
@@ -343,9 +374,12 @@
 			if len(s.Placement) != shape.Sets {
 				return eris.Errorf("rank %d reports %d sets of experts, expected %d", rank, len(s.Placement), shape.Sets)
 			}
+			if s.MapVersion != version {
+				return eris.Errorf("rank %d reports map version %d, expected %d", rank, s.MapVersion, version)
+			}
 			maps[set][rank] = s.Placement[set]
 		}
 	}
-	c.maps, c.mapsEpoch, c.mapsVersion = maps, states[0].Epoch, states[0].MapVersion
+	c.maps, c.mapsEpoch, c.mapsVersion = maps, epoch, version
 	return nil
 }
--- a/lockstep/coordinator_test.go
+++ b/lockstep/coordinator_test.go
@@ -50,8 +50,8 @@
 }
 
 // Guards against passes that begin while ranks use different maps, and against a group that stays held. Each seed mixes
-// late and lost orders, changes of leader with old leaders still active, unreachable ranks, idle times and groups that
-// form again. After the faults stop, the group must run passes and be balanced.
+// late and lost orders, changes of leader with old leaders still active, unreachable ranks, ranks that report an earlier
+// state, idle times and groups that form again. After the faults stop, the group must run passes and be balanced.
 func TestOneMapPerPassUnderFaults(t *testing.T) {
 	for seed := range seeds() {
 		t.Run(fmt.Sprint(seed), func(t *testing.T) {
@@ -276,9 +276,15 @@
 			g.locked(func() { delete(g.cutOff, rank) })
 		case 6:
 			g.locked(func() { g.isIdle = !g.isIdle })
+		case 7:
+			rank := g.randomInt(smallShape.Ranks)
+			g.locked(func() { g.delayed[rank] = !g.delayed[rank] })
 		}
 	}
-	g.locked(func() { g.lateFraction, g.isIdle = 0, false })
+	g.locked(func() {
+		g.lateFraction, g.isIdle = 0, false
+		clear(g.delayed)
+	})
 	time.Sleep(10 * time.Second)
 	step := g.now()
 	time.Sleep(5 * time.Second)
--- /dev/null
+++ b/lockstep/delayed_state_test.go
@@ -0,0 +1,97 @@
+package lockstep_test
+
+import (
+	"context"
+	"testing"
+	"testing/synctest"
+	"time"
+
+	"github.com/stretchr/testify/require"
+
+	"guavahitch.example/guavahitch/lockstep"
+)
+
+// runDelayed runs a group with a coordinator while the sidecars of the given ranks are unreachable and the demand
+// shifts. It returns the group and the events of the coordinator.
+func runDelayed(t *testing.T, ranks ...int) (*fakeGroup, []lockstep.Event) {
+	g := newFakeGroup(1, smallShape)
+	for _, rank := range ranks {
+		g.delayed[rank] = true
+	}
+	ctx, cancel := context.WithCancel(t.Context())
+	var events []lockstep.Event
+	settings := lockstep.Settings{Group: "g", Shape: smallShape, OnEvent: func(e lockstep.Event) { events = append(events, e) }}
+	go g.run(ctx)
+	go func() { _ = lockstep.NewCoordinator(settings, g.engine(), 1).Run(ctx) }()
+	for range 5 {
+		time.Sleep(3 * time.Second)
+		g.locked(g.shiftDemand)
+	}
+	time.Sleep(3 * time.Second)
+	cancel()
+	time.Sleep(time.Minute)
+	return g, events
+}
+
+func eventsOf(events []lockstep.Event, kind string) []lockstep.Event {
+	var found []lockstep.Event
+	for _, e := range events {
+		if e.Kind == kind {
+			found = append(found, e)
+		}
+	}
+	return found
+}
+
+// Guards against a hold for a pass that has begun. Passes are shorter than the age of the state of the rank that holds,
+// so a pass counted from that state is over when the hold arrives, and the map is never switched.
+func TestHoldAllowsForDelayedState(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		g, events := runDelayed(t, 0)
+		require.Empty(t, eventsOf(events, "abandoned"))
+		require.Less(t, g.skew(), 1.5)
+		require.Empty(t, g.splits)
+	})
+}
+
+// Guards against groups that are settled, and held for it, because a rank still reports the state before the last
+// switch. Only the start of the leader needs settling.
+func TestDelayedStateIsNoUnfinishedSwitch(t *testing.T) {
+	for name, ranks := range map[string][]int{"rank 0": {0}, "another rank": {2}} {
+		t.Run(name, func(t *testing.T) {
+			synctest.Test(t, func(t *testing.T) {
+				g, events := runDelayed(t, ranks...)
+				require.Len(t, eventsOf(events, "settling"), 1)
+				require.Greater(t, len(eventsOf(events, "switched")), 5)
+				require.Zero(t, g.stalled, "no pass waits for a hold while orders are answered")
+			})
+		})
+	}
+}
+
+// Guards against a new leader that releases a group of which it has not seen that a rank is armed. The earlier leader
+// armed that rank just before; its state is older than the fencing tokens that the new leader has raised.
+func TestSettlingWaitsForStatesAfterItsFences(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		g := newFakeGroup(1, smallShape)
+		g.delayed[1] = true
+		g.prepareAll(1)
+		time.Sleep(time.Second)
+		g.locked(func() {
+			hold := lockstep.Order{Kind: lockstep.Hold, Step: 2, Epoch: g.epoch, Fence: 2}
+			arm := lockstep.Order{Kind: lockstep.Arm, Version: 1, Step: 2, Epoch: g.epoch, Fence: 3}
+			require.NoError(t, g.execute(0, hold))
+			require.NoError(t, g.execute(1, arm))
+		})
+		ctx, cancel := context.WithCancel(t.Context())
+		go g.run(ctx)
+		go func() {
+			_ = lockstep.NewCoordinator(lockstep.Settings{Group: "g", Shape: smallShape}, g.engine(), 2).Run(ctx)
+		}()
+		time.Sleep(5 * time.Second)
+		cancel()
+		time.Sleep(time.Minute)
+		require.Empty(t, g.splits)
+		require.Greater(t, g.now(), uint64(50), "the group runs passes")
+	})
+}
--- a/lockstep/fake_group_test.go
+++ b/lockstep/fake_group_test.go
@@ -17,6 +17,8 @@
 const (
 	passTime = 50 * time.Millisecond
 	copyTime = 30 * time.Millisecond
+	// reportLag is the age of the state that a delayed rank reports.
+	reportLag = 200 * time.Millisecond
 )
 
 type (
@@ -54,6 +56,11 @@
 		maxDelay     time.Duration
 		// cutOff holds the ranks that cannot be reached.
 		cutOff map[int]bool
+		// delayed holds the ranks without a sidecar. A read returns the state that such a rank had before reportLag,
+		// without counts, and an order is answered without a state.
+		delayed map[int]bool
+		// past holds the states of all ranks after each change, the oldest first.
+		past []pastStates
 		// demand is how often each expert is chosen in a pass, by set and expert.
 		demand [][]uint32
 		// splits describes the passes that began while ranks used different maps.
@@ -61,15 +68,22 @@
 		// stalled is the total time for which a hold delayed a pass.
 		stalled time.Duration
 	}
+
+	// pastStates holds the states of all ranks from a time on.
+	pastStates struct {
+		since  time.Time
+		states []lockstep.State
+	}
 )
 
 func newFakeGroup(seed uint64, shape lockstep.Shape) *fakeGroup {
 	g := &fakeGroup{
 		random: rand.New(rand.NewPCG(seed, 7)), shape: shape, epoch: 1, maxDelay: 4 * time.Second,
-		cutOff: map[int]bool{},
+		cutOff: map[int]bool{}, delayed: map[int]bool{},
 	}
 	g.form()
 	g.shiftDemand()
+	g.remember()
 	return g
 }
 
@@ -90,6 +104,27 @@
 	}
 }
 
+// remember stores the states of all ranks for later reads of delayed ranks. The caller holds the mutex, or is the only
+// user of the group.
+func (g *fakeGroup) remember() {
+	now := pastStates{since: time.Now()}
+	for r := range g.ranks {
+		now.states = append(now.states, g.stateOf(r))
+	}
+	g.past = append(g.past, now)
+	for len(g.past) > 1 && time.Since(g.past[1].since) >= reportLag {
+		g.past = g.past[1:]
+	}
+}
+
+// pastStateOf returns the state that a rank had before reportLag. The caller holds the mutex.
+func (g *fakeGroup) pastStateOf(rank int) lockstep.State {
+	g.remember()
+	s := g.past[0].states[rank]
+	s.MaxAge = reportLag
+	return s
+}
+
 // shiftDemand draws a new random demand.
 func (g *fakeGroup) shiftDemand() {
 	g.demand = nil
@@ -114,6 +149,7 @@
 func (g *fakeGroup) pass() {
 	g.mutex.Lock()
 	defer g.mutex.Unlock()
+	defer g.remember()
 	if g.isIdle {
 		return
 	}
@@ -138,7 +174,7 @@
 	}
 	for set, experts := range g.demand {
 		for e, count := range experts {
-			g.ranks[0].counts[set*g.shape.Experts+e] += count
+			g.ranks[len(g.ranks)-1].counts[set*g.shape.Experts+e] += count
 		}
 	}
 }
@@ -171,6 +207,9 @@
 	}
 	r := g.ranks[rank]
 	s := g.stateOf(rank)
+	if g.delayed[rank] {
+		s, withCounts = g.pastStateOf(rank), false
+	}
 	if withCounts {
 		s.Counts = slices.Clone(r.counts)
 	}
@@ -210,6 +249,9 @@
 		if err := g.execute(rank, order); err != nil {
 			return nil, err
 		}
+		if g.delayed[rank] {
+			return nil, nil
+		}
 		after := g.stateOf(rank)
 		return &after, nil
 	}
@@ -231,6 +273,7 @@
 		return lockstep.ErrFenced
 	}
 	r.fence = o.Fence
+	defer g.remember()
 	if o.Epoch != g.epoch {
 		return lockstep.ErrInvalidState
 	}
--- a/lockstep/losses.go
+++ b/lockstep/losses.go
@@ -1,6 +1,7 @@
 package lockstep
 
 import (
+	"cmp"
 	"math"
 	"sync"
 	"time"
@@ -88,14 +89,18 @@
 	a.longest = max(took, time.Duration(armingDecay*float64(a.longest)))
 }
 
+// passTime returns the measured pass time, or defaultPassTime before there is one.
+func (c *Coordinator) passTime() time.Duration { return cmp.Or(c.passTimer.mean, defaultPassTime) }
+
+// passesIn returns the maximum number of passes that begin within a time.
+func (c *Coordinator) passesIn(d time.Duration) uint64 {
+	return uint64(math.Ceil(float64(d) / float64(c.passTime())))
+}
+
 // leadPasses returns how many passes ahead the next switch is armed. The lead covers the time to repeat lost orders, so
 // that the group does not stop for ranks that have not answered yet.
 func (c *Coordinator) leadPasses() uint64 {
-	pass := c.passTimer.mean
-	if pass == 0 {
-		pass = defaultPassTime
-	}
 	wait := c.losses.repeats(c.settings.Shape.Ranks) * float64(engineTimeout+pollInterval)
 	wait = max(wait, armingMargin*float64(c.armingTime.longest))
-	return min(c.settings.LeadPasses+uint64(wait/float64(pass)), maxLead)
+	return min(c.settings.LeadPasses+uint64(wait/float64(c.passTime())), maxLead)
 }
--- a/lockstep/protocol.go
+++ b/lockstep/protocol.go
@@ -78,6 +78,11 @@
 		Counts []uint32
 		// Placement holds the rank's experts by set. It is empty unless it was asked for.
 		Placement [][]int
+		// MaxAge is how old the state may have been when the read began. An engine answers a read from another
+		// instance with an earlier state.
+		MaxAge time.Duration
+		// asOf is the earliest time that the state may be from.
+		asOf time.Time
 	}
 
 	// Engine is the connection to the ranks of one group.
--- a/lockstep/settle.go
+++ b/lockstep/settle.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"time"
 
 	"github.com/rotisserie/eris"
 
@@ -15,7 +16,7 @@
 	if err := c.raiseFences(ctx, epoch); err != nil {
 		return err
 	}
-	states, err := c.readAll(ctx, false, false)
+	states, err := c.readAllSince(ctx, time.Now())
 	if err != nil {
 		return err
 	}
@@ -23,7 +24,7 @@
 		if err := c.disarmAll(ctx, states, epoch, step); err != nil {
 			return err
 		}
-		if states, err = c.readAll(ctx, false, false); err != nil {
+		if states, err = c.readAllSince(ctx, time.Now()); err != nil {
 			return err
 		}
 	}
@@ -38,7 +39,7 @@
 			return err
 		}
 	}
-	c.isSettled = true
+	c.isSettled, c.changedAt = true, time.Now()
 	c.maps = nil
 	c.emit(Event{Kind: "settled", Epoch: epoch, Version: states[0].MapVersion})
 	return nil
--- a/lockstep/switch.go
+++ b/lockstep/switch.go
@@ -14,6 +14,8 @@
 const (
 	// holdRank is the rank that receives the hold of a switch.
 	holdRank = 0
+	// maxHoldAttempts is the maximum number of holds that are tried in one switch.
+	maxHoldAttempts = 3
 	// copyPollInterval is the time between two checks whether ranks have copied their new experts.
 	copyPollInterval = 30 * time.Millisecond
 	// mapPollInterval is the time between two checks which map is in use.
@@ -75,25 +77,30 @@
 	return c.orderAll(ctx, epoch, order, copyPollInterval, func(s State) bool { return s.PreparedVersion == version })
 }
 
-// hold prevents the group from beginning a coming pass, and returns the number of that pass.
+// hold prevents the group from beginning a coming pass, and returns the number of that pass. If the pass has begun by the
+// time the order arrives, a later one is held.
 func (c *Coordinator) hold(ctx context.Context, epoch uint64) (uint64, error) {
-	state, err := c.read(ctx, holdRank, false, false)
-	if err != nil {
-		return 0, err
-	}
-	step := state.Step + c.leadPasses()
-	if c.settings.Disabled.Hold {
-		return step, nil
-	}
-	readAt := time.Now()
-	_, err = c.sendOrder(ctx, holdRank, Order{Kind: Hold, Step: step, Epoch: epoch})
-	if err == nil || eris.Is(err, ErrFenced) {
-		return step, err
+	for attempt := 1; ; attempt++ {
+		state, err := c.read(ctx, holdRank, false, false)
+		if err != nil {
+			return 0, err
+		}
+		step := state.Step + c.passesIn(state.MaxAge) + c.leadPasses()
+		if c.settings.Disabled.Hold {
+			return step, nil
+		}
+		_, err = c.sendOrder(ctx, holdRank, Order{Kind: Hold, Step: step, Epoch: epoch})
+		if err == nil {
+			return step, nil
+		}
+		if eris.Is(err, ErrInvalidState) && attempt < maxHoldAttempts {
+			continue
+		}
+		// The rank may still execute an unanswered hold, so the group is settled before the next switch.
+		c.isSettled = c.isSettled && eris.Is(err, ErrInvalidState)
+		return 0, eris.Wrapf(err, "hold pass %d at rank %d, read at pass %d or up to %v later, with pass %d held",
+			step, holdRank, state.Step, state.MaxAge, state.HeldStep)
 	}
-	// The rank may still execute an unanswered hold, so the group is settled before the next switch.
-	c.isSettled = c.isSettled && eris.Is(err, ErrInvalidState)
-	return 0, eris.Wrapf(err, "hold pass %d at rank %d, read %v before the answer at pass %d with pass %d held",
-		step, holdRank, time.Since(readAt).Round(time.Millisecond), state.Step, state.HeldStep)
 }
 
 // armAll arms every rank for the pass, and repeats orders that are not answered.
@@ -106,13 +113,14 @@
 
 // release ends the hold on a rank, and repeats the order until the hold is gone.
 func (c *Coordinator) release(ctx context.Context, rank int, epoch, step uint64) error {
+	began := time.Now()
 	for ctx.Err() == nil {
 		_, err := c.sendOrder(ctx, rank, Order{Kind: Release, Step: step, Epoch: epoch})
 		if err == nil || eris.Is(err, ErrFenced) {
 			return err
 		}
 		state, readErr := c.read(ctx, rank, false, false)
-		if readErr == nil && (state.HeldStep != step || state.Epoch != epoch) {
+		if readErr == nil && !state.asOf.Before(began) && (state.HeldStep != step || state.Epoch != epoch) {
 			return nil
 		}
 		wait.For(ctx, pollInterval)
@@ -129,6 +137,7 @@
 		// All ranks begin a pass together, so one rank is enough to see which map is in use.
 		state, err := c.read(ctx, holdRank, false, false)
 		if err == nil && (state.Epoch != epoch || state.MapVersion == version) {
+			c.changedAt = time.Now()
 			return nil
 		}
 		wait.For(ctx, mapPollInterval)
@@ -202,6 +211,11 @@
 		}
 		d.isAnswered = d.err == nil
 	}
+	if after == nil && d.isAnswered && order.Kind == Arm {
+		// The rank is armed. A read could show an earlier state for as long as the group is held.
+		d.isDone = true
+		return nil
+	}
 	if after == nil {
 		state, err := c.read(ctx, rank, false, false)
 		if err != nil {
--- a/route/configuration.go
+++ b/route/configuration.go
@@ -82,6 +82,8 @@
 		Sets, Experts, Places, Spare int
 		// ExpertShare is the fraction of a token's work that experts do.
 		ExpertShare float64
+		// ReportLag is the age of the state that an engine reports to another instance, 0 if it is not known.
+		ReportLag time.Duration
 	}
 
 	// Organisation is a customer and its keys.
--- a/routed/group_coordinators.go
+++ b/routed/group_coordinators.go
@@ -1,6 +1,7 @@
 package routed
 
 import (
+	"cmp"
 	"context"
 	"sync"
 	"time"
@@ -23,6 +24,9 @@
 	reconcileInterval = 200 * time.Millisecond
 	// targetPassShare is the fraction of the gap objective that a pass may take before experts are moved.
 	targetPassShare = 0.55
+	// defaultReportLag is the assumed age of the state that an engine reports to another instance, if the configuration
+	// gives none.
+	defaultReportLag = 300 * time.Millisecond
 	// rankDialTimeout bounds the opening of a connection to the sidecar of a rank.
 	rankDialTimeout = 200 * time.Millisecond
 )
@@ -55,6 +59,8 @@
 		targetPassTime time.Duration
 		gapObjective   time.Duration
 		expertShare    float64
+		// reportLag is the age of the state that an engine reports when its sidecar is bypassed.
+		reportLag time.Duration
 	}
 )
 
@@ -106,7 +112,7 @@
 			Group: name, Shape: settings.shape, TargetPassTime: settings.targetPassTime,
 			GapObjective: settings.gapObjective, ExpertShare: settings.expertShare,
 			OnEvent: g.logEvent, OnStates: func(states []lockstep.State) { g.updateLoads(name, states) },
-		}, g.engine(name), term)
+		}, g.engine(name, settings.reportLag), term)
 		go func() {
 			if err := coordinator.Run(coordinatorContext); err != nil {
 				g.log.WithError(err).WithField("group", name).
@@ -149,18 +155,20 @@
 		},
 		targetPassTime: time.Duration(targetPassShare * float64(gap)),
 		expertShare:    engine.ExpertShare,
+		reportLag:      cmp.Or(engine.ReportLag, defaultReportLag),
 	}, true
 }
 
-// engine returns the client through which a coordinator reads and controls the ranks of a group.
-func (g *groupCoordinators) engine(group string) lockstep.Engine {
+// engine returns the client through which a coordinator reads and controls the ranks of a group. The reportLag is the age
+// of the state that an engine reports when its sidecar is bypassed.
+func (g *groupCoordinators) engine(group string, reportLag time.Duration) lockstep.Engine {
 	return lockstep.Engine{
 		Read: func(ctx context.Context, rank int, withCounts, withPlacement bool) (lockstep.State, error) {
 			link, err := g.link(group, rank)
 			if err != nil {
 				return lockstep.State{}, err
 			}
-			return link.read(ctx, withCounts, withPlacement)
+			return link.read(ctx, reportLag, withCounts, withPlacement)
 		},
 		Give: func(ctx context.Context, rank int, order lockstep.Order) (*lockstep.State, error) {
 			link, err := g.link(group, rank)
--- a/routed/rank_link.go
+++ b/routed/rank_link.go
@@ -29,8 +29,10 @@
 	skippedUntil time.Time
 }
 
-// read returns the state of the rank.
-func (l *rankLink) read(ctx context.Context, withCounts, withPlacement bool) (lockstep.State, error) {
+// read returns the state of the rank. If the engine was called directly, the state may be up to reportLag old.
+func (l *rankLink) read(
+	ctx context.Context, reportLag time.Duration, withCounts, withPlacement bool,
+) (lockstep.State, error) {
 	if l.usesSidecar(time.Now()) {
 		began := time.Now()
 		bounded, cancel := context.WithTimeout(ctx, sidecarReadTimeout)
@@ -41,7 +43,9 @@
 		}
 	}
 	// A direct read leaves counts out, because reading them from another instance delays the group.
-	return l.direct.State(ctx, false, withPlacement)
+	state, err := l.direct.State(ctx, false, withPlacement)
+	state.MaxAge = reportLag
+	return state, err
 }
 
 // sendOrder sends an order to the rank. The state after the order is nil if the engine was called directly.
