lockstep: idle time is no pass time

Cause: the pass time was the time between two looks over the passes between them, also while the group was idle, so that 200 ms held one pass instead of four, and a hold that allows for a delayed state came too late. Class: an average over samples of two different things. Change: no sample is taken over idle time; any rank with a present state measures, not only rank 0; a refused hold allows for more passes with each attempt.

--- a/lockstep/coordinator.go
+++ b/lockstep/coordinator.go
@@ -133,9 +133,7 @@
 	}
 	now := time.Now()
 	c.demand.add(states, now)
-	if states[0].MaxAge == 0 {
-		c.passTimer.add(states[0], now)
-	}
+	c.timePasses(states, now)
 	c.reportSlowRanks(states)
 	if !isComplete(states) {
 		c.maps = nil
@@ -161,6 +159,19 @@
 	return slices.DeleteFunc(slices.Clone(states), func(s State) bool { return s.asOf.Before(since) })
 }
 
+// timePasses measures the pass time from a rank whose state is not delayed. All ranks begin a pass together, so any one
+// is enough. An idle group begins no pass.
+func (c *Coordinator) timePasses(states []State, now time.Time) {
+	if !isBusy(states) {
+		c.passTimer.pause()
+		return
+	}
+	present := slices.IndexFunc(states, func(s State) bool { return s.MaxAge == 0 })
+	if present >= 0 {
+		c.passTimer.add(states[present], now)
+	}
+}
+
 // reportSlowRanks emits an event for each rank that has become slow or has recovered.
 func (c *Coordinator) reportSlowRanks(states []State) {
 	for rank, s := range states {
--- a/lockstep/delayed_state_test.go
+++ b/lockstep/delayed_state_test.go
@@ -95,3 +95,29 @@
 		require.Greater(t, g.now(), uint64(50), "the group runs passes")
 	})
 }
+
+// Guards against a pass time that includes the time in which the group was idle. Passes then seem so long that a hold
+// allows for too few of them, and arrives after the pass.
+func TestIdleTimeIsNoPassTime(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		g := newFakeGroup(1, smallShape)
+		ctx, cancel := context.WithCancel(t.Context())
+		var events []lockstep.Event
+		settings := lockstep.Settings{Group: "g", Shape: smallShape, OnEvent: func(e lockstep.Event) { events = append(events, e) }}
+		go g.run(ctx)
+		go func() { _ = lockstep.NewCoordinator(settings, g.engine(), 1).Run(ctx) }()
+		g.locked(func() { g.isIdle = true })
+		for range 5 {
+			time.Sleep(5 * time.Second)
+			g.locked(func() { g.isIdle = false })
+			g.pass()
+			g.locked(func() { g.isIdle = true })
+		}
+		g.locked(func() { g.delayed[0], g.isIdle = true, false })
+		time.Sleep(3 * time.Second)
+		cancel()
+		time.Sleep(time.Minute)
+		require.NotEmpty(t, eventsOf(events, "switched"))
+		require.Empty(t, eventsOf(events, "abandoned"))
+	})
+}
--- a/lockstep/pass_timer.go
+++ b/lockstep/pass_timer.go
@@ -14,6 +14,9 @@
 	mean time.Duration
 }
 
+// pause leaves the time until the next state out of the measurement.
+func (p *passTimer) pause() { p.seen = time.Time{} }
+
 func (p *passTimer) add(s State, now time.Time) {
 	isNext := s.Epoch == p.epoch && s.Step > p.step && !p.seen.IsZero()
 	if isNext {
@@ -23,7 +26,7 @@
 		}
 		p.mean += time.Duration(passTimeWeight * float64(sample-p.mean))
 	}
-	if s.Step != p.step || s.Epoch != p.epoch {
+	if s.Step != p.step || s.Epoch != p.epoch || p.seen.IsZero() {
 		p.epoch, p.step, p.seen = s.Epoch, s.Step, now
 	}
 }
--- a/lockstep/switch.go
+++ b/lockstep/switch.go
@@ -80,12 +80,12 @@
 // hold prevents the group from beginning a coming pass, and returns the number of that pass. If the pass has begun by the
 // time the order arrives, a later one is held.
 func (c *Coordinator) hold(ctx context.Context, epoch uint64) (uint64, error) {
-	for attempt := 1; ; attempt++ {
+	for attempt := uint64(1); ; attempt++ {
 		state, err := c.read(ctx, holdRank, false, false)
 		if err != nil {
 			return 0, err
 		}
-		step := state.Step + c.passesIn(state.MaxAge) + c.leadPasses()
+		step := state.Step + attempt*c.passesIn(state.MaxAge) + c.leadPasses()
 		if c.settings.Disabled.Hold {
 			return step, nil
 		}
