lockstep: timeouts of calls do not measure the coordinator

Cause: all 63 ranks were called at once, and an answer is only read once all orders are encoded and sent. Each prepare encoded the whole map again. Class: a timeout that includes the work of the one who waits. Ruled out: silent sidecars, whose next calls were answered. Test: TestCallsOfALargeGroupDoNotTimeOut fails before (36 timeouts of 63 calls) and passes now; TestEverySidecarReceivesTheMap holds the encoding to what was planned.

--- a/lockstep/coordinator.go
+++ b/lockstep/coordinator.go
@@ -29,6 +29,9 @@
 	// readTimeout is the timeout of one read of a rank, orderTimeout that of one order.
 	readTimeout  = 250 * time.Millisecond
 	orderTimeout = 90 * time.Millisecond
+	// maxConcurrentCalls is the number of ranks that are called at once. The timeout of a call includes the time that the
+	// coordinator spends on the other calls under way.
+	maxConcurrentCalls = 24
 	// pollInterval is the time between two attempts to send an order or to see its effect.
 	pollInterval = 15 * time.Millisecond
 	// prepareTimeout is the maximum time for copying experts and for waiting until a map is in use.
@@ -251,14 +254,17 @@
 	return after, err
 }
 
-// forEachRank calls a function for all ranks concurrently. It returns ErrFenced if any rank returned it, and otherwise
-// the first error.
+// forEachRank calls a function for all ranks, maxConcurrentCalls at a time. It returns ErrFenced if any rank returned it,
+// and otherwise the first error.
 func (c *Coordinator) forEachRank(ctx context.Context, call func(ctx context.Context, rank int) error) error {
 	var group sync.WaitGroup
 	errs := make([]error, c.settings.Shape.Ranks)
+	slots := make(chan struct{}, maxConcurrentCalls)
 	for rank := range errs {
+		slots <- struct{}{}
 		group.Go(func() {
 			errs[rank] = call(ctx, rank)
+			<-slots
 		})
 	}
 	group.Wait()
--- a/lockstep/coordinator_test.go
+++ b/lockstep/coordinator_test.go
@@ -382,3 +382,40 @@
 		time.Sleep(time.Minute)
 	})
 }
+
+// Guards against timeouts that measure the coordinator itself. Each call takes time of its processor; with a large group
+// the calls that began first seemed unanswered while the others were still being sent.
+func TestCallsOfALargeGroupDoNotTimeOut(t *testing.T) {
+	const (
+		ranks       = 63
+		timePerCall = time.Millisecond
+	)
+	synctest.Test(t, func(t *testing.T) {
+		processor := make(chan struct{}, 1)
+		use := func() {
+			processor <- struct{}{}
+			time.Sleep(timePerCall)
+			<-processor
+		}
+		timeouts := 0
+		engine := lockstep.Engine{
+			Read: func(_ context.Context, rank int, _, _ bool) (lockstep.State, error) {
+				return lockstep.State{Epoch: 1, IsOpen: true, Rank: rank}, nil
+			},
+			Give: func(ctx context.Context, _ int, _ lockstep.Order) (*lockstep.State, error) {
+				use()
+				use()
+				if ctx.Err() != nil {
+					timeouts++
+				}
+				return nil, ctx.Err()
+			},
+		}
+		shape := lockstep.Shape{Ranks: ranks, Sets: 1, Experts: ranks, Slots: 2, StagingSlots: 1}
+		c := lockstep.NewCoordinator(lockstep.Settings{Group: "g", Shape: shape}, engine, 1)
+		ctx, cancel := context.WithTimeout(t.Context(), time.Minute)
+		defer cancel()
+		_ = c.Reconcile(ctx)
+		require.Zero(t, timeouts)
+	})
+}
--- a/lockstep/protocol.go
+++ b/lockstep/protocol.go
@@ -47,6 +47,8 @@
 		Fence uint64
 		// Map is the map to prepare, one placement for each set of layers.
 		Map []balance.Placement
+		// encodedMap is Map as fields of a wire.LockstepOrder, nil if it was not encoded yet.
+		encodedMap []byte
 	}
 
 	// State is the state that a rank reports.
--- a/lockstep/remote_test.go
+++ b/lockstep/remote_test.go
@@ -3,18 +3,62 @@
 import (
 	"context"
 	"net/http/httptest"
+	"sync"
 	"testing"
 	"time"
 
 	"github.com/stretchr/testify/require"
 
+	"guavahitch.example/guavahitch/balance"
 	"guavahitch.example/guavahitch/lockstep"
 	"guavahitch.example/guavahitch/upstream"
 	"guavahitch.example/guavahitch/wire"
 )
 
+// The map that a sidecar decodes is the one that the coordinator planned, though it is encoded once for all ranks.
+func TestEverySidecarReceivesTheMap(t *testing.T) {
+	g := newFakeGroup(1, smallShape)
+	ctx, cancel := context.WithTimeout(t.Context(), 10*time.Second)
+	defer cancel()
+	var mutex sync.Mutex
+	planned, received := []balance.Placement{}, [][]balance.Placement{}
+	behind := g.engine()
+	behind.Give = func(ctx context.Context, rank int, o lockstep.Order) (*lockstep.State, error) {
+		if o.Kind == lockstep.Prepare {
+			mutex.Lock()
+			received = append(received, o.Map)
+			mutex.Unlock()
+		}
+		return g.give(ctx, rank, o)
+	}
+	remote := overLoopback(t, behind, smallShape.Ranks)
+	engine := remote
+	engine.Give = func(ctx context.Context, rank int, o lockstep.Order) (*lockstep.State, error) {
+		if o.Kind == lockstep.Prepare {
+			mutex.Lock()
+			planned = o.Map
+			mutex.Unlock()
+		}
+		return remote.Give(ctx, rank, o)
+	}
+	go g.run(ctx)
+	settings := lockstep.Settings{Group: "g", Shape: smallShape, OnEvent: func(e lockstep.Event) {
+		if e.Kind == "switched" {
+			cancel()
+		}
+	}}
+	_ = lockstep.NewCoordinator(settings, engine, 1).Run(ctx)
+	mutex.Lock()
+	defer mutex.Unlock()
+	require.NotEmpty(t, planned)
+	require.GreaterOrEqual(t, len(received), smallShape.Ranks)
+	for _, sets := range received {
+		require.Equal(t, planned, sets)
+	}
+}
+
 // overLoopback returns an engine that reaches each rank through a Sidecar over loopback HTTP.
-func overLoopback(b *testing.B, engine lockstep.Engine, ranks int) lockstep.Engine {
+func overLoopback(b testing.TB, engine lockstep.Engine, ranks int) lockstep.Engine {
 	remotes := make([]lockstep.Remote, ranks)
 	client := upstream.NewClient(time.Second)
 	for rank := range remotes {
--- a/lockstep/sidecar.go
+++ b/lockstep/sidecar.go
@@ -7,6 +7,7 @@
 
 	"github.com/rotisserie/eris"
 	"github.com/twitchtv/twirp"
+	"google.golang.org/protobuf/proto"
 
 	"guavahitch.example/guavahitch/balance"
 	"guavahitch.example/guavahitch/wire"
@@ -128,12 +129,31 @@
 	}
 }
 
+// withEncodedMap returns the order with its map encoded, so that it is encoded once for all ranks.
+func (o Order) withEncodedMap() Order {
+	encoded, err := proto.Marshal(mapMessageOf(o.Map))
+	if err == nil {
+		o.encodedMap = encoded
+	}
+	return o
+}
+
 func messageOf(order Order) *wire.LockstepOrder {
-	m := &wire.LockstepOrder{
-		Kind: string(order.Kind), Version: order.Version, Step: order.Step, Epoch: order.Epoch, Fence: order.Fence,
-		Sets: int32(len(order.Map)),
+	m := &wire.LockstepOrder{}
+	if order.encodedMap == nil {
+		m = mapMessageOf(order.Map)
 	}
-	for _, set := range order.Map {
+	m.Kind, m.Version, m.Step = string(order.Kind), order.Version, order.Step
+	m.Epoch, m.Fence = order.Epoch, order.Fence
+	// Marshalling copies unknown fields as they are, and the receiver decodes them as the map.
+	m.ProtoReflect().SetUnknown(order.encodedMap)
+	return m
+}
+
+// mapMessageOf returns an order with the fields of a map alone.
+func mapMessageOf(sets []balance.Placement) *wire.LockstepOrder {
+	m := &wire.LockstepOrder{Sets: int32(len(sets))}
+	for _, set := range sets {
 		m.Placement = append(m.Placement, expertListsOf(set)...)
 	}
 	return m
--- a/lockstep/switch.go
+++ b/lockstep/switch.go
@@ -73,7 +73,7 @@
 func (c *Coordinator) prepare(ctx context.Context, epoch, version uint64, next []balance.Placement) error {
 	ctx, cancel := context.WithTimeout(ctx, prepareTimeout)
 	defer cancel()
-	order := Order{Kind: Prepare, Version: version, Epoch: epoch, Map: next}
+	order := Order{Kind: Prepare, Version: version, Epoch: epoch, Map: next}.withEncodedMap()
 	return c.orderAll(ctx, epoch, order, copyPollInterval, func(s State) bool { return s.PreparedVersion == version })
 }
 
