lockstep: the goal of levelling rests on figures of one time

Cause, of the same class as the stale states: the skew that passes may have was worked out from the skew for the new demand and from a mean of pass times of before the shift. Ruled out: refused holds and settling, none in these seconds. Change: each pass time is divided by what the skew adds at that time; the mean of these, the time of an even pass, gives the goal. Passes that began before the last switch are left out.

--- a/lockstep/coordinator.go
+++ b/lockstep/coordinator.go
@@ -58,6 +58,7 @@
 	count     atomic.Uint64
 	demand    *demand
 	passTimer passTimer
+	evenPass  evenPass
 	// maps is the map in use by set, nil until it was read. mapsVersion and mapsEpoch are its version and epoch.
 	maps        []balance.Placement
 	mapsVersion uint64
@@ -83,7 +84,7 @@
 	settings.LeadPasses = cmp.Or(settings.LeadPasses, DefaultLeadPasses)
 	return &Coordinator{
 		settings: settings, engine: engine, term: term, demand: newDemand(settings.Shape, settings.HalfLife),
-		slow: map[int]bool{},
+		evenPass: evenPass{expertShare: settings.ExpertShare}, slow: map[int]bool{},
 	}
 }
 
@@ -328,7 +329,8 @@
 	}
 	event := Event{Kind: "switch", Epoch: states[0].Epoch}
 	paces := pacesOf(states)
-	goal := c.skewGoal(load, paces)
+	c.measureEvenPass(load, paces)
+	goal := c.skewGoal(paces)
 	next := make([]balance.Placement, shape.Sets)
 	for set := range next {
 		levelled := balance.LevelLayer(c.maps[set], load[set], paces, shape.Slots, shape.StagingSlots, goal)
@@ -347,21 +349,26 @@
 // measured pass time it returns 1, so that the map is balanced as far as possible. Just after the group has formed, and
 // while a rank is slow, the measured pass time says little about the next passes. The map is then balanced as far as
 // allowed, that is, to minSkewGoal.
-func (c *Coordinator) skewGoal(load [][]float64, paces []float64) float64 {
-	pass := c.passTimer.mean
-	if c.settings.TargetPassTime == 0 || pass == 0 {
+func (c *Coordinator) skewGoal(paces []float64) float64 {
+	if c.settings.TargetPassTime == 0 || c.evenPass.mean == 0 {
 		return 1
 	}
 	if c.mapsVersion == 0 || slices.Max(paces) > slowPace {
 		return minSkewGoal
 	}
+	return max(c.evenPass.skewAt(c.settings.TargetPassTime), minSkewGoal)
+}
+
+// measureEvenPass updates the estimate of an even pass from passes that began with the map in use.
+func (c *Coordinator) measureEvenPass(load [][]float64, paces []float64) {
+	if c.passTimer.last == 0 || c.passTimer.lastBegan.Before(c.changedAt) {
+		return
+	}
 	skew := 0.0
 	for set, layer := range c.maps {
 		skew += balance.Skew(layer, load[set], paces) / float64(len(c.maps))
 	}
-	share := c.settings.ExpertShare
-	wanted := (1 - share + share*skew) * float64(c.settings.TargetPassTime) / float64(pass)
-	return max((wanted-(1-share))/share, minSkewGoal)
+	c.evenPass.add(c.passTimer.last, skew)
 }
 
 // pacesOf returns the pace of each rank, at least 1.
--- a/lockstep/fake_group_test.go
+++ b/lockstep/fake_group_test.go
@@ -65,6 +65,8 @@
 		demand [][]uint32
 		// splits describes the passes that began while ranks used different maps.
 		splits []string
+		// expertShare is the fraction of a pass that takes longer in proportion to the skew of the map.
+		expertShare float64
 		// stalled is the total time for which a hold delayed a pass.
 		stalled time.Duration
 	}
@@ -140,11 +142,19 @@
 // run begins passes until the context ends.
 func (g *fakeGroup) run(ctx context.Context) {
 	for ctx.Err() == nil {
-		time.Sleep(passTime)
+		time.Sleep(g.passTime())
 		g.pass()
 	}
 }
 
+// passTime returns the time of the next pass.
+func (g *fakeGroup) passTime() time.Duration {
+	if g.expertShare == 0 {
+		return passTime
+	}
+	return time.Duration((1 - g.expertShare + g.expertShare*g.skew()) * float64(passTime))
+}
+
 // pass begins the next pass, unless the group is idle or held, and records a split if ranks use different maps.
 func (g *fakeGroup) pass() {
 	g.mutex.Lock()
