lockstep: coordinators of one term share their fencing tokens

What callers saw: nothing yet; found while the list of noticed faults was read for other causes of late streams on a group. Cause: when the settings of a group change, its coordinator is replaced within the term, and the new one counted its fencing tokens from 1. Every rank refused them, the coordinator took that for a later leader and ended, and the map of the group stayed as it was until the next term. Class: a counter whose life is shorter than its use. Change: the tokens belong to the term. Test: TestCoordinatorIsReplacedWithinATerm; with tokens that start again (the code before) Run returns 'a later leader has given orders'.

--- a/lockstep/coordinator.go
+++ b/lockstep/coordinator.go
@@ -7,7 +7,6 @@
 	"math"
 	"slices"
 	"sync"
-	"sync/atomic"
 	"time"
 
 	"github.com/rotisserie/eris"
@@ -44,9 +43,6 @@
 	minSkewGoal = 1.15
 	// slowPace is the State.Pace above which a rank counts as slow.
 	slowPace = 1.25
-	// termBits is the number of low bits of a fencing token that count the orders of one term. Tokens of a term stay
-	// below those of the next one for 2^24 orders.
-	termBits = 24
 )
 
 // Coordinator balances the expert map of one group during one term of a control leader. It reads the ranks, estimates
@@ -54,8 +50,7 @@
 type Coordinator struct {
 	settings  Settings
 	engine    Engine
-	term      uint64
-	count     atomic.Uint64
+	tokens    *Tokens
 	demand    *demand
 	passTimer passTimer
 	evenPass  evenPass
@@ -76,14 +71,15 @@
 	slow map[int]bool
 }
 
-// NewCoordinator returns a coordinator for the leader of the given term.
-func NewCoordinator(settings Settings, engine Engine, term uint64) *Coordinator {
+// NewCoordinator returns a coordinator for the leader whose fencing tokens are given. All coordinators of one term share
+// them.
+func NewCoordinator(settings Settings, engine Engine, tokens *Tokens) *Coordinator {
 	settings.Interval = cmp.Or(settings.Interval, DefaultInterval)
 	settings.HalfLife = cmp.Or(settings.HalfLife, DefaultHalfLife)
 	settings.MinGain = cmp.Or(settings.MinGain, DefaultMinGain)
 	settings.LeadPasses = cmp.Or(settings.LeadPasses, DefaultLeadPasses)
 	return &Coordinator{
-		settings: settings, engine: engine, term: term, demand: newDemand(settings.Shape, settings.HalfLife),
+		settings: settings, engine: engine, tokens: tokens, demand: newDemand(settings.Shape, settings.HalfLife),
 		evenPass: evenPass{expertShare: settings.ExpertShare}, slow: map[int]bool{},
 	}
 }
@@ -187,17 +183,12 @@
 	}
 }
 
-// nextToken returns the next fencing token of the term. Tokens of a later term are above all tokens of this one.
-func (c *Coordinator) nextToken() uint64 {
-	return c.term<<termBits | c.count.Add(1)
-}
-
 // nextFence returns the fencing token of the next order, the highest possible one if fencing is disabled.
 func (c *Coordinator) nextFence() uint64 {
 	if c.settings.Disabled.Fence {
 		return math.MaxUint64
 	}
-	return c.nextToken()
+	return c.tokens.next()
 }
 
 // readAll reads all ranks concurrently and passes the states to OnStates.
--- a/lockstep/coordinator_test.go
+++ b/lockstep/coordinator_test.go
@@ -40,7 +40,7 @@
 		}()
 		go g.run(ctx)
 		before := g.skew()
-		c := lockstep.NewCoordinator(lockstep.Settings{Group: "g", Shape: smallShape}, g.engine(), 1)
+		c := lockstep.NewCoordinator(lockstep.Settings{Group: "g", Shape: smallShape}, g.engine(), lockstep.NewTokens(1))
 		go func() { _ = c.Run(ctx) }()
 		time.Sleep(5 * time.Second)
 		require.Less(t, g.skew(), 1.15, "from %.2f", before)
@@ -84,7 +84,7 @@
 			}
 			return after, err
 		}
-		return lockstep.NewCoordinator(lockstep.Settings{Group: "g", Shape: smallShape, Disabled: without}, engine, 1)
+		return lockstep.NewCoordinator(lockstep.Settings{Group: "g", Shape: smallShape, Disabled: without}, engine, lockstep.NewTokens(1))
 	})
 }
 
@@ -108,7 +108,7 @@
 			}
 			return g.give(ctx, rank, order)
 		}
-		return lockstep.NewCoordinator(lockstep.Settings{Group: "g", Shape: smallShape, Disabled: without}, engine, 2)
+		return lockstep.NewCoordinator(lockstep.Settings{Group: "g", Shape: smallShape, Disabled: without}, engine, lockstep.NewTokens(2))
 	})
 }
 
@@ -169,10 +169,10 @@
 		return after, err
 	}
 	go func() {
-		_ = lockstep.NewCoordinator(lockstep.Settings{Group: "g", Shape: smallShape}, engine, 1).Run(first)
+		_ = lockstep.NewCoordinator(lockstep.Settings{Group: "g", Shape: smallShape}, engine, lockstep.NewTokens(1)).Run(first)
 	}()
 	<-first.Done()
-	second := lockstep.NewCoordinator(lockstep.Settings{Group: "g", Shape: smallShape, Disabled: without}, g.engine(), 2)
+	second := lockstep.NewCoordinator(lockstep.Settings{Group: "g", Shape: smallShape, Disabled: without}, g.engine(), lockstep.NewTokens(2))
 	go func() { _ = second.Run(ctx) }()
 	time.Sleep(10 * time.Second)
 	step := g.now()
@@ -203,7 +203,7 @@
 			}
 			return after, err
 		}
-		second := lockstep.NewCoordinator(lockstep.Settings{Group: "g", Shape: smallShape}, engine, 2)
+		second := lockstep.NewCoordinator(lockstep.Settings{Group: "g", Shape: smallShape}, engine, lockstep.NewTokens(2))
 		for range 3 {
 			_ = second.Reconcile(t.Context())
 		}
@@ -247,7 +247,7 @@
 	lead := func(term uint64) {
 		inner, stop := context.WithCancel(ctx)
 		leaders[term] = stop
-		c := lockstep.NewCoordinator(lockstep.Settings{Group: "g", Shape: smallShape}, g.engine(), term)
+		c := lockstep.NewCoordinator(lockstep.Settings{Group: "g", Shape: smallShape}, g.engine(), lockstep.NewTokens(term))
 		go func() { _ = c.Run(inner) }()
 	}
 	term := uint64(1)
@@ -329,7 +329,7 @@
 					if e.Kind == "switch" {
 						smallest = min(smallest, (e.Before-e.After)/e.Before)
 					}
-				}}, engine, 1)
+				}}, engine, lockstep.NewTokens(1))
 				ctx, cancel := context.WithCancel(t.Context())
 				go g.run(ctx)
 				go func() { _ = c.Run(ctx) }()
@@ -362,7 +362,7 @@
 			if e.Kind == "switched" {
 				switches.Add(1)
 			}
-		}}, engine, 1)
+		}}, engine, lockstep.NewTokens(1))
 		ctx, cancel := context.WithCancel(t.Context())
 		go g.run(ctx)
 		go func() { _ = c.Run(ctx) }()
@@ -412,10 +412,36 @@
 			},
 		}
 		shape := lockstep.Shape{Ranks: ranks, Sets: 1, Experts: ranks, Slots: 2, StagingSlots: 1}
-		c := lockstep.NewCoordinator(lockstep.Settings{Group: "g", Shape: shape}, engine, 1)
+		c := lockstep.NewCoordinator(lockstep.Settings{Group: "g", Shape: shape}, engine, lockstep.NewTokens(1))
 		ctx, cancel := context.WithTimeout(t.Context(), time.Minute)
 		defer cancel()
 		_ = c.Reconcile(ctx)
 		require.Zero(t, timeouts)
 	})
 }
+
+// Guards against a group whose map nobody balances any more. A coordinator with other settings replaces one of the same
+// term; if it counts its fencing tokens from the start, the ranks refuse its orders until the next term.
+func TestCoordinatorIsReplacedWithinATerm(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		g := newFakeGroup(1, smallShape)
+		ctx, cancel := context.WithCancel(t.Context())
+		defer func() {
+			cancel()
+			time.Sleep(time.Minute)
+		}()
+		go g.run(ctx)
+		tokens := lockstep.NewTokens(1)
+		for range 3 {
+			inner, stop := context.WithCancel(ctx)
+			c := lockstep.NewCoordinator(lockstep.Settings{Group: "g", Shape: smallShape}, g.engine(), tokens)
+			ended := make(chan error, 1)
+			go func() { ended <- c.Run(inner) }()
+			g.locked(g.shiftDemand)
+			time.Sleep(5 * time.Second)
+			stop()
+			require.NoError(t, <-ended)
+			require.Less(t, g.skew(), 1.5)
+		}
+	})
+}
--- a/lockstep/delayed_state_test.go
+++ b/lockstep/delayed_state_test.go
@@ -22,7 +22,7 @@
 	var events []lockstep.Event
 	settings := lockstep.Settings{Group: "g", Shape: smallShape, OnEvent: func(e lockstep.Event) { events = append(events, e) }}
 	go g.run(ctx)
-	go func() { _ = lockstep.NewCoordinator(settings, g.engine(), 1).Run(ctx) }()
+	go func() { _ = lockstep.NewCoordinator(settings, g.engine(), lockstep.NewTokens(1)).Run(ctx) }()
 	for range 5 {
 		time.Sleep(3 * time.Second)
 		g.locked(g.shiftDemand)
@@ -86,7 +86,7 @@
 		ctx, cancel := context.WithCancel(t.Context())
 		go g.run(ctx)
 		go func() {
-			_ = lockstep.NewCoordinator(lockstep.Settings{Group: "g", Shape: smallShape}, g.engine(), 2).Run(ctx)
+			_ = lockstep.NewCoordinator(lockstep.Settings{Group: "g", Shape: smallShape}, g.engine(), lockstep.NewTokens(2)).Run(ctx)
 		}()
 		time.Sleep(5 * time.Second)
 		cancel()
@@ -105,7 +105,7 @@
 		var events []lockstep.Event
 		settings := lockstep.Settings{Group: "g", Shape: smallShape, OnEvent: func(e lockstep.Event) { events = append(events, e) }}
 		go g.run(ctx)
-		go func() { _ = lockstep.NewCoordinator(settings, g.engine(), 1).Run(ctx) }()
+		go func() { _ = lockstep.NewCoordinator(settings, g.engine(), lockstep.NewTokens(1)).Run(ctx) }()
 		g.locked(func() { g.isIdle = true })
 		for range 5 {
 			time.Sleep(5 * time.Second)
--- a/lockstep/pass_time_test.go
+++ b/lockstep/pass_time_test.go
@@ -32,7 +32,7 @@
 					switches++
 				}
 			},
-		}, g.engine(), 1)
+		}, g.engine(), lockstep.NewTokens(1))
 		go g.run(ctx)
 		go func() { _ = c.Run(ctx) }()
 		time.Sleep(5 * time.Second)
--- a/lockstep/settle.go
+++ b/lockstep/settle.go
@@ -105,7 +105,7 @@
 // order disarms a version that no map has.
 func (c *Coordinator) raiseFences(ctx context.Context, epoch uint64) error {
 	return c.retryAll(ctx, func(ctx context.Context, rank int) (bool, error) {
-		_, err := c.sendOrder(ctx, rank, Order{Kind: Disarm, Version: c.nextToken(), Epoch: epoch})
+		_, err := c.sendOrder(ctx, rank, Order{Kind: Disarm, Version: c.tokens.next(), Epoch: epoch})
 		if eris.Is(err, ErrFenced) {
 			return false, err
 		}
--- a/lockstep/switch.go
+++ b/lockstep/switch.go
@@ -29,7 +29,7 @@
 func (c *Coordinator) switchMap(ctx context.Context, states []State, next []balance.Placement, event Event) error {
 	// A version is taken from the fencing tokens. Versions of one leader are therefore above those of all earlier
 	// leaders, and no two maps share a version.
-	event.Version = c.nextToken()
+	event.Version = c.tokens.next()
 	c.emit(event)
 	var phases phaseTimer
 	phases.start()
--- a/routed/group_coordinators.go
+++ b/routed/group_coordinators.go
@@ -76,7 +76,7 @@
 // or the term changes.
 func (g *groupCoordinators) run(ctx context.Context) error {
 	active := map[string]activeCoordinator{}
-	term := uint64(0)
+	term, tokens := uint64(0), lockstep.NewTokens(0)
 	for wait.For(ctx, reconcileInterval) {
 		current, leads := g.replica.Leading()
 		if !leads || current != term {
@@ -85,9 +85,11 @@
 				delete(active, name)
 			}
 		}
-		term = current
+		if current != term {
+			term, tokens = current, lockstep.NewTokens(current)
+		}
 		if leads {
-			g.reconcile(ctx, term, active)
+			g.reconcile(ctx, tokens, active)
 		}
 	}
 	for _, t := range active {
@@ -97,7 +99,7 @@
 }
 
 // reconcile starts coordinators for groups that have none, and restarts those whose settings changed.
-func (g *groupCoordinators) reconcile(ctx context.Context, term uint64, active map[string]activeCoordinator) {
+func (g *groupCoordinators) reconcile(ctx context.Context, tokens *lockstep.Tokens, active map[string]activeCoordinator) {
 	for name, settings := range g.desiredGroups() {
 		t, isActive := active[name]
 		if isActive && t.settings == settings {
@@ -112,7 +114,7 @@
 			Group: name, Shape: settings.shape, TargetPassTime: settings.targetPassTime,
 			GapObjective: settings.gapObjective, ExpertShare: settings.expertShare,
 			OnEvent: g.logEvent, OnStates: func(states []lockstep.State) { g.updateLoads(name, states) },
-		}, g.engine(name, settings.reportLag), term)
+		}, g.engine(name, settings.reportLag), tokens)
 		go func() {
 			if err := coordinator.Run(coordinatorContext); err != nil {
 				g.log.WithError(err).WithField("group", name).
--- a/routed/rank_link_test.go
+++ b/routed/rank_link_test.go
@@ -31,9 +31,11 @@
 
 	state, err := routed.ReadRank(t.Context(), lockstep.Remote{Client: silentSidecar{}}, engine, lag)
 	require.NoError(t, err)
-	require.Equal(t, lockstep.State{Step: 7, MaxAge: lag}, state)
+	require.Equal(t, uint64(7), state.Step)
+	require.Equal(t, lag, state.MaxAge)
 
 	state, err = routed.ReadRank(t.Context(), lockstep.Remote{Client: engine}, engine, lag)
 	require.NoError(t, err)
-	require.Equal(t, lockstep.State{Step: 7}, state)
+	require.Equal(t, uint64(7), state.Step)
+	require.Zero(t, state.MaxAge)
 }
