--- a/lockstep/switch.go
+++ b/lockstep/switch.go
@@ -3,6 +3,7 @@
 import (
 	"context"
 	"fmt"
+	"slices"
 	"time"
 
 	"github.com/rotisserie/eris"
@@ -171,16 +172,16 @@
 		if err != nil {
 			return err
 		}
-		pending := firstPending(deliveries)
-		if pending == nil {
+		rank := firstPending(deliveries)
+		if rank < 0 {
 			return nil
 		}
 		if now := time.Now(); now.Sub(noticedAt) > noticeInterval {
 			noticedAt = now
-			c.emit(Event{Kind: "waiting", Epoch: epoch, Version: order.Version, Step: order.Step, Detail: fmt.Sprintf(
-				"%s at rank %d: prepared %d, armed %d at %d, held %d, step %d, last error %v", order.Kind,
-				pending.state.Rank, pending.state.PreparedVersion, pending.state.ArmedVersion, pending.state.ArmedStep,
-				pending.state.HeldStep, pending.state.Step, pending.err)})
+			c.emit(Event{
+				Kind: "waiting", Epoch: epoch, Version: order.Version, Step: order.Step,
+				Detail: deliveries[rank].describe(order.Kind, rank),
+			})
 		}
 		if !wait.For(ctx, interval) {
 			return eris.Wrapf(ctx.Err(), "order %s for map version %d", order.Kind, order.Version)
@@ -188,14 +189,16 @@
 	}
 }
 
-// firstPending returns the first delivery that is not done, or nil.
-func firstPending(deliveries []delivery) *delivery {
-	for rank := range deliveries {
-		if !deliveries[rank].isDone {
-			return &deliveries[rank]
-		}
-	}
-	return nil
+// firstPending returns the first rank whose delivery is not done, or -1.
+func firstPending(deliveries []delivery) int {
+	return slices.IndexFunc(deliveries, func(d delivery) bool { return !d.isDone })
+}
+
+// describe returns a text on an order that is not done yet.
+func (d *delivery) describe(kind Kind, rank int) string {
+	s := d.state
+	return fmt.Sprintf("%s at rank %d: prepared %d, armed %d at %d, held %d, step %d, last error %v",
+		kind, rank, s.PreparedVersion, s.ArmedVersion, s.ArmedStep, s.HeldStep, s.Step, d.err)
 }
 
 // orderRank sends an order to a rank unless the rank has answered it already, and checks whether the order has taken
--- a/routed/group_coordinators.go
+++ b/routed/group_coordinators.go
@@ -98,9 +98,17 @@
 	return nil
 }
 
-// reconcile starts coordinators for groups that have none, and restarts those whose settings changed.
+// reconcile starts coordinators for groups that have none, restarts those whose settings changed, and stops those of
+// groups that no upstream announces.
 func (g *groupCoordinators) reconcile(ctx context.Context, tokens *lockstep.Tokens, active map[string]activeCoordinator) {
-	for name, settings := range g.desiredGroups() {
+	desired := g.desiredGroups()
+	for name, t := range active {
+		if _, isDesired := desired[name]; !isDesired {
+			t.cancel()
+			delete(active, name)
+		}
+	}
+	for name, settings := range desired {
 		t, isActive := active[name]
 		if isActive && t.settings == settings {
 			continue
