--- a/spec/lockstep.pml
+++ b/spec/lockstep.pml
@@ -119,6 +119,9 @@
 /* Removes what an earlier leader left behind; base is the index of the first order. First, every rank gets an order of
  * this term that changes nothing. After that, orders of earlier terms have no effect. */
 inline settle(base) {
+#ifdef DELAYED_STATE
+	atomic { early = armed[1]; earlyStep = armedStep[1] };
+#endif
 	who = 0;
 	do
 	:: atomic { who < RANKS ->
@@ -133,7 +136,12 @@
 	od;
 	/* The leader reads the ranks one after the other. */
 	atomic { seen[0] = armed[0]; at = armedStep[0] };
+#ifdef DELAYED_STATE
+	/* Rank 1 reports the state that it had before the orders of this term. */
+	atomic { seen[1] = early; at = (at == 0 || earlyStep != 0 && earlyStep < at -> earlyStep : at) };
+#else
 	atomic { seen[1] = armed[1]; at = (at == 0 || armedStep[1] != 0 && armedStep[1] < at -> armedStep[1] : at) };
+#endif
 	if
 	:: seen[0] != 0 || seen[1] != 0 ->
 #ifndef NO_OWN_HOLD
@@ -172,6 +180,9 @@
 proctype Leader(byte term) {
 	byte base = (term - 1) * ORDERS;
 	byte seen[RANKS], at, who;
+#ifdef DELAYED_STATE
+	byte early, earlyStep;
+#endif
 #ifndef NO_SETTLE
 	if
 	:: term > 1 -> settle(base)
@@ -192,9 +203,14 @@
 	fi;
 #endif
 	atomic { send(base + ARMS, ARM, 0, term, at); send(base + ARMS + 1, ARM, 1, term, at) };
+#ifdef ARM_BY_ANSWER
+	AWAIT(state[base + ARMS] == DONE);
+	AWAIT(state[base + ARMS + 1] == DONE);
+#else
 #ifndef NO_READBACK
 	AWAIT(armed[0] == term && armedStep[0] == at);
 	AWAIT(armed[1] == term && armedStep[1] == at);
+#endif
 #endif
 	send(base + SWITCH_GO, GO, 0, 0, at);
 stopped:
