admission: an admitted attempt stays one under any epoch

What callers saw: nothing; a fault noticed by reading. Cause: a start under another epoch than that of the admitted attempt went past it, was admitted anew and released a second time, so a call that may not be repeated could run twice. Our entries keep the epoch of an attempt; users of the library need not. Change: an attempt that the gate holds is returned in its state, whatever the epoch. Test: TestAttemptOfAnOldEpochIsNotReleasedAgain fails before (state queued, expected running) and passes now.

--- a/admission/gate.go
+++ b/admission/gate.go
@@ -151,13 +151,13 @@
 // Call returns the attempt, or nil if the gate does not hold it.
 func (g *Gate) Call(id AttemptID) *Call { return g.calls[id] }
 
-// Start admits an attempt and returns it. An attempt that was already admitted is returned in its present state, so
-// that an entry can ask again over a new connection. A refusal with the outcome NotRun guarantees that the attempt did
+// Start admits an attempt and returns it. An attempt that was already admitted is returned in its present state, under
+// any epoch, so that an entry can ask again over a new connection. A refusal with the outcome NotRun guarantees that the attempt did
 // not run and never will, because the gate bars it. A refusal because of the epoch or a stale sequence number has the
 // outcome Unknown, since an earlier copy of the attempt may have run. An entry that sent only one copy can conclude
 // that the attempt did not run.
 func (g *Gate) Start(now time.Time, request StartRequest) (*Call, *outcome.Error) {
-	if call, known := g.calls[request.ID]; known && request.Epoch == call.Request.Epoch {
+	if call, known := g.calls[request.ID]; known {
 		call.Touched = now
 		return call, nil
 	}
--- a/admission/gate_test.go
+++ b/admission/gate_test.go
@@ -185,3 +185,26 @@
 	require.Equal(t, outcome.Unknown, refusal.Outcome, "an earlier copy may have run")
 	require.Equal(t, outcome.Unknown, gate.Cancel(start, 1, old.ID, old.Entry, old.Sequence))
 }
+
+// Guards against a call that runs twice. The gate begins a new epoch while an attempt runs, and the entry, which has
+// learned the new epoch, asks for the attempt again.
+func TestAttemptOfAnOldEpochIsNotReleasedAgain(t *testing.T) {
+	gate := admission.NewGate("levis-1", 7, limits)
+	request := startRequest(gate, 0, 1)
+	_, refusal := gate.Start(start, request)
+	require.Nil(t, refusal)
+	released, _ := gate.Next(start)
+	require.Equal(t, request.ID, released.Request.ID)
+	for entry := 1; gate.Epoch() == 7; entry++ {
+		_, refusal := gate.Start(start, startRequest(gate, entry, 2))
+		require.Nil(t, refusal)
+		other, _ := gate.Next(start)
+		gate.End(start, other.Request.ID)
+	}
+	request.Epoch = gate.Epoch()
+	again, refusal := gate.Start(start, request)
+	require.Nil(t, refusal)
+	require.Equal(t, admission.Running, again.State)
+	next, _ := gate.Next(start)
+	require.Nil(t, next, "the attempt is released a second time")
+}
