lockstep, forward, routed: read-through of the change

Cause: the diff read as by a newcomer. Change: fencing tokens belong to a term also when leadership is not known for a moment within it; while a state is older than the order, the coordinator waits for as long as the state is behind in place of reading all ranks each 15 ms; hasAllRanks asks as the new check does, group by group, so that two half groups are no whole one; the phases of a switch without an empty one; shorter comments.

--- a/forward/fleet.go
+++ b/forward/fleet.go
@@ -75,7 +75,7 @@
 	// view is an immutable index of the ready upstreams by service.
 	view struct {
 		services map[string][]*Upstream
-		// incompleteSince holds, for each service with groups of which none has all its ranks, since when that is so.
+		// incompleteSince holds the services whose groups all lack a rank, and since when.
 		incompleteSince map[string]time.Time
 	}
 )
@@ -231,8 +231,8 @@
 	}
 }
 
-// incompleteServices returns the services with groups of which none has all its ranks, and since when that is so. The
-// earlier times are kept.
+// incompleteServices returns the services whose groups all lack a rank, and since when. A service that was incomplete
+// before keeps its time.
 func incompleteServices(services map[string][]*Upstream, earlier map[string]time.Time, now time.Time) map[string]time.Time {
 	incomplete := map[string]time.Time{}
 	for service, upstreams := range services {
@@ -260,7 +260,7 @@
 	return false
 }
 
-// lacksRanks reports whether no group of a service has had all its ranks for lostRankTimeout.
+// lacksRanks reports whether all groups of a service have lacked a rank for longer than lostRankTimeout.
 func (f *Fleet) lacksRanks(service string, now time.Time) bool {
 	since, isIncomplete := f.view.Load().incompleteSince[service]
 	return isIncomplete && now.Sub(since) > lostRankTimeout
--- a/forward/outage.go
+++ b/forward/outage.go
@@ -22,7 +22,7 @@
 	// the random part.
 	retryAfterShare = 0.3
 	// lostRankTimeout is the time without a heartbeat of a rank to control after which its group is not expected to
-	// form again soon, also the time for which it may lack a rank.
+	// form again soon. It is also how long a group may lack a rank before requests stop waiting for it.
 	lostRankTimeout = 2 * time.Second
 )
 
--- a/forward/warmup.go
+++ b/forward/warmup.go
@@ -105,8 +105,5 @@
 	}
 }
 
-// hasAllRanks reports whether the fleet knows as many upstreams of a service as the group size that they announce.
-func (f *Fleet) hasAllRanks(service string) bool {
-	upstreams := f.Service(service)
-	return len(upstreams) > 0 && len(upstreams) >= upstreams[0].Instance().Group.Size
-}
+// hasAllRanks reports whether the fleet knows an upstream of a service that stands alone, or all ranks of a group.
+func (f *Fleet) hasAllRanks(service string) bool { return hasCompleteGroup(f.Service(service)) }
--- a/lockstep/coordinator.go
+++ b/lockstep/coordinator.go
@@ -206,10 +206,14 @@
 func (c *Coordinator) readAllSince(ctx context.Context, since time.Time) ([]State, error) {
 	for {
 		states, err := c.readAll(ctx, false, false)
-		if err != nil || len(statesSince(states, since)) == len(states) {
-			return states, err
+		if err != nil {
+			return nil, err
 		}
-		if !wait.For(ctx, pollInterval) {
+		oldest := slices.MinFunc(states, func(a, b State) int { return a.asOf.Compare(b.asOf) }).asOf
+		if !oldest.Before(since) {
+			return states, nil
+		}
+		if !wait.For(ctx, since.Sub(oldest)) {
 			return nil, ctx.Err()
 		}
 	}
--- a/lockstep/phase_timer.go
+++ b/lockstep/phase_timer.go
@@ -9,18 +9,19 @@
 // phaseTimer measures the phases of a switch. A phase is named by its order.
 type phaseTimer struct {
 	began time.Time
-	text  []string
+	ended []string
 }
 
 func (p *phaseTimer) start() { p.began = time.Now() }
 
 // end ends a phase. The next one begins.
 func (p *phaseTimer) end(phase Kind) {
-	p.text = append(p.text, fmt.Sprintf("%s %v", phase, time.Since(p.began).Round(time.Millisecond)))
+	p.ended = append(p.ended, fmt.Sprintf("%s %v", phase, p.sinceLast()))
 	p.start()
 }
 
-// String lists the phases that have ended and the time since then.
-func (p phaseTimer) String() string {
-	return strings.Join(append(p.text, fmt.Sprintf("since then %v", time.Since(p.began).Round(time.Millisecond))), ", ")
-}
+// sinceLast returns the time since the last phase ended.
+func (p *phaseTimer) sinceLast() time.Duration { return time.Since(p.began).Round(time.Millisecond) }
+
+// String lists the phases that have ended.
+func (p *phaseTimer) String() string { return strings.Join(p.ended, ", ") }
--- a/lockstep/sidecar.go
+++ b/lockstep/sidecar.go
@@ -129,10 +129,10 @@
 	}
 }
 
-// withEncodedMap returns the order with its map encoded, so that it is encoded once for all ranks.
+// withEncodedMap returns the order with its map encoded, so that it is encoded once for all ranks. If that fails, the map
+// is encoded for each rank, and the call of the rank returns the error.
 func (o Order) withEncodedMap() Order {
-	encoded, err := proto.Marshal(mapMessageOf(o.Map))
-	if err == nil {
+	if encoded, err := proto.Marshal(mapMessageOf(o.Map)); err == nil {
 		o.encodedMap = encoded
 	}
 	return o
--- a/lockstep/switch.go
+++ b/lockstep/switch.go
@@ -32,7 +32,7 @@
 	// leaders, and no two maps share a version.
 	event.Version = c.tokens.next()
 	c.emit(event)
-	var phases phaseTimer
+	phases := &phaseTimer{}
 	phases.start()
 	if err := c.prepare(ctx, states[0].Epoch, event.Version, next); err != nil {
 		return c.abandon(event, phases, err)
@@ -64,8 +64,8 @@
 }
 
 // abandon reports a switch that ended before its hold took effect, and returns the error that ended it.
-func (c *Coordinator) abandon(event Event, phases phaseTimer, err error) error {
-	event.Kind, event.Detail = "abandoned", fmt.Sprintf("%v; %v", err, phases)
+func (c *Coordinator) abandon(event Event, phases *phaseTimer, err error) error {
+	event.Kind, event.Detail = "abandoned", fmt.Sprintf("%v; %v, then %v", err, phases, phases.sinceLast())
 	c.emit(event)
 	return err
 }
@@ -97,8 +97,10 @@
 		if eris.Is(err, ErrInvalidState) && attempt < maxHoldAttempts {
 			continue
 		}
-		// The rank may still execute an unanswered hold, so the group is settled before the next switch.
-		c.isSettled = c.isSettled && eris.Is(err, ErrInvalidState)
+		if !eris.Is(err, ErrInvalidState) {
+			// The rank may still execute the unanswered hold, so the group is settled before the next switch.
+			c.isSettled = false
+		}
 		return 0, eris.Wrapf(err, "hold pass %d at rank %d, read at pass %d or up to %v later, with pass %d held",
 			step, holdRank, state.Step, state.MaxAge, state.HeldStep)
 	}
--- a/routed/group_coordinators.go
+++ b/routed/group_coordinators.go
@@ -85,12 +85,13 @@
 				delete(active, name)
 			}
 		}
+		if !leads {
+			continue
+		}
 		if current != term {
 			term, tokens = current, lockstep.NewTokens(current)
 		}
-		if leads {
-			g.reconcile(ctx, tokens, active)
-		}
+		g.reconcile(ctx, tokens, active)
 	}
 	for _, t := range active {
 		t.cancel()
