lockstep: TestHoldIsNeeded arms one rank after the other

Change: the orders of the test take turns, so the passes always begin between the first arm and the second.

--- a/lockstep/coordinator_test.go
+++ b/lockstep/coordinator_test.go
@@ -69,8 +69,11 @@
 // hold it reaches the armed pass too early.
 func TestHoldIsNeeded(t *testing.T) {
 	requireMechanismNeeded(t, lockstep.Mechanisms{Hold: true}, func(g *fakeGroup, without lockstep.Mechanisms) *lockstep.Coordinator {
-		engine, arms := g.engine(), 0
+		engine, arms, turn := g.engine(), 0, make(chan struct{}, 1)
 		engine.Give = func(ctx context.Context, rank int, order lockstep.Order) (*lockstep.State, error) {
+			// One order at a time, so that the passes begin before the next rank is armed.
+			turn <- struct{}{}
+			defer func() { <-turn }()
 			after, err := g.give(ctx, rank, order)
 			isFirst := false
 			g.locked(func() {
