forward, routed: a line for each exchange that an upstream broke off

Cause of the change: the lines of an entry could not tell the three hypotheses of the resent deadly request apart. A request whose caller had left had no line at all, no line said how an exchange had ended, and nothing was the same for two sendings. Change: 'upstream broke off' with upstream, incarnation, events, time since sending and a fingerprint of organisation, host, target and body; counter broken_exchanges; a line for requests whose callers left between attempts. Bounded like the other lines. Ruled out: nothing yet; no logic changed.

--- a/forward/attempt.go
+++ b/forward/attempt.go
@@ -51,6 +51,8 @@
 		conn      *upstream.Connection
 		// isBodyRead is set once the response was read to its end, so that the connection can be reused.
 		isBodyRead bool
+		// events counts the events of a stream that have arrived.
+		events int
 		// isMigrating is set when the exchange was aborted to continue at another upstream.
 		isMigrating atomic.Bool
 	}
@@ -224,10 +226,24 @@
 	}
 	if a.job.request.Context().Err() == nil && !a.isPastDeadline(err) {
 		a.upstream.recordBroken(time.Now())
+		a.reportBreakage(err)
 	}
 	return broken
 }
 
+// reportBreakage calls Settings.OnBreakage.
+func (a *attempt) reportBreakage(cause error) {
+	report := a.job.server.settings.OnBreakage
+	if report == nil {
+		return
+	}
+	instance := a.upstream.Instance()
+	report(Breakage{
+		Request: a.job.id, Service: a.job.service, Upstream: instance.ID, Born: instance.Born,
+		Fingerprint: a.job.fingerprint(), After: time.Since(a.started), Events: a.events, Cause: cause,
+	})
+}
+
 // isPastDeadline reports whether the exchange timed out because the deadline of the request was reached.
 func (a *attempt) isPastDeadline(err error) bool {
 	var timeout net.Error
--- a/forward/decision.go
+++ b/forward/decision.go
@@ -1,6 +1,10 @@
 package forward
 
-import "time"
+import (
+	"time"
+
+	"guavahitch.example/guavahitch/quarantine"
+)
 
 // Decision describes how a request ended and why, for logs and metrics.
 type Decision struct {
@@ -27,3 +31,18 @@
 	// limit was applied, as for a service without engines; InFlight then counts this entry only.
 	InFlight, Limit int
 }
+
+// Breakage describes an exchange that an upstream broke off, for logs.
+type Breakage struct {
+	Request  string
+	Service  string
+	Upstream string
+	// Born is the start of the upstream's incarnation, as it announced it.
+	Born int64
+	// Fingerprint is the same for each sending of the request, whatever its ID.
+	Fingerprint quarantine.Fingerprint
+	// After is the time from the sending of the request, Events the number of events that arrived.
+	After  time.Duration
+	Events int
+	Cause  error
+}
--- a/forward/job.go
+++ b/forward/job.go
@@ -6,6 +6,7 @@
 	"strconv"
 	"time"
 
+	"guavahitch.example/guavahitch/quarantine"
 	"guavahitch.example/guavahitch/route"
 )
 
@@ -84,7 +85,11 @@
 		}
 		a := newAttempt(j, u, j.admission)
 		result := a.run()
-		if result == answered || j.request.Context().Err() != nil {
+		if result == answered {
+			return
+		}
+		if j.request.Context().Err() != nil {
+			j.logDecision("caller gone", 0)
 			return
 		}
 		j.recordAttempt(a, result)
@@ -100,6 +105,11 @@
 	return j.server.pick(j.service, j.tried, time.Now())
 }
 
+// fingerprint identifies the request by organisation, host, target and body, so that each sending of it has the same one.
+func (j *job) fingerprint() quarantine.Fingerprint {
+	return quarantine.NewFingerprint(j.organisation, j.request.Host+j.request.RequestURI, j.body)
+}
+
 func (j *job) recordAttempt(a *attempt, v attemptResult) {
 	j.tried = append(j.tried, a.upstream)
 	if v == unsent {
--- a/forward/relay.go
+++ b/forward/relay.go
@@ -35,6 +35,7 @@
 		if err != nil {
 			return a.fail(err)
 		}
+		a.events++
 		now := time.Now()
 		j.recordPause(now, now.Sub(previous), isFirst)
 		a.admission.recordEvent(j, now, now.Sub(previous), isFirst)
--- a/forward/settings.go
+++ b/forward/settings.go
@@ -81,6 +81,8 @@
 		Retry             RetryLimits
 		// Log is called at the end of each request, unless it is nil.
 		Log func(Decision)
+		// OnBreakage is called for each exchange that an upstream broke off, unless it is nil.
+		OnBreakage func(Breakage)
 		// OnOutage is called when the group of a service goes down and when it serves again, unless it is nil.
 		OnOutage func(Outage)
 		// Random returns a number in [0, 1). Tests set it to replace the default generator.
--- a/quarantine/fingerprint.go
+++ b/quarantine/fingerprint.go
@@ -9,6 +9,7 @@
 import (
 	"crypto/sha256"
 	"encoding/binary"
+	"encoding/hex"
 )
 
 // Fingerprint identifies a request by organisation, route and body, so that a resent request has the same one.
@@ -42,6 +43,9 @@
 // Bytes returns the fingerprint as encoded in messages.
 func (f Fingerprint) Bytes() []byte { return append([]byte(nil), f[:]...) }
 
+// String returns the fingerprint in hexadecimal, for logs.
+func (f Fingerprint) String() string { return hex.EncodeToString(f[:]) }
+
 // Key returns a number derived from the fingerprint, from which all entries choose the same upstream for the trial of
 // a suspect.
 func (f Fingerprint) Key() uint64 { return binary.LittleEndian.Uint64(f[:]) }
--- a/routed/entry.go
+++ b/routed/entry.go
@@ -89,6 +89,7 @@
 	e := &Entry{settings: settings, drained: make(chan struct{})}
 	requests := newRequestLog(settings.Log, settings.scope())
 	settings.Forward.Log, settings.Forward.OnOutage = requests.write, requests.logOutage
+	settings.Forward.OnBreakage = requests.logBreakage
 	e.fleet = forward.NewFleet(settings.Forward)
 	e.server = forward.NewServer(settings.Forward, e.fleet)
 	e.follower = registry.NewFollower(registry.FollowerSettings{
--- a/routed/request_log.go
+++ b/routed/request_log.go
@@ -54,12 +54,10 @@
 // write counts a request that ended and logs it, unless the limit of lines is reached.
 func (d *requestLog) write(decision forward.Decision) {
 	d.count(decision)
-	skipped := <-d.skippedLines
-	if !d.limiter.Allow() {
-		d.skippedLines <- skipped + 1
+	skipped, isAllowed := d.allowLine()
+	if !isAllowed {
 		return
 	}
-	d.skippedLines <- 0
 	fields := logrus.Fields{
 		"request": decision.Request, "status": decision.Status, "route": decision.Route, "service": decision.Service,
 		"version": decision.Version, "upstream": decision.Upstream, "attempts": decision.Attempts,
@@ -76,6 +74,34 @@
 	d.log.WithFields(fields).Info(decision.Reason)
 }
 
+// allowLine reports whether another line may be written, and how many were suppressed since the last one.
+func (d *requestLog) allowLine() (skipped int, isAllowed bool) {
+	skipped = <-d.skippedLines
+	if !d.limiter.Allow() {
+		d.skippedLines <- skipped + 1
+		return 0, false
+	}
+	d.skippedLines <- 0
+	return skipped, true
+}
+
+// logBreakage counts and logs an exchange that an upstream broke off, unless the limit of lines is reached.
+func (d *requestLog) logBreakage(b forward.Breakage) {
+	d.scope.Tagged(map[string]string{"service": b.Service}).Counter("broken_exchanges").Inc(1)
+	skipped, isAllowed := d.allowLine()
+	if !isAllowed {
+		return
+	}
+	fields := logrus.Fields{
+		"request": b.Request, "fingerprint": b.Fingerprint.String(), "service": b.Service, "upstream": b.Upstream,
+		"born": b.Born, "after_ms": milliseconds(b.After), "events": b.Events,
+	}
+	if skipped > 0 {
+		fields["lines_skipped"] = skipped
+	}
+	d.log.WithError(b.Cause).WithFields(fields).Warn("upstream broke off")
+}
+
 // logOutage logs that a group is down or is serving again.
 func (d *requestLog) logOutage(o forward.Outage) {
 	down := d.scope.Tagged(map[string]string{"service": o.Service}).Gauge("group_down")
