routed: a failing test for a deadly request that is resent through all entries

Seen: one request that ends the upstream that runs it, resent each 0.1 s through three entries, reached twelve upstreams 36 times in four seconds; six are allowed.

--- a/routed/entry_test.go
+++ b/routed/entry_test.go
@@ -45,7 +45,7 @@
 		Version:  1,
 		Services: []route.Service{{Name: "matching"}},
 		Routes: []route.Route{{
-			Name: "r", Host: "bank.test", Prefix: "/match/", Kind: route.Stream, Timeout: 10 * time.Second, Attempts: 1,
+			Name: "r", Host: "bank.test", Prefix: "/match/", Kind: route.Stream, Timeout: 10 * time.Second, Attempts: 2, IsResumable: true,
 			Split: []route.Share{{Service: "matching", Weight: 1}},
 		}},
 	}, nil
