quarantine, forward, registry: entries remember requests that end upstreams, and tell each other

Callers saw: one request, resent by its caller, ended upstream after upstream of btl for as long as it came; other callers' streams were refused meanwhile. Cause: what a request broke was forgotten with the request. forward suspended the upstream, never the request, and the memory that package quarantine has served the chat interface only, behind reports of sidecars and a leader. Class: harm is recorded at the victim, not at its cause. Ruled out as cause: attempts beyond those of the route, and copies under way. Why it works: a broken exchange whose upstream then accepts no connection is a crash; what ran there is suspect. Two crashes, the second sent after the first, refuse the request (503, it has not run) at every entry. Evidence is a set that only grows, passed on through every replica that an entry reaches, without a leader; all that hold the same set refuse the same. Not counted: upstreams that end together, crashes before an answer that went on well, crashes that another deadly request explains. The tracker of the chat interface is the same one: its reports lack times of sending, so its rules stay, but a crash explained by a proved request no longer counts against others, and a request is tried again after its 24 hours.

--- a/forward/attempt.go
+++ b/forward/attempt.go
@@ -51,8 +51,13 @@
 		conn      *upstream.Connection
 		// isBodyRead is set once the response was read to its end, so that the connection can be reused.
 		isBodyRead bool
-		// events counts the events of a stream that have arrived.
-		events int
+		// isSent is set once the request was written to the upstream.
+		isSent bool
+		// events counts the events of a stream that have arrived, the first of them at firstEvent.
+		events     int
+		firstEvent time.Time
+		// isWell is set once the answer has gone on long enough or has ended whole.
+		isWell bool
 		// isMigrating is set when the exchange was aborted to continue at another upstream.
 		isMigrating atomic.Bool
 	}
@@ -83,6 +88,7 @@
 	if err := a.conn.Send(a.job.request.Method, a.job.request.RequestURI, a.job.request.Host, a.header(), a.job.body); err != nil {
 		return a.fail(err)
 	}
+	a.isSent = true
 	response, err := a.conn.Receive(a.job.request.Method, a.matchesRequest)
 	if err != nil {
 		return a.fail(err)
@@ -206,6 +212,9 @@
 	if isFailure && a.shouldRetryFailure(now) {
 		return broken
 	}
+	if !isFailure {
+		a.recordProgress()
+	}
 	a.job.deliver(response, body)
 	return answered
 }
@@ -227,6 +236,9 @@
 	if a.job.request.Context().Err() == nil && !a.isPastDeadline(err) {
 		a.upstream.recordBroken(time.Now())
 		a.reportBreakage(err)
+		if !isTimeout(err) {
+			a.suspectCrash()
+		}
 	}
 	return broken
 }
@@ -246,8 +258,12 @@
 
 // isPastDeadline reports whether the exchange timed out because the deadline of the request was reached.
 func (a *attempt) isPastDeadline(err error) bool {
+	return isTimeout(err) && a.job.deadline.Sub(time.Now()) < minRetryTime
+}
+
+func isTimeout(err error) bool {
 	var timeout net.Error
-	return errors.As(err, &timeout) && timeout.Timeout() && a.job.deadline.Sub(time.Now()) < minRetryTime
+	return errors.As(err, &timeout) && timeout.Timeout()
 }
 
 // deliver sends a complete response to the caller.
--- a/forward/decision.go
+++ b/forward/decision.go
@@ -4,6 +4,7 @@
 	"time"
 
 	"guavahitch.example/guavahitch/quarantine"
+	"guavahitch.example/guavahitch/wire"
 )
 
 // Decision describes how a request ended and why, for logs and metrics.
@@ -46,3 +47,14 @@
 	Events int
 	Cause  error
 }
+
+// Crash describes the end of an upstream while it ran requests of this entry.
+type Crash struct {
+	Upstream string
+	// Born is the start of the incarnation that ended.
+	Born int64
+	// Running counts the requests of this entry that may have ended it.
+	Running int
+	// Verdicts are those on the requests that were running.
+	Verdicts []*wire.Quarantine
+}
--- a/forward/fleet.go
+++ b/forward/fleet.go
@@ -44,6 +44,7 @@
 		// isGroupDown is set for a rank of a group that is not running.
 		isGroupDown atomic.Bool
 		migratable  migratable
+		crash       crashWatch
 
 		mutex          sync.Mutex
 		lastHeartbeat  time.Time
--- a/forward/job.go
+++ b/forward/job.go
@@ -55,6 +55,10 @@
 	migrated int
 	// mayHaveRun is set when an upstream may have run the request.
 	mayHaveRun bool
+	// deadly is the refusal of the memory, set if it did not let the next attempt start.
+	deadly *refusal
+	// printed holds the fingerprint once it was computed.
+	printed *quarantine.Fingerprint
 	// isHeadSent is set once the head of a stream was sent to the caller. lastEvent is the ID of the last event that
 	// was sent, valid if hasEvent is set.
 	isHeadSent bool
@@ -70,6 +74,10 @@
 func (j *job) run() {
 	s := j.server
 	j.service = j.route.Choose(s.random())
+	if refused := j.deadlyRefusal(); refused != nil {
+		j.refuse(refused)
+		return
+	}
 	j.admission = s.admission(j.service, j.table.Service(j.service))
 	if refused := j.awaitAdmission(); refused != nil {
 		j.refuse(refused)
@@ -79,7 +87,7 @@
 	s.budget(j.service).RecordFirstAttempt(time.Now())
 	for {
 		u := j.nextUpstream()
-		if u == nil {
+		if u == nil || !j.mayStart() {
 			j.giveUp()
 			return
 		}
@@ -107,7 +115,11 @@
 
 // fingerprint identifies the request by organisation, host, target and body, so that each sending of it has the same one.
 func (j *job) fingerprint() quarantine.Fingerprint {
-	return quarantine.NewFingerprint(j.organisation, j.request.Host+j.request.RequestURI, j.body)
+	if j.printed == nil {
+		f := quarantine.NewFingerprint(j.organisation, j.request.Host+j.request.RequestURI, j.body)
+		j.printed = &f
+	}
+	return *j.printed
 }
 
 func (j *job) recordAttempt(a *attempt, v attemptResult) {
@@ -160,6 +172,10 @@
 	}
 	isLate := j.deadline.Sub(time.Now()) < minRetryTime
 	switch {
+	case j.deadly != nil && !j.mayHaveRun:
+		j.refuse(j.deadly)
+	case j.deadly != nil:
+		j.refuse(&refusal{status: http.StatusBadGateway, reason: reasonDeadly})
 	case !j.mayHaveRun:
 		j.refuse(&refusal{status: http.StatusServiceUnavailable, reason: "no upstream", retryAfter: j.retryAfter()})
 	case isLate:
--- /dev/null
+++ b/forward/quarantine.go
@@ -0,0 +1,143 @@
+package forward
+
+import (
+	"context"
+	"fmt"
+	"net/http"
+	"sync"
+	"time"
+
+	"guavahitch.example/guavahitch/quarantine"
+	"guavahitch.example/guavahitch/upstream"
+	"guavahitch.example/guavahitch/wire"
+)
+
+// This file tells the memory of the entry which requests were running when an upstream ended, and refuses those that the
+// memory knows to end upstreams.
+
+const (
+	// progressTime is how long an answer must go on after its first event to show that the request does not end its
+	// upstream.
+	progressTime = 250 * time.Millisecond
+	// crashProbeDelay is the time from a broken exchange to the connect that tells whether the upstream is gone. The
+	// connections of a process that ends may close before its listener does.
+	crashProbeDelay = 20 * time.Millisecond
+	reasonDeadly    = "deadly request"
+)
+
+// crashWatch holds the exchanges that an upstream broke off, until it is known whether the upstream is gone.
+type crashWatch struct {
+	mutex     sync.Mutex
+	isProbing bool
+	// firstBroken is when the first exchange broke since the upstream was last known to be there.
+	firstBroken time.Time
+	suspects    []*wire.Suspect
+}
+
+// add adds the request of an exchange that just broke, and reports whether the caller is to probe the upstream.
+func (w *crashWatch) add(suspect *wire.Suspect, sent, now time.Time) bool {
+	w.mutex.Lock()
+	defer w.mutex.Unlock()
+	if w.firstBroken.IsZero() {
+		w.firstBroken = now
+	}
+	suspect.RanMs = max(w.firstBroken.Sub(sent).Milliseconds(), 1)
+	w.suspects = append(w.suspects, suspect)
+	isFirst := !w.isProbing
+	w.isProbing = true
+	return isFirst
+}
+
+// take ends a probe and returns the requests of the broken exchanges. If the upstream is there, the exchanges broke for
+// another reason and are forgotten.
+func (w *crashWatch) take(isGone bool) (suspects []*wire.Suspect, firstBroken time.Time) {
+	w.mutex.Lock()
+	defer w.mutex.Unlock()
+	suspects, firstBroken = w.suspects, w.firstBroken
+	w.isProbing, w.suspects = false, nil
+	if !isGone {
+		w.firstBroken = time.Time{}
+		return nil, time.Time{}
+	}
+	return suspects, firstBroken
+}
+
+// suspectCrash adds the request of a broken exchange to those that may have ended the upstream, unless its answer went on
+// well before.
+func (a *attempt) suspectCrash() {
+	if !a.isSent || a.isWell {
+		return
+	}
+	j := a.job
+	f := j.fingerprint()
+	suspect := &wire.Suspect{Fingerprint: f.Bytes(), Organisation: j.organisation, Repeatable: j.route.IsRepeatable()}
+	if a.upstream.crash.add(suspect, a.started, time.Now()) {
+		go j.server.probeCrash(a.upstream)
+	}
+}
+
+// probeCrash connects to an upstream that broke off exchanges. If that fails, the upstream is gone, and the requests are
+// reported to the memory.
+func (s *Server) probeCrash(u *Upstream) {
+	time.Sleep(crashProbeDelay)
+	instance := u.Instance()
+	conn, err := upstream.Dial(context.Background(), instance.Address, s.settings.ConnectTimeout)
+	if err == nil {
+		conn.Close()
+	}
+	suspects, at := u.crash.take(err != nil)
+	if len(suspects) == 0 {
+		return
+	}
+	now := time.Now()
+	verdicts := s.settings.Memory.RecordDeath(now, &wire.DeathReport{
+		Upstream: instance.ID, CrashId: fmt.Sprintf("%s/%d", instance.ID, instance.Born), Running: suspects,
+		AgeMs: now.Sub(at).Milliseconds(),
+	})
+	if s.settings.OnCrash != nil {
+		s.settings.OnCrash(Crash{Upstream: instance.ID, Born: instance.Born, Running: len(suspects), Verdicts: verdicts})
+	}
+}
+
+// recordProgress tells the memory that the answer to the request went on well.
+func (a *attempt) recordProgress() {
+	if a.isWell {
+		return
+	}
+	a.isWell = true
+	memory := a.job.server.settings.Memory
+	if !memory.IsEmpty() {
+		memory.RecordProgress(time.Now(), a.job.organisation, a.job.fingerprint())
+	}
+}
+
+// recordEventTime records that an event arrived, and the progress once the answer has gone on for progressTime.
+func (a *attempt) recordEventTime(now time.Time) {
+	a.events++
+	if a.events == 1 {
+		a.firstEvent = now
+	}
+	if now.Sub(a.firstEvent) >= progressTime {
+		a.recordProgress()
+	}
+}
+
+// deadlyRefusal returns the refusal of a request that the memory knows to end upstreams, or nil.
+func (j *job) deadlyRefusal() *refusal { return j.refusalBy(j.server.settings.Memory.Check) }
+
+// mayStart reports whether the memory lets the next attempt start. It refuses a further attempt of a request on trial.
+func (j *job) mayStart() bool {
+	j.deadly = j.refusalBy(j.server.settings.Memory.Begin)
+	return j.deadly == nil
+}
+
+func (j *job) refusalBy(check quarantine.CheckFunc) *refusal {
+	if j.server.settings.Memory.IsEmpty() {
+		return nil
+	}
+	refused := check(time.Now(), j.organisation, j.fingerprint())
+	if refused == nil {
+		return nil
+	}
+	return &refusal{status: http.StatusServiceUnavailable, reason: reasonDeadly, retryAfter: refused.RetryAfter}
+}
--- /dev/null
+++ b/forward/quarantine_test.go
@@ -0,0 +1,76 @@
+package forward_test
+
+import (
+	"net"
+	"net/http"
+	"testing"
+	"time"
+
+	"github.com/stretchr/testify/require"
+
+	"guavahitch.example/guavahitch/forward"
+)
+
+// mortal starts an upstream that resets the connection when a request arrives. If isMortal is set, it also stops accepting
+// connections, as a process that has ended.
+func mortal(t *testing.T, isMortal bool) *fakeUpstream {
+	var u *fakeUpstream
+	u = newUpstream(t, func(conn net.Conn, _ *http.Request, _ string) bool {
+		if isMortal {
+			_ = u.listener.Close()
+		}
+		_ = conn.(*net.TCPConn).SetLinger(0)
+		return false
+	})
+	return u
+}
+
+// newCrashEntry returns an entry and a channel that receives the crashes that it notices.
+func newCrashEntry(t *testing.T, upstreams ...*fakeUpstream) (*entry, <-chan forward.Crash) {
+	crashes := make(chan forward.Crash, 10)
+	settings := testSettings()
+	settings.OnCrash = func(c forward.Crash) { crashes <- c }
+	return newEntryWith(t, settings, upstreams...), crashes
+}
+
+// A request that ended two upstreams must be refused with a 503 that says when to come back, and reach no third one. The
+// sending that ended them gets a 502, since it may have run.
+func TestDeadlyRequestIsRefused(t *testing.T) {
+	sound := newUpstream(t, func(conn net.Conn, request *http.Request, body string) bool {
+		if body == "deadly" {
+			t.Error("the deadly request reached a third upstream")
+		}
+		writeResponse(conn, request, 200, "done")
+		return true
+	})
+	e, crashes := newCrashEntry(t, mortal(t, true), mortal(t, true), sound)
+	response, _, err := e.send("POST", "/match/", "deadly")
+	require.NoError(t, err)
+	require.Equal(t, http.StatusBadGateway, response.StatusCode)
+	require.Empty(t, (<-crashes).Verdicts)
+	require.Len(t, (<-crashes).Verdicts, 1)
+
+	response, text, err := e.send("POST", "/match/", "deadly", "X-Request", "q2")
+	require.NoError(t, err)
+	require.Equal(t, http.StatusServiceUnavailable, response.StatusCode)
+	require.NotEmpty(t, response.Header.Get("Retry-After"))
+	require.Equal(t, "deadly request\n", text)
+	response, _, err = e.send("POST", "/balance/", "other")
+	require.NoError(t, err)
+	require.Equal(t, http.StatusOK, response.StatusCode)
+}
+
+// A request whose exchanges break is not deadly while its upstreams still accept connections: they may only reset
+// connections or break off answers.
+func TestBrokenExchangesAtLivingUpstreamsAreNoCrashes(t *testing.T) {
+	first, second := mortal(t, false), mortal(t, false)
+	e, crashes := newCrashEntry(t, first, second)
+	const sendings = 4
+	for range sendings {
+		response, _, err := e.send("POST", "/match/", "x")
+		require.NoError(t, err)
+		require.Equal(t, http.StatusBadGateway, response.StatusCode)
+	}
+	require.Equal(t, 2*sendings, len(first.received())+len(second.received()))
+	require.Never(t, func() bool { return len(crashes) > 0 }, 200*time.Millisecond, 10*time.Millisecond)
+}
--- a/forward/relay.go
+++ b/forward/relay.go
@@ -35,8 +35,8 @@
 		if err != nil {
 			return a.fail(err)
 		}
-		a.events++
 		now := time.Now()
+		a.recordEventTime(now)
 		j.recordPause(now, now.Sub(previous), isFirst)
 		a.admission.recordEvent(j, now, now.Sub(previous), isFirst)
 		previous, isFirst = now, false
@@ -99,6 +99,7 @@
 func (a *attempt) endStream(response *http.Response) attemptResult {
 	a.job.writeHead(response)
 	a.isBodyRead = true
+	a.recordProgress()
 	now := time.Now()
 	a.upstream.recordResponse(now, now.Sub(a.started), false)
 	a.job.logDecision("answered", http.StatusOK)
--- a/forward/settings.go
+++ b/forward/settings.go
@@ -8,6 +8,8 @@
 	"cmp"
 	"net/http"
 	"time"
+
+	"guavahitch.example/guavahitch/quarantine"
 )
 
 const (
@@ -83,6 +85,10 @@
 		Log func(Decision)
 		// OnBreakage is called for each exchange that an upstream broke off, unless it is nil.
 		OnBreakage func(Breakage)
+		// Memory knows requests that end upstreams. NewServer makes one if it is nil.
+		Memory *quarantine.Memory
+		// OnCrash is called when an upstream has ended while it ran requests of this entry, unless it is nil.
+		OnCrash func(Crash)
 		// OnOutage is called when the group of a service goes down and when it serves again, unless it is nil.
 		OnOutage func(Outage)
 		// Random returns a number in [0, 1). Tests set it to replace the default generator.
@@ -95,6 +101,9 @@
 	s.StreamIdleTimeout = cmp.Or(s.StreamIdleTimeout, DefaultStreamIdleTimeout)
 	s.HeartbeatTimeout = cmp.Or(s.HeartbeatTimeout, DefaultHeartbeatTimeout)
 	s.AnswerBytes = cmp.Or(s.AnswerBytes, DefaultAnswerBytes)
+	if s.Memory == nil {
+		s.Memory = quarantine.NewMemory()
+	}
 	return s
 }
 
--- a/quarantine/snapshot.go
+++ b/quarantine/snapshot.go
@@ -8,29 +8,103 @@
 
 // Snapshot returns the state of the tracker as a message.
 func (t *Tracker) Snapshot() *wire.TrackerSnapshot {
-	s := &wire.TrackerSnapshot{Crashes: append([]string(nil), t.crashOrder...)}
+	s := &wire.TrackerSnapshot{Revision: t.revision}
+	for _, c := range t.byTime {
+		s.Crashes = append(s.Crashes, c.id)
+		s.Details = append(s.Details, c.snapshot())
+	}
 	for _, r := range t.sorted() {
-		s.Requests = append(s.Requests, &wire.TrackedRequest{Verdict: r.verdict(), Deaths: int32(r.deaths)})
+		s.Requests = append(s.Requests, &wire.TrackedRequest{
+			Verdict: r.verdict(), Deaths: int32(t.deaths(r)), SinceMs: unixMilli(r.firstCrash()), ProgressMs: unixMilli(r.progress),
+			EarlierDeaths: int32(r.earlierDeaths), ProvedTermMs: r.provedTerm.Milliseconds(), Revision: r.revision,
+		})
 	}
 	return s
 }
 
-// Restore replaces the state of the tracker with that of the snapshot; nil clears it. The settings stay.
+func (c *crash) snapshot() *wire.TrackedCrash {
+	m := &wire.TrackedCrash{AtMs: unixMilli(c.at), Revision: c.revision}
+	for _, s := range c.sightings {
+		m.Sightings = append(m.Sightings, &wire.TrackedSighting{
+			Fingerprint: s.request.fingerprint.Bytes(), Organisation: s.request.organisation, SentMs: unixMilli(s.sent),
+		})
+	}
+	return m
+}
+
+// Restore replaces the state of the tracker with that of the snapshot; nil clears it. The settings stay. Snapshots of
+// earlier builds hold the IDs of crashes without details; the deaths of their requests are kept as earlier ones.
 func (t *Tracker) Restore(s *wire.TrackerSnapshot) {
 	*t = *NewTracker(t.settings)
-	for _, id := range s.GetCrashes() {
-		t.recordCrash(id)
+	t.revision = s.GetRevision()
+	for n, id := range s.GetCrashes() {
+		var m *wire.TrackedCrash
+		if n < len(s.GetDetails()) {
+			m = s.Details[n]
+		}
+		c := t.crash(id, fromUnixMilli(m.GetAtMs()))
+		if c != nil {
+			c.restore(m)
+		}
 	}
+	hasDetails := len(s.GetDetails()) > 0
 	for _, tracked := range s.GetRequests() {
-		f, ok := FromBytes(tracked.GetVerdict().GetFingerprint())
+		t.restoreRecord(tracked, hasDetails)
+	}
+}
+
+func (c *crash) restore(m *wire.TrackedCrash) {
+	c.revision = m.GetRevision()
+	for _, s := range m.GetSightings() {
+		f, ok := FromBytes(s.GetFingerprint())
 		if !ok {
 			continue
 		}
-		k := key{tracked.Verdict.Organisation, f}
-		t.records[k] = &record{
-			key: k, deaths: int(tracked.Deaths), proved: tracked.Verdict.Proved,
-			expires: time.UnixMilli(tracked.Verdict.ExpiresMs),
+		k := key{s.Organisation, f}
+		c.byRequest[k] = len(c.sightings)
+		c.sightings = append(c.sightings, sighting{request: k, sent: fromUnixMilli(s.SentMs)})
+	}
+}
+
+func (t *Tracker) restoreRecord(tracked *wire.TrackedRequest, hasDetails bool) {
+	f, ok := FromBytes(tracked.GetVerdict().GetFingerprint())
+	if !ok {
+		return
+	}
+	r := t.newRecord(
+		key{tracked.Verdict.Organisation, f}, time.UnixMilli(tracked.Verdict.ExpiresMs),
+	)
+	t.restoreCrashes(r, fromUnixMilli(tracked.SinceMs))
+	r.proved = tracked.Verdict.Proved
+	r.provedTerm = milliseconds(tracked.ProvedTermMs)
+	r.progress = fromUnixMilli(tracked.ProgressMs)
+	r.revision = tracked.Revision
+	r.earlierDeaths = int(tracked.EarlierDeaths)
+	if !hasDetails {
+		r.earlierDeaths = int(tracked.Deaths)
+	}
+}
+
+// restoreCrashes adds the crashes since a time in which the request was running to its record.
+func (t *Tracker) restoreCrashes(r *record, since time.Time) {
+	for _, c := range t.byTime {
+		if _, ran := c.byRequest[r.key]; ran && !c.at.Before(since) {
+			r.addCrash(c)
 		}
-		t.perOrganisation[k.organisation]++
 	}
 }
+
+// unixMilli returns the milliseconds of a time, 0 for the zero time.
+func unixMilli(at time.Time) int64 {
+	if at.IsZero() {
+		return 0
+	}
+	return at.UnixMilli()
+}
+
+func fromUnixMilli(ms int64) time.Time {
+	if ms == 0 {
+		return time.Time{}
+	}
+	return time.UnixMilli(ms)
+}
--- a/quarantine/tracker.go
+++ b/quarantine/tracker.go
@@ -1,7 +1,6 @@
 package quarantine
 
 import (
-	"bytes"
 	"cmp"
 	"maps"
 	"slices"
@@ -15,14 +14,20 @@
 	DefaultPerOrganisation = 256
 	// DefaultLimit is the default limit of fingerprints kept for all organisations together.
 	DefaultLimit = 4096
+	// DefaultCrashes is the default limit of crashes kept.
+	DefaultCrashes = 1024
 	// SuspectFor is the default time for which a fingerprint stays suspect after a crash.
 	SuspectFor = 5 * time.Minute
 	// ProvedFor is the default time for which a fingerprint proved deadly is refused.
 	ProvedFor = 24 * time.Hour
+	// maxProvedFor bounds the time for which a fingerprint is refused after repeated proofs.
+	maxProvedFor = 24 * time.Hour
+	// provedGrowth multiplies the time of refusal with each further crash.
+	provedGrowth = 4
 	// deathLimit is the number of crashes after which a request is refused.
 	deathLimit = 2
-	// maxCrashIDs bounds the crash IDs kept to detect repeated reports.
-	maxCrashIDs = 1024
+	// maxSightings bounds the requests kept of one crash.
+	maxSightings = 512
 )
 
 type (
@@ -30,8 +35,12 @@
 	Settings struct {
 		PerOrganisation int
 		Limit           int
+		Crashes         int
 		SuspectFor      time.Duration
 		ProvedFor       time.Duration
+		// SharedLimit is the number of crashes after which requests that ran in the same crashes are all refused. It is
+		// deathLimit by default.
+		SharedLimit int
 	}
 
 	// Tracker is the state machine that derives verdicts from crash reports. It is deterministic: the same inputs
@@ -40,22 +49,10 @@
 		settings        Settings
 		records         map[key]*record
 		perOrganisation map[string]int
-		crashes         map[string]struct{}
-		crashOrder      []string // crash IDs, oldest first
-	}
-
-	// key identifies a record. It contains the organisation, so that a report about one organisation's request
-	// never affects another's.
-	key struct {
-		organisation string
-		fingerprint  Fingerprint
-	}
-
-	record struct {
-		key     key
-		deaths  int
-		proved  bool
-		expires time.Time
+		crashes         map[string]*crash
+		byTime          []*crash // crashes, earliest first
+		// revision increases with each new piece of evidence.
+		revision uint64
 	}
 )
 
@@ -63,48 +60,71 @@
 func NewTracker(s Settings) *Tracker {
 	s.PerOrganisation = cmp.Or(s.PerOrganisation, DefaultPerOrganisation)
 	s.Limit = cmp.Or(s.Limit, DefaultLimit)
+	s.Crashes = cmp.Or(s.Crashes, DefaultCrashes)
 	s.SuspectFor = cmp.Or(s.SuspectFor, SuspectFor)
 	s.ProvedFor = cmp.Or(s.ProvedFor, ProvedFor)
+	s.SharedLimit = cmp.Or(s.SharedLimit, deathLimit)
 	return &Tracker{
-		settings: s, records: map[key]*record{}, perOrganisation: map[string]int{}, crashes: map[string]struct{}{},
+		settings: s, records: map[key]*record{}, perOrganisation: map[string]int{}, crashes: map[string]*crash{},
 	}
 }
 
 // RecordDeath removes expired records, applies the report of a crash and returns the verdicts on the requests that were
-// running. A repeated report changes no verdict.
+// running. Several reports of one crash add up; what was reported before changes no verdict.
 //
 // The requests that were running become suspects. If exactly one of them has now run in two or more distinct crashes,
-// that request is proved deadly and refused for ProvedFor; the second crash may be its trial. If several have, for
-// example in the same two crashes, a trial of each could crash a third upstream, so all of them are refused for
-// SuspectFor.
+// that request is proved deadly and refused for ProvedFor, longer with each further crash; the second crash may be its
+// trial. If several have, for example in the same two crashes, a trial of each could crash a third upstream, so all of
+// them are refused for SuspectFor once they ran in SharedLimit crashes.
 func (t *Tracker) RecordDeath(now time.Time, report *wire.DeathReport) []*wire.Quarantine {
 	now = now.Truncate(time.Millisecond)
 	t.Expire(now)
-	if !t.recordCrash(report.GetCrashId()) {
+	c := t.observe(now, report)
+	if c == nil {
 		return nil
 	}
-	affected := t.countDeaths(now, report.GetRunning())
-	overLimit := 0
-	for _, r := range affected {
-		if r.deaths >= deathLimit {
-			overLimit++
+	verdicts := t.judge(now, c)
+	t.evict()
+	return verdicts
+}
+
+// judge updates the records of the requests that were running in a crash and returns their verdicts.
+func (t *Tracker) judge(now time.Time, c *crash) []*wire.Quarantine {
+	var affected, overLimit []*record
+	for _, s := range c.sightings {
+		r := t.records[s.request]
+		if r == nil {
+			continue
+		}
+		affected = append(affected, r)
+		if t.deaths(r) >= deathLimit {
+			overLimit = append(overLimit, r)
 		}
 	}
-	verdicts := make([]*wire.Quarantine, 0, len(affected))
-	for _, r := range affected {
+	for _, r := range overLimit {
 		switch {
-		case r.deaths >= deathLimit && overLimit == 1:
-			r.proved = true
-			r.expires = now.Add(t.settings.ProvedFor)
-		case r.deaths >= deathLimit:
+		case len(overLimit) == 1:
+			r.prove(now, t.provedFor(t.deaths(r)))
+		case t.deaths(r) >= t.settings.SharedLimit:
 			r.proved = true
 		}
+	}
+	verdicts := make([]*wire.Quarantine, 0, len(affected))
+	for _, r := range affected {
 		verdicts = append(verdicts, r.verdict())
 	}
-	t.evict()
 	return verdicts
 }
 
+// provedFor returns how long a request is refused after a number of crashes.
+func (t *Tracker) provedFor(deaths int) time.Duration {
+	term := t.settings.ProvedFor
+	for range deaths - deathLimit {
+		term = min(term*provedGrowth, max(maxProvedFor, t.settings.ProvedFor))
+	}
+	return term
+}
+
 // Clear removes a suspect that ran alone and completed. It returns false if the request is no suspect or is proved
 // deadly.
 func (t *Tracker) Clear(organisation string, f Fingerprint) bool {
@@ -116,12 +136,18 @@
 	return true
 }
 
-// Expire removes the records that have expired.
+// Expire removes the records that have expired. A request that was proved deadly by itself stays suspect for as long
+// again.
 func (t *Tracker) Expire(now time.Time) {
 	for _, r := range t.records {
-		if !now.Before(r.expires) {
-			t.remove(r)
+		if now.Before(r.expires) {
+			continue
 		}
+		if r.proved && now.Before(r.expires.Add(r.provedTerm)) {
+			r.startTrial()
+			continue
+		}
+		t.remove(r)
 	}
 }
 
@@ -129,7 +155,9 @@
 func (t *Tracker) Verdicts() []*wire.Quarantine {
 	all := make([]*wire.Quarantine, 0, len(t.records))
 	for _, r := range t.sorted() {
-		all = append(all, r.verdict())
+		if r.proved || t.deaths(r) > 0 {
+			all = append(all, r.verdict())
+		}
 	}
 	return all
 }
@@ -137,46 +165,6 @@
 // Len returns the number of fingerprints kept.
 func (t *Tracker) Len() int { return len(t.records) }
 
-func (t *Tracker) recordCrash(id string) bool {
-	if _, known := t.crashes[id]; known {
-		return false
-	}
-	t.crashes[id] = struct{}{}
-	t.crashOrder = append(t.crashOrder, id)
-	if len(t.crashOrder) > maxCrashIDs {
-		delete(t.crashes, t.crashOrder[0])
-		t.crashOrder = t.crashOrder[1:]
-	}
-	return true
-}
-
-// countDeaths counts a crash for each distinct request that was running and returns the records.
-func (t *Tracker) countDeaths(now time.Time, running []*wire.Suspect) []*record {
-	var affected []*record
-	for _, s := range running {
-		f, ok := FromBytes(s.GetFingerprint())
-		if !ok {
-			continue
-		}
-		k := key{s.GetOrganisation(), f}
-		r, known := t.records[k]
-		if !known {
-			r = &record{key: k}
-			t.records[k] = r
-			t.perOrganisation[k.organisation]++
-		}
-		if slices.Contains(affected, r) {
-			continue
-		}
-		r.deaths++
-		if !r.proved {
-			r.expires = now.Add(t.settings.SuspectFor)
-		}
-		affected = append(affected, r)
-	}
-	return affected
-}
-
 // evict enforces the limits. For each organisation over its limit, and then for the largest organisation while the
 // total is too high, it removes the record that expires first.
 func (t *Tracker) evict() {
@@ -210,14 +198,6 @@
 	t.remove(first)
 }
 
-// isEvictedBefore orders the records of one organisation for eviction: by expiry, then by fingerprint.
-func (r *record) isEvictedBefore(other *record) bool {
-	if !r.expires.Equal(other.expires) {
-		return r.expires.Before(other.expires)
-	}
-	return bytes.Compare(r.key.fingerprint[:], other.key.fingerprint[:]) < 0
-}
-
 func (t *Tracker) remove(r *record) {
 	delete(t.records, r.key)
 	t.perOrganisation[r.key.organisation]--
@@ -226,23 +206,15 @@
 	}
 }
 
-func (t *Tracker) sorted() []*record {
-	all := make([]*record, 0, len(t.records))
-	for _, r := range t.records {
-		all = append(all, r)
-	}
-	slices.SortFunc(all, func(a, b *record) int {
-		return cmp.Or(
-			cmp.Compare(a.key.organisation, b.key.organisation),
-			bytes.Compare(a.key.fingerprint[:], b.key.fingerprint[:]),
-		)
-	})
-	return all
+func (t *Tracker) newRecord(k key, expires time.Time) *record {
+	r := &record{key: k, expires: expires}
+	t.records[k] = r
+	t.perOrganisation[k.organisation]++
+	return r
 }
 
-func (r *record) verdict() *wire.Quarantine {
-	return &wire.Quarantine{
-		Fingerprint: r.key.fingerprint.Bytes(), Organisation: r.key.organisation, Proved: r.proved,
-		ExpiresMs: r.expires.UnixMilli(),
-	}
+func (t *Tracker) sorted() []*record {
+	return slices.SortedFunc(maps.Values(t.records), func(a, b *record) int { return a.key.compare(b.key) })
 }
+
+func milliseconds(n int64) time.Duration { return time.Duration(max(n, 0)) * time.Millisecond }
--- a/registry/announcements.go
+++ b/registry/announcements.go
@@ -143,5 +143,6 @@
 		announced = append(announced, decodeEntry(message, now))
 	}
 	i.replica.merge(announced, nil)
+	i.replica.memory.Merge(now, request.Evidence)
 	return &wire.SpreadReply{}, nil
 }
--- a/registry/follower.go
+++ b/registry/follower.go
@@ -12,6 +12,7 @@
 	"github.com/sirupsen/logrus"
 	"google.golang.org/protobuf/encoding/protodelim"
 
+	"guavahitch.example/guavahitch/quarantine"
 	"guavahitch.example/guavahitch/roster"
 	"guavahitch.example/guavahitch/wait"
 	"guavahitch.example/guavahitch/wire"
@@ -48,6 +49,11 @@
 		OnUpstreams func(announced, renewals []roster.Entry)
 		// OnLoads receives the loads of upstreams.
 		OnLoads func([]Load)
+		// Memory receives the evidence of the replicas; an entry sends its own to them. NewFollower makes one if it is
+		// nil.
+		Memory *quarantine.Memory
+		// OnVerdicts receives the verdicts that evidence of other processes changed. It may be nil.
+		OnVerdicts func([]*wire.Quarantine)
 		// OnEntries receives the number of entries, which is the largest that a connected replica counts.
 		OnEntries func(int)
 		Log       *logrus.Entry
@@ -83,6 +89,9 @@
 
 // NewFollower returns a follower, which Run starts.
 func NewFollower(settings FollowerSettings) *Follower {
+	if settings.Memory == nil {
+		settings.Memory = quarantine.NewMemory()
+	}
 	dialer := &net.Dialer{Timeout: dialTimeout}
 	return &Follower{
 		settings: settings, replicas: map[string]*followedReplica{},
@@ -177,6 +186,9 @@
 	if response.StatusCode != http.StatusOK {
 		return eris.Errorf("open watch stream: replica answered %s", response.Status)
 	}
+	if f.settings.IsEntry {
+		f.done.Go(func() { f.sendEvidence(ctx, address) })
+	}
 	reader := bufio.NewReader(response.Body)
 	for {
 		frame := &wire.WatchFrame{}
@@ -208,6 +220,7 @@
 	if len(frame.Loads) > 0 && f.settings.OnLoads != nil {
 		f.settings.OnLoads(decodeLoads(frame.Loads))
 	}
+	f.mergeEvidence(frame.Evidence, now)
 	f.recordFrame(address, frame, now)
 }
 
--- a/registry/replica.go
+++ b/registry/replica.go
@@ -17,6 +17,7 @@
 
 	"guavahitch.example/guavahitch/consensus"
 	"guavahitch.example/guavahitch/peer"
+	"guavahitch.example/guavahitch/quarantine"
 	"guavahitch.example/guavahitch/roster"
 	"guavahitch.example/guavahitch/route"
 	"guavahitch.example/guavahitch/wait"
@@ -70,6 +71,8 @@
 		node     atomic.Pointer[consensus.Node]
 		// leadingSince is when this replica became leader, nil while it does not lead.
 		leadingSince atomic.Pointer[time.Time]
+		// memory holds what entries know of requests that end upstreams.
+		memory *quarantine.Memory
 		// table is the lookup table of the configuration in force.
 		table atomic.Pointer[route.Table]
 
@@ -106,7 +109,10 @@
 // Open opens the folder of a replica and starts it. If the replicated log cannot be opened, the replica retries in the
 // background.
 func Open(settings Settings) (*Replica, error) {
-	r := &Replica{settings: settings, roster: roster.New(), changed: make(chan struct{}), loads: map[string][]Load{}}
+	r := &Replica{
+		settings: settings, roster: roster.New(), changed: make(chan struct{}), loads: map[string][]Load{},
+		memory: quarantine.NewMemory(),
+	}
 	r.ctx, r.cancel = context.WithCancel(context.Background())
 	if r.settings.Scope == nil {
 		r.settings.Scope = tally.NoopScope
@@ -127,7 +133,8 @@
 		settings.Log.WithError(err).Error("cannot open the replicated log")
 	}
 	follower := NewFollower(FollowerSettings{
-		Seeds: func() []string { return settings.Seeds }, Self: settings.ID, OnUpstreams: r.merge, Log: settings.Log,
+		Seeds: func() []string { return settings.Seeds }, Self: settings.ID, OnUpstreams: r.merge, Memory: r.memory,
+		Log: settings.Log,
 	})
 	r.done.Go(r.maintain)
 	r.done.Go(func() { _ = follower.Run(r.ctx) })
--- a/registry/watch.go
+++ b/registry/watch.go
@@ -36,6 +36,8 @@
 	members       []string
 	entries       int
 	loadsRevision uint64
+	// evidenceRevision is the revision of the evidence that was sent last.
+	evidenceRevision uint64
 }
 
 // serveWatch streams frames until the follower disconnects or the replica closes.
@@ -49,7 +51,10 @@
 	timer := time.NewTimer(0)
 	defer timer.Stop()
 	for {
-		frame, changed := stream.nextFrame(time.Now())
+		now := time.Now()
+		frame, changed := stream.nextFrame(now)
+		var learned <-chan struct{}
+		frame.Evidence, stream.evidenceRevision, learned = r.memory.Evidence(now, stream.evidenceRevision)
 		_ = control.SetWriteDeadline(time.Now().Add(frameWriteTimeout))
 		if _, err := protodelim.MarshalTo(w, frame); err != nil {
 			return
@@ -64,6 +69,8 @@
 		case <-r.ctx.Done():
 			return
 		case <-timer.C:
+		case <-learned:
+			wait.For(r.ctx, batchDelay)
 		case <-changed:
 			wait.For(r.ctx, batchDelay)
 		}
--- a/routed/entry.go
+++ b/routed/entry.go
@@ -17,6 +17,7 @@
 	"github.com/uber-go/tally/v4"
 
 	"guavahitch.example/guavahitch/forward"
+	"guavahitch.example/guavahitch/quarantine"
 	"guavahitch.example/guavahitch/registry"
 	"guavahitch.example/guavahitch/roster"
 	"guavahitch.example/guavahitch/route"
@@ -89,7 +90,8 @@
 	e := &Entry{settings: settings, drained: make(chan struct{})}
 	requests := newRequestLog(settings.Log, settings.scope())
 	settings.Forward.Log, settings.Forward.OnOutage = requests.write, requests.logOutage
-	settings.Forward.OnBreakage = requests.logBreakage
+	settings.Forward.OnBreakage, settings.Forward.OnCrash = requests.logBreakage, requests.logCrash
+	settings.Forward.Memory = quarantine.NewMemory()
 	e.fleet = forward.NewFleet(settings.Forward)
 	e.server = forward.NewServer(settings.Forward, e.fleet)
 	e.follower = registry.NewFollower(registry.FollowerSettings{
@@ -98,6 +100,8 @@
 		OnUpstreams: func(announced, renewals []roster.Entry) { e.fleet.Update(announced, renewals) },
 		OnLoads:     e.server.UpdateLoads,
 		OnEntries:   e.server.SetEntries,
+		Memory:      settings.Forward.Memory,
+		OnVerdicts:  requests.logVerdicts,
 	})
 	e.front = &http.Server{
 		Handler: e.server, ReadHeaderTimeout: headerTimeout, IdleTimeout: idleTimeout,
--- a/routed/request_log.go
+++ b/routed/request_log.go
@@ -1,6 +1,7 @@
 package routed
 
 import (
+	"encoding/hex"
 	"strconv"
 	"time"
 
@@ -9,6 +10,7 @@
 	"golang.org/x/time/rate"
 
 	"guavahitch.example/guavahitch/forward"
+	"guavahitch.example/guavahitch/wire"
 )
 
 const (
@@ -102,6 +104,27 @@
 	d.log.WithError(b.Cause).WithFields(fields).Warn("upstream broke off")
 }
 
+// logCrash counts and logs the end of an upstream that ran requests of this entry.
+func (d *requestLog) logCrash(c forward.Crash) {
+	d.scope.Counter("upstream_crashes").Inc(1)
+	d.log.WithFields(logrus.Fields{"upstream": c.Upstream, "born": c.Born, "running": c.Running}).Warn("upstream crashed")
+	d.logVerdicts(c.Verdicts)
+}
+
+// logVerdicts logs the requests that are refused from now on because upstreams crashed while they ran them.
+func (d *requestLog) logVerdicts(verdicts []*wire.Quarantine) {
+	for _, v := range verdicts {
+		if !v.Proved {
+			continue
+		}
+		d.scope.Counter("deadly_verdicts").Inc(1)
+		d.log.WithFields(logrus.Fields{
+			"fingerprint": hex.EncodeToString(v.Fingerprint), "organisation": v.Organisation,
+			"until": time.UnixMilli(v.ExpiresMs).UTC().Format(time.RFC3339),
+		}).Warn("request is refused as deadly")
+	}
+}
+
 // logOutage logs that a group is down or is serving again.
 func (d *requestLog) logOutage(o forward.Outage) {
 	down := d.scope.Tagged(map[string]string{"service": o.Service}).Gauge("group_down")
