--- a/forward/decision.go
+++ b/forward/decision.go
@@ -42,6 +42,8 @@
 	Born int64
 	// Fingerprint is the same for each sending of the request, whatever its ID.
 	Fingerprint quarantine.Fingerprint
+	// Parts are the IDs of the shared parts of its prompt.
+	Parts []string
 	// After is the time from the sending of the request, Events the number of events that arrived.
 	After  time.Duration
 	Events int
--- a/forward/job.go
+++ b/forward/job.go
@@ -122,6 +122,15 @@
 	return *j.printed
 }
 
+// promptParts returns the IDs of the shared parts of the prompt.
+func (j *job) promptParts() []string {
+	read := j.server.settings.PromptParts
+	if read == nil {
+		return nil
+	}
+	return read(j.request.Header)
+}
+
 func (j *job) recordAttempt(a *attempt, v attemptResult) {
 	j.tried = append(j.tried, a.upstream)
 	if v == unsent {
--- a/forward/settings.go
+++ b/forward/settings.go
@@ -81,6 +81,9 @@
 		HeartbeatTimeout  time.Duration
 		AnswerBytes       int64
 		Retry             RetryLimits
+		// PromptParts returns the IDs of the parts of a prompt that other requests may share, without the part that belongs
+		// to the request itself. Requests have none if it is nil.
+		PromptParts func(http.Header) []string
 		// Log is called at the end of each request, unless it is nil.
 		Log func(Decision)
 		// OnBreakage is called for each exchange that an upstream broke off, unless it is nil.
--- a/routed/request_log.go
+++ b/routed/request_log.go
@@ -98,6 +98,9 @@
 		"request": b.Request, "fingerprint": b.Fingerprint.String(), "service": b.Service, "upstream": b.Upstream,
 		"born": b.Born, "after_ms": milliseconds(b.After), "events": b.Events,
 	}
+	if len(b.Parts) > 0 {
+		fields["parts"] = b.Parts
+	}
 	if skipped > 0 {
 		fields["lines_skipped"] = skipped
 	}
