quarantine, forward: parts of prompts are judged like requests

Class: evidence is keyed by the wrong subject. Why it works: each part but the last is a subject of the same evidence, without an organisation. Two crashes of different requests refuse it at every entry, if nothing else fits both. Shared parts are kept apart by their progress: an answer that went on for 250 ms after its first event, or ended whole. Each entry remembers the parts of such answers and vouches for those that become suspect. Requests near a deadly one share crashes with it; what it explains does not count against them.

--- a/forward/attempt.go
+++ b/forward/attempt.go
@@ -252,7 +252,7 @@
 	instance := a.upstream.Instance()
 	report(Breakage{
 		Request: a.job.id, Service: a.job.service, Upstream: instance.ID, Born: instance.Born,
-		Fingerprint: a.job.fingerprint(), Parts: a.job.promptParts(), After: time.Since(a.started), Events: a.events, Cause: cause,
+		Fingerprint: a.job.subject().Request, Parts: a.job.promptParts(), After: time.Since(a.started), Events: a.events, Cause: cause,
 	})
 }
 
--- a/forward/job.go
+++ b/forward/job.go
@@ -57,8 +57,8 @@
 	mayHaveRun bool
 	// deadly is the refusal of the memory, set if it did not let the next attempt start.
 	deadly *refusal
-	// printed holds the fingerprint once it was computed.
-	printed *quarantine.Fingerprint
+	// knownAs is the result of subject once it was computed.
+	knownAs *quarantine.Subject
 	// isHeadSent is set once the head of a stream was sent to the caller. lastEvent is the ID of the last event that
 	// was sent, valid if hasEvent is set.
 	isHeadSent bool
@@ -113,15 +113,6 @@
 	return j.server.pick(j.service, j.tried, time.Now())
 }
 
-// fingerprint identifies the request by organisation, host, target and body, so that each sending of it has the same one.
-func (j *job) fingerprint() quarantine.Fingerprint {
-	if j.printed == nil {
-		f := quarantine.NewFingerprint(j.organisation, j.request.Host+j.request.RequestURI, j.body)
-		j.printed = &f
-	}
-	return *j.printed
-}
-
 // promptParts returns the IDs of the shared parts of the prompt.
 func (j *job) promptParts() []string {
 	read := j.server.settings.PromptParts
--- a/forward/quarantine.go
+++ b/forward/quarantine.go
@@ -69,8 +69,7 @@
 		return
 	}
 	j := a.job
-	f := j.fingerprint()
-	suspect := &wire.Suspect{Fingerprint: f.Bytes(), Organisation: j.organisation, Repeatable: j.route.IsRepeatable()}
+	suspect := j.subject().Suspect()
 	if a.upstream.crash.add(suspect, a.started, time.Now()) {
 		go j.server.probeCrash(a.upstream)
 	}
@@ -106,8 +105,8 @@
 	}
 	a.isWell = true
 	memory := a.job.server.settings.Memory
-	if !memory.IsEmpty() {
-		memory.RecordProgress(time.Now(), a.job.organisation, a.job.fingerprint())
+	if parts := a.job.promptParts(); len(parts) > 0 || !memory.IsEmpty() {
+		memory.RecordProgress(time.Now(), a.job.subject())
 	}
 }
 
@@ -122,6 +121,20 @@
 	}
 }
 
+// subject returns what the memory knows the request by. It is computed once.
+func (j *job) subject() quarantine.Subject {
+	if j.knownAs == nil {
+		j.knownAs = &quarantine.Subject{
+			Organisation: j.organisation,
+			Request:      quarantine.NewFingerprint(j.organisation, j.request.Host+j.request.RequestURI, j.body),
+		}
+		for _, id := range j.promptParts() {
+			j.knownAs.Parts = append(j.knownAs.Parts, quarantine.NewPart(id))
+		}
+	}
+	return *j.knownAs
+}
+
 // deadlyRefusal returns the refusal of a request that the memory knows to end upstreams, or nil.
 func (j *job) deadlyRefusal() *refusal { return j.refusalBy(j.server.settings.Memory.Check) }
 
@@ -135,7 +148,7 @@
 	if j.server.settings.Memory.IsEmpty() {
 		return nil
 	}
-	refused := check(time.Now(), j.organisation, j.fingerprint())
+	refused := check(time.Now(), j.subject())
 	if refused == nil {
 		return nil
 	}
--- a/quarantine/crash.go
+++ b/quarantine/crash.go
@@ -19,7 +19,8 @@
 		id        string
 		at        time.Time
 		sightings []sighting
-		byRequest map[key]int // index of sightings
+		// carriers holds the indices of the sightings of each request and of each part.
+		carriers map[key][]int
 		// revision is that of the last report that added a request. isOwn is set if this process reported requests itself.
 		revision uint64
 		isOwn    bool
@@ -28,6 +29,8 @@
 	// sighting is a request that was running in a crash.
 	sighting struct {
 		request key
+		// parts are the shared parts of its prompt.
+		parts []key
 		// sent is when the request was sent to the upstream; zero if that is not known.
 		sent time.Time
 	}
@@ -46,7 +49,7 @@
 		delete(t.crashes, t.byTime[0].id)
 		t.byTime = t.byTime[1:]
 	}
-	c := &crash{id: id, at: at, byRequest: map[key]int{}}
+	c := &crash{id: id, at: at, carriers: map[key][]int{}}
 	t.crashes[id] = c
 	n, _ := slices.BinarySearchFunc(t.byTime, c, (*crash).compare)
 	t.byTime = slices.Insert(t.byTime, n, c)
@@ -76,64 +79,131 @@
 	return c
 }
 
+// subjects returns the keys of all requests that were running in a crash, then those of their parts, without repetition.
+func (c *crash) subjects() []key {
+	var requests, parts []key
+	for _, s := range c.sightings {
+		requests = append(requests, s.request)
+		for _, k := range s.parts {
+			if !slices.Contains(parts, k) {
+				parts = append(parts, k)
+			}
+		}
+	}
+	return append(requests, parts...)
+}
+
 // addSighting adds a request that was running in a crash, unless it is known.
 func (t *Tracker) addSighting(c *crash, suspect *wire.Suspect) {
 	f, ok := FromBytes(suspect.GetFingerprint())
 	if !ok || len(c.sightings) >= maxSightings {
 		return
 	}
-	s := sighting{request: key{suspect.GetOrganisation(), f}}
-	if _, isKnown := c.byRequest[s.request]; isKnown {
+	s := sighting{request: key{organisation: suspect.GetOrganisation(), fingerprint: f}, parts: partKeys(suspect.GetParts())}
+	if len(c.carriers[s.request]) > 0 {
 		return
 	}
 	if suspect.GetRanMs() > 0 {
 		s.sent = c.at.Add(-milliseconds(suspect.GetRanMs()))
 	}
-	c.byRequest[s.request] = len(c.sightings)
+	c.add(s)
+	t.suspectAll(c, s)
+}
+
+// add appends a sighting.
+func (c *crash) add(s sighting) {
+	for _, k := range s.subjects() {
+		c.carriers[k] = append(c.carriers[k], len(c.sightings))
+	}
 	c.sightings = append(c.sightings, s)
-	t.suspect(c.at, c, s.request)
 }
 
-// suspect adds a record for a request that was running in a crash, or extends it.
-func (t *Tracker) suspect(now time.Time, c *crash, k key) {
+// subjects returns the keys of the request and of its parts.
+func (s *sighting) subjects() []key { return append([]key{s.request}, s.parts...) }
+
+// partKeys returns the distinct keys of the parts in a message, at most maxParts.
+func partKeys(parts [][]byte) []key {
+	var keys []key
+	for _, part := range parts {
+		f, ok := FromBytes(part)
+		k := key{fingerprint: f, isPart: true}
+		if ok && len(keys) < maxParts && !slices.Contains(keys, k) {
+			keys = append(keys, k)
+		}
+	}
+	return keys
+}
+
+// suspectAll adds a crash to the records of a request that was running in it and of its parts.
+func (t *Tracker) suspectAll(c *crash, s sighting) {
+	for _, k := range s.subjects() {
+		t.suspect(c, k)
+	}
+}
+
+// suspect adds a crash to a record, which it makes if there is none.
+func (t *Tracker) suspect(c *crash, k key) {
 	r := t.records[k]
 	if r == nil {
-		r = t.newRecord(k, now)
+		r = t.newRecord(k, c.at)
 	}
 	r.addCrash(c)
 	if !r.proved {
-		r.expires = later(r.expires, now.Add(t.settings.SuspectFor))
+		r.expires = later(r.expires, c.at.Add(t.settings.SuspectFor))
 	}
 }
 
-// deaths returns the number of crashes that speak against a request: those since its answer last went on well that no
-// other request explains. Of crashes at the same time only one counts, because upstreams also end together for other
-// reasons: the request must have been sent after the crash that counted before.
+// deaths returns the number of crashes that speak against a request or part: those since an answer last went on well that
+// nothing else explains. Of crashes at the same time only one counts, because upstreams also end together for other
+// reasons: the request must have been sent after the crash that counted before. For a part, each crash must be that of
+// another request, so that a request that is resent does not speak against its parts.
 func (t *Tracker) deaths(r *record) int {
 	count := r.earlierDeaths
 	var last time.Time
+	var counted []key
 	for _, c := range r.crashes {
 		if !c.at.After(r.progress) || t.isExplained(c, r) {
 			continue
 		}
-		if sent := c.sightings[c.byRequest[r.key]].sent; !sent.IsZero() && sent.Add(sequenceSlack).Before(last) {
+		s := c.sighting(r.key, last, counted)
+		if s == nil {
 			continue
 		}
+		if r.key.isPart {
+			counted = append(counted, s.request)
+		}
 		count++
 		last = c.at
 	}
 	return count
 }
 
-// isExplained reports whether another request that ran in a crash is proved deadly.
+// sighting returns a request with the key that was sent after a time and is not among those counted, nil if there is none.
+func (c *crash) sighting(k key, after time.Time, counted []key) *sighting {
+	for _, n := range c.carriers[k] {
+		s := &c.sightings[n]
+		isEarlier := !s.sent.IsZero() && s.sent.Add(sequenceSlack).Before(after)
+		if !isEarlier && !slices.Contains(counted, s.request) {
+			return s
+		}
+	}
+	return nil
+}
+
+// isExplained reports whether something else that ran in a crash is proved deadly. A request does not explain a crash to
+// its own parts, one of which may be the cause.
 func (t *Tracker) isExplained(c *crash, r *record) bool {
 	if r.provedTerm > 0 {
 		return false
 	}
-	return slices.ContainsFunc(c.sightings, func(s sighting) bool {
-		other := t.records[s.request]
-		return other != nil && other != r && other.provedTerm > 0
-	})
+	for _, other := range t.proved {
+		for _, n := range c.carriers[other.key] {
+			if other.key.isPart || !slices.Contains(c.sightings[n].parts, r.key) {
+				return true
+			}
+		}
+	}
+	return false
 }
 
 func later(a, b time.Time) time.Time {
--- a/quarantine/evidence.go
+++ b/quarantine/evidence.go
@@ -1,7 +1,6 @@
 package quarantine
 
 import (
-	"slices"
 	"time"
 
 	"guavahitch.example/guavahitch/wire"
@@ -15,46 +14,47 @@
 const progressInterval = time.Second
 
 // observeProgress notes that the answer to a request went on well at a time, and reports whether that is news. The crashes
-// before that time do not count against the request.
-func (t *Tracker) observeProgress(at time.Time, k key) bool {
+// before that time do not count against the request. If enough of them had counted to refuse it, or to leave open which of
+// several requests is deadly, the verdicts are to be derived again.
+func (t *Tracker) observeProgress(at time.Time, k key) (mayChangeVerdicts, isNews bool) {
 	at = at.Truncate(time.Millisecond)
 	r := t.records[k]
 	if r == nil {
 		r = t.newRecord(k, at)
 	}
 	if !at.After(r.progress.Add(progressInterval)) && !r.hasCrashBetween(r.progress, at) {
-		return false
+		r.progress = later(r.progress, at)
+		return false, false
 	}
+	wasOverLimit := r.proved || t.deaths(r) >= r.limit()
 	r.progress, r.isOwn = at, false
 	t.revision++
 	r.revision = t.revision
-	return true
+	return wasOverLimit, true
 }
 
-// replay returns a tracker with the verdicts that follow from the evidence of this one in the order of time.
+// replay returns a tracker with the verdicts that follow from the evidence of this one. Crashes are judged in the order of
+// time, with the progress of all times known, so that the verdicts do not depend on when the evidence came.
 func (t *Tracker) replay(now time.Time) *Tracker {
 	next := NewTracker(t.settings)
 	next.revision = t.revision
-	progress := t.byProgress()
-	for _, c := range t.byTime {
-		for len(progress) > 0 && progress[0].progress.Before(c.at) {
-			next.applyProgress(progress[0])
-			progress = progress[1:]
+	for _, r := range t.records {
+		if !r.progress.IsZero() {
+			next.addProgress(r)
 		}
-		next.applyCrash(c)
 	}
-	for _, r := range progress {
-		next.applyProgress(r)
+	for _, c := range t.byTime {
+		next.applyCrash(c)
 	}
+	next.evict()
 	next.Expire(now)
 	return next
 }
 
-// byProgress returns the records with progress, earliest first.
-func (t *Tracker) byProgress() []*record {
-	progress := slices.DeleteFunc(t.sorted(), func(r *record) bool { return r.progress.IsZero() })
-	slices.SortStableFunc(progress, func(a, b *record) int { return a.progress.Compare(b.progress) })
-	return progress
+// addProgress adds the progress of another tracker's record.
+func (t *Tracker) addProgress(other *record) {
+	r := t.newRecord(other.key, other.progress.Add(t.settings.SuspectFor))
+	r.progress, r.revision, r.isOwn = other.progress, other.revision, other.isOwn
 }
 
 // applyCrash adds a crash that is later than all others and judges its requests.
@@ -63,28 +63,9 @@
 	t.crashes[c.id] = c
 	t.byTime = append(t.byTime, c)
 	for _, s := range c.sightings {
-		t.suspect(c.at, c, s.request)
+		t.suspectAll(c, s)
 	}
 	t.judge(c.at, c)
-	t.evict()
-}
-
-// applyProgress adds the progress of another tracker's record. If too few crashes are left that count, the refusal of the
-// request ends.
-func (t *Tracker) applyProgress(other *record) {
-	t.Expire(other.progress)
-	r := t.records[other.key]
-	if r == nil {
-		r = t.newRecord(other.key, other.progress)
-	}
-	r.progress, r.revision, r.isOwn = other.progress, other.revision, other.isOwn
-	if t.deaths(r) < deathLimit {
-		r.proved, r.provedTerm = false, 0
-	}
-	if !r.proved {
-		r.expires = later(r.expires, r.progress.Add(t.settings.SuspectFor))
-	}
-	t.evict()
 }
 
 // evidence returns the crashes and the progress that were added after a revision, only those that this process saw itself
@@ -100,6 +81,7 @@
 		if r.revision > since && (r.isOwn || !isOwn) {
 			e.Progress = append(e.Progress, &wire.Progress{
 				Fingerprint: r.key.fingerprint.Bytes(), Organisation: r.key.organisation, AgeMs: now.Sub(r.progress).Milliseconds(),
+				IsPart: r.key.isPart,
 			})
 		}
 	}
@@ -111,6 +93,9 @@
 	report := &wire.DeathReport{CrashId: c.id, AgeMs: now.Sub(c.at).Milliseconds()}
 	for _, s := range c.sightings {
 		suspect := &wire.Suspect{Fingerprint: s.request.fingerprint.Bytes(), Organisation: s.request.organisation}
+		for _, part := range s.parts {
+			suspect.Parts = append(suspect.Parts, part.fingerprint.Bytes())
+		}
 		if !s.sent.IsZero() {
 			suspect.RanMs = max(c.at.Sub(s.sent).Milliseconds(), 1)
 		}
--- a/quarantine/fingerprint.go
+++ b/quarantine/fingerprint.go
@@ -30,6 +30,9 @@
 	return f
 }
 
+// NewPart returns the fingerprint of a part of prompts that has an ID.
+func NewPart(id string) Fingerprint { return NewFingerprint("", "part", []byte(id)) }
+
 // FromBytes decodes the fingerprint of a message. It returns false if the length is wrong.
 func FromBytes(b []byte) (Fingerprint, bool) {
 	var f Fingerprint
--- a/quarantine/memory.go
+++ b/quarantine/memory.go
@@ -11,8 +11,10 @@
 )
 
 const (
+	// memoryPerOrganisation is the number of requests kept of one organisation, and that of parts.
+	memoryPerOrganisation = 1024
 	// memoryCrashes is the number of crashes that a memory keeps and sends.
-	memoryCrashes = 256
+	memoryCrashes = 64
 	// memoryProvedFor is the time for which a request is refused after its second crash. Connections that end are weaker
 	// evidence than the report of a sidecar, so a trial comes earlier.
 	memoryProvedFor = 2 * time.Minute
@@ -23,16 +25,19 @@
 )
 
 // CheckFunc is Memory.Check or Memory.Begin.
-type CheckFunc func(now time.Time, organisation string, f Fingerprint) *outcome.Error
+type CheckFunc func(now time.Time, subject Subject) *outcome.Error
 
 // Memory is a Tracker that processes share without agreement: each adds what it sees, passes on what it has not passed on
 // yet, and merges what it receives, in any order and any number of times. All that hold the same evidence refuse the same
-// requests. It is safe for concurrent use.
+// requests and parts. It is safe for concurrent use.
 type Memory struct {
-	// isEmpty is set while no request is suspect or refused, so that Check needs no lock.
+	// isEmpty is set while nothing is suspect or refused, so that Check needs no lock.
 	isEmpty atomic.Bool
 	mutex   sync.Mutex
 	tracker *Tracker
+	// isBehind is set while the verdicts do not follow from the latest progress yet.
+	isBehind bool
+	recent   recentParts
 	// trials holds when the last request of each record on trial was admitted.
 	trials map[key]time.Time
 	// changed is closed and replaced at each new piece of evidence.
@@ -42,8 +47,11 @@
 // NewMemory returns an empty memory.
 func NewMemory() *Memory {
 	m := &Memory{
-		tracker: NewTracker(Settings{Crashes: memoryCrashes, ProvedFor: memoryProvedFor, SharedLimit: memorySharedLimit}),
-		trials:  map[key]time.Time{}, changed: make(chan struct{}),
+		tracker: NewTracker(Settings{
+			PerOrganisation: memoryPerOrganisation, Crashes: memoryCrashes, ProvedFor: memoryProvedFor,
+			SharedLimit: memorySharedLimit,
+		}),
+		trials: map[key]time.Time{}, changed: make(chan struct{}),
 	}
 	m.isEmpty.Store(true)
 	return m
@@ -52,48 +60,62 @@
 // IsEmpty reports whether Check refuses nothing.
 func (m *Memory) IsEmpty() bool { return m.isEmpty.Load() }
 
-// Check returns the refusal of a request that is proved deadly, or nil. Once a refusal has ended, the request is on
-// trial: it is refused only for trialInterval after one that Begin admitted, until it is known how its answer went.
-func (m *Memory) Check(now time.Time, organisation string, f Fingerprint) *outcome.Error {
+// Check returns the refusal of a request that is proved deadly or has a part that is, or nil. Once a refusal has ended,
+// the request or part is on trial: it is refused only for trialInterval after a request that Begin admitted, until it is
+// known how the answer to that one went.
+func (m *Memory) Check(now time.Time, subject Subject) *outcome.Error {
 	if m.IsEmpty() {
 		return nil
 	}
 	m.mutex.Lock()
 	defer m.mutex.Unlock()
-	return m.check(now, key{organisation, f})
+	return m.check(now, subject.keys())
 }
 
 // Begin is Check before an attempt that starts if it returns nil.
-func (m *Memory) Begin(now time.Time, organisation string, f Fingerprint) *outcome.Error {
+func (m *Memory) Begin(now time.Time, subject Subject) *outcome.Error {
 	if m.IsEmpty() {
 		return nil
 	}
 	m.mutex.Lock()
 	defer m.mutex.Unlock()
-	k := key{organisation, f}
-	if refused := m.check(now, k); refused != nil {
+	keys := subject.keys()
+	if refused := m.check(now, keys); refused != nil {
 		return refused
 	}
-	if r := m.tracker.records[k]; r != nil && r.isOnTrial() {
-		m.trials[k] = now
+	for _, k := range keys {
+		if r := m.tracker.records[k]; r != nil && r.isOnTrial() {
+			m.trials[k] = now
+		}
 	}
 	return nil
 }
 
 // check implements Check. The caller holds the mutex.
-func (m *Memory) check(now time.Time, k key) *outcome.Error {
+func (m *Memory) check(now time.Time, keys []key) *outcome.Error {
+	if m.isBehind {
+		m.replay(now)
+	}
 	m.tracker.Expire(now)
 	m.isEmpty.Store(m.tracker.Len() == 0)
-	r := m.tracker.records[k]
+	for _, k := range keys {
+		if refused := m.checkRecord(now, m.tracker.records[k]); refused != nil {
+			return refused
+		}
+	}
+	return nil
+}
+
+func (m *Memory) checkRecord(now time.Time, r *record) *outcome.Error {
 	if r == nil {
 		return nil
 	}
 	if r.proved {
-		return refusal("deadly", "upstreams crashed while they ran this request", r.expires.Sub(now))
+		return refusal("deadly", "upstreams crashed while they ran this request or others with a part of it", r.expires.Sub(now))
 	}
-	next := m.trials[k].Add(trialInterval)
+	next := m.trials[r.key].Add(trialInterval)
 	if r.isOnTrial() && now.Before(next) {
-		return refusal("on-trial", "upstreams crashed while they ran this request; another one is on trial", next.Sub(now))
+		return refusal("on-trial", "upstreams crashed while they ran such requests; another one is on trial", next.Sub(now))
 	}
 	return nil
 }
@@ -110,18 +132,31 @@
 	return m.update(now)
 }
 
-// RecordProgress records that the answer to a request goes on well, if the request is suspect.
-func (m *Memory) RecordProgress(now time.Time, organisation string, f Fingerprint) {
-	if m.IsEmpty() {
+// RecordProgress records that the answer to a request goes on well, which speaks for the request and its parts.
+func (m *Memory) RecordProgress(now time.Time, subject Subject) {
+	if m.IsEmpty() && len(subject.Parts) == 0 {
 		return
 	}
 	m.mutex.Lock()
 	defer m.mutex.Unlock()
-	k := key{organisation, f}
-	r := m.tracker.records[k]
-	if r != nil && r.hasCrashBetween(r.progress, now) && m.tracker.observeProgress(now, k) {
-		r.isOwn = true
+	isNews, isOverLimit := false, false
+	for _, k := range subject.keys() {
+		if k.isPart {
+			m.recent.add(k, now)
+		}
+		if r := m.tracker.records[k]; r != nil && r.hasCrashBetween(r.progress, now) {
+			mayFree, isNew := m.tracker.observeProgress(now, k)
+			r.isOwn = r.isOwn || isNew
+			isNews = isNews || isNew
+			isOverLimit = isOverLimit || mayFree
+		}
+	}
+	switch {
+	case isOverLimit:
 		m.update(now)
+	case isNews:
+		m.isBehind = true
+		m.notify()
 	}
 }
 
@@ -129,39 +164,69 @@
 func (m *Memory) Merge(now time.Time, evidence *wire.Evidence) []*wire.Quarantine {
 	m.mutex.Lock()
 	defer m.mutex.Unlock()
-	isNews := false
+	isNews, mayChange := false, false
 	for _, p := range evidence.GetProgress() {
 		if f, ok := FromBytes(p.Fingerprint); ok {
-			isNews = m.tracker.observeProgress(now.Add(-milliseconds(p.AgeMs)), key{p.Organisation, f}) || isNews
+			mayFree, isNew := m.tracker.observeProgress(now.Add(-milliseconds(p.AgeMs)), key{p.Organisation, f, p.IsPart})
+			isNews = isNews || isNew
+			mayChange = mayChange || mayFree
 		}
 	}
 	for _, report := range evidence.GetDeaths() {
-		isNews = m.tracker.observe(now.Truncate(time.Millisecond), report) != nil || isNews
+		mayChange = m.tracker.observe(now.Truncate(time.Millisecond), report) != nil || mayChange
 	}
-	if !isNews {
-		return nil
+	switch {
+	case mayChange:
+		return m.update(now)
+	case isNews:
+		m.isBehind = true
+		m.notify()
 	}
-	return m.update(now)
+	return nil
 }
 
 // update derives the verdicts from new evidence and notifies those that pass it on. It returns the requests that were not
 // refused before. The caller holds the mutex.
 func (m *Memory) update(now time.Time) []*wire.Quarantine {
+	m.vouch()
 	before := m.tracker
 	refusedBefore := map[key]bool{}
 	for k, r := range before.records {
 		refusedBefore[k] = r.proved
 	}
-	m.tracker = before.replay(now)
-	m.isEmpty.Store(m.tracker.Len() == 0)
-	close(m.changed)
-	m.changed = make(chan struct{})
+	m.replay(now)
+	m.notify()
 	return slices.DeleteFunc(m.tracker.Verdicts(), func(v *wire.Quarantine) bool {
 		f, _ := FromBytes(v.Fingerprint)
-		return !v.Proved || refusedBefore[key{v.Organisation, f}]
+		return !v.Proved || refusedBefore[key{v.Organisation, f, v.IsPart}]
 	})
 }
 
+// replay derives the verdicts again. The caller holds the mutex.
+func (m *Memory) replay(now time.Time) {
+	m.tracker = m.tracker.replay(now)
+	m.isBehind = false
+}
+
+// notify wakes those that pass on evidence. The caller holds the mutex.
+func (m *Memory) notify() {
+	m.isEmpty.Store(m.tracker.Len() == 0)
+	close(m.changed)
+	m.changed = make(chan struct{})
+}
+
+// vouch adds what this process knows of suspect parts that were answered well before they became suspect. The caller holds
+// the mutex.
+func (m *Memory) vouch() {
+	for k, r := range m.tracker.records {
+		at := m.recent.last(k)
+		if !at.IsZero() && r.progress.IsZero() {
+			m.tracker.observeProgress(at, k)
+			r.isOwn = true
+		}
+	}
+}
+
 // Evidence returns what was added since a revision, the revision that includes it, and a channel that is closed at the
 // next addition. The evidence is nil if there is none.
 func (m *Memory) Evidence(now time.Time, since uint64) (*wire.Evidence, uint64, <-chan struct{}) {
--- a/quarantine/memory_test.go
+++ b/quarantine/memory_test.go
@@ -13,9 +13,18 @@
 	"guavahitch.example/guavahitch/wire"
 )
 
+// subject returns a request of organisation a with parts in its prompt.
+func subject(body string, parts ...string) quarantine.Subject {
+	s := quarantine.Subject{Organisation: "a", Request: quarantine.NewFingerprint("a", "/v1", []byte(body))}
+	for _, id := range parts {
+		s.Parts = append(s.Parts, quarantine.NewPart(id))
+	}
+	return s
+}
+
 // ran returns the suspect of a request that was sent some time before its upstream ended.
-func ran(body string, sentBefore time.Duration) *wire.Suspect {
-	s := suspect("a", body, false)
+func ran(body string, sentBefore time.Duration, parts ...string) *wire.Suspect {
+	s := subject(body, parts...).Suspect()
 	s.RanMs = sentBefore.Milliseconds()
 	return s
 }
@@ -25,11 +34,11 @@
 }
 
 func isRefused(m *quarantine.Memory, now time.Time, body string) bool {
-	return m.Check(now, "a", quarantine.NewFingerprint("a", "/v1", []byte(body))) != nil
+	return m.Check(now, subject(body)) != nil
 }
 
 func progressOf(m *quarantine.Memory, now time.Time, body string) {
-	m.RecordProgress(now, "a", quarantine.NewFingerprint("a", "/v1", []byte(body)))
+	m.RecordProgress(now, subject(body))
 }
 
 // exchange passes evidence between memories until none has news, and returns the number of messages.
@@ -148,16 +157,15 @@
 // goes well frees it.
 func TestTrialAfterARefusal(t *testing.T) {
 	m := quarantine.NewMemory()
-	f := quarantine.NewFingerprint("a", "/v1", []byte("x"))
 	m.RecordDeath(start, crashReport("1", ran("x", time.Second)))
 	m.RecordDeath(start.Add(5*time.Second), crashReport("2", ran("x", time.Second)))
-	refused := m.Begin(start.Add(5*time.Second), "a", f)
+	refused := m.Begin(start.Add(5*time.Second), subject("x"))
 	require.NotNil(t, refused)
 	trial := start.Add(5 * time.Second).Add(refused.RetryAfter)
-	require.Nil(t, m.Begin(trial, "a", f))
-	require.NotNil(t, m.Begin(trial.Add(time.Second), "a", f))
+	require.Nil(t, m.Begin(trial, subject("x")))
+	require.NotNil(t, m.Begin(trial.Add(time.Second), subject("x")))
 	m.RecordDeath(trial.Add(time.Second), crashReport("3", ran("x", time.Second)))
-	again := m.Check(trial.Add(time.Second), "a", f)
+	again := m.Check(trial.Add(time.Second), subject("x"))
 	require.NotNil(t, again)
 	require.True(t, isRefused(m, trial.Add(2*refused.RetryAfter), "x"))
 
@@ -182,7 +190,9 @@
 			}
 			report := crashReport(fmt.Sprint(n))
 			for range rapid.IntRange(1, 2).Draw(t, "running") {
-				report.Running = append(report.Running, ran(fmt.Sprint(rapid.IntRange(0, 2).Draw(t, "body")), time.Second))
+				report.Running = append(report.Running, ran(
+					fmt.Sprint(rapid.IntRange(0, 2).Draw(t, "body")), time.Second, fmt.Sprint("part ", rapid.IntRange(0, 1).Draw(t, "part")),
+				))
 			}
 			items = append(items, item{at: at, report: report})
 		}
@@ -196,7 +206,10 @@
 					evidence.Deaths = []*wire.DeathReport{{CrashId: report.CrashId, Running: report.Running, AgeMs: age}}
 				} else {
 					f := quarantine.NewFingerprint("a", "/v1", []byte(items[n].body))
-					evidence.Progress = []*wire.Progress{{Fingerprint: f.Bytes(), Organisation: "a", AgeMs: age}}
+					part := quarantine.NewPart("part " + items[n].body)
+					evidence.Progress = []*wire.Progress{
+						{Fingerprint: f.Bytes(), Organisation: "a", AgeMs: age}, {Fingerprint: part.Bytes(), IsPart: true, AgeMs: age},
+					}
 				}
 				m.Merge(now, evidence)
 			}
@@ -211,5 +224,9 @@
 		for body := range 3 {
 			require.Equal(t, isRefused(first, now, fmt.Sprint(body)), isRefused(second, now, fmt.Sprint(body)), "body %d", body)
 		}
+		for part := range 2 {
+			id := fmt.Sprint("part ", part)
+			require.Equal(t, refusesPart(first, now, id), refusesPart(second, now, id), id)
+		}
 	})
 }
--- a/quarantine/record.go
+++ b/quarantine/record.go
@@ -14,17 +14,18 @@
 
 type (
 	// key identifies a record. It contains the organisation, so that a report about one organisation's request
-	// never affects another's.
+	// never affects another's. Parts of prompts are shared and have no organisation.
 	key struct {
 		organisation string
 		fingerprint  Fingerprint
+		isPart       bool
 	}
 
-	// record is what the tracker knows of one request.
+	// record is what the tracker knows of one request or part.
 	record struct {
 		key key
-		// crashes are the crashes in which the request was running, earliest first. earlierDeaths counts those of which no
-		// details are kept.
+		// crashes are the latest crashes in which the request was running, earliest first. earlierDeaths counts those that
+		// an earlier build recorded without details.
 		crashes       []*crash
 		earlierDeaths int
 		// progress is the last time at which an answer to the request went on well.
@@ -43,9 +44,30 @@
 	return cmp.Or(
 		cmp.Compare(k.organisation, other.organisation),
 		bytes.Compare(k.fingerprint[:], other.fingerprint[:]),
+		compareBools(k.isPart, other.isPart),
 	)
 }
 
+// compareBools orders false before true.
+func compareBools(a, b bool) int {
+	switch {
+	case a == b:
+		return 0
+	case b:
+		return -1
+	default:
+		return 1
+	}
+}
+
+// limit returns the number of crashes after which the request or part is refused.
+func (r *record) limit() int {
+	if r.key.isPart && !r.progress.IsZero() {
+		return trustedPartLimit
+	}
+	return deathLimit
+}
+
 // hasCrashBetween reports whether the request was running in a crash after one time and not after another.
 func (r *record) hasCrashBetween(after, until time.Time) bool {
 	return slices.ContainsFunc(r.crashes, func(c *crash) bool { return c.at.After(after) && !c.at.After(until) })
@@ -75,27 +97,31 @@
 // isOnTrial reports whether the refusal of a request has ended and it is not known yet how its next answer goes.
 func (r *record) isOnTrial() bool { return r.provedTerm > 0 && !r.proved }
 
-// addCrash adds a crash in which the request was running. Beyond maxCrashesKept, the earliest is only counted.
+// addCrash adds a crash in which the request was running, unless it is known. The record keeps the latest maxCrashesKept.
 func (r *record) addCrash(c *crash) {
-	n, _ := slices.BinarySearchFunc(r.crashes, c, (*crash).compare)
+	n, isKnown := slices.BinarySearchFunc(r.crashes, c, (*crash).compare)
+	if isKnown {
+		return
+	}
 	r.crashes = slices.Insert(r.crashes, n, c)
 	if len(r.crashes) > maxCrashesKept {
 		r.crashes = slices.Delete(r.crashes, 0, 1)
-		r.earlierDeaths++
 	}
 }
 
-// isEvictedBefore orders the records of one organisation for eviction: by expiry, then by fingerprint.
-func (r *record) isEvictedBefore(other *record) bool {
-	if !r.expires.Equal(other.expires) {
-		return r.expires.Before(other.expires)
-	}
-	return r.key.compare(other.key) < 0
+// compareEviction orders the records of one organisation for eviction: those once proved deadly last, then by expiry, then
+// by fingerprint.
+func (r *record) compareEviction(other *record) int {
+	return cmp.Or(
+		compareBools(r.provedTerm > 0, other.provedTerm > 0),
+		r.expires.Compare(other.expires),
+		r.key.compare(other.key),
+	)
 }
 
 func (r *record) verdict() *wire.Quarantine {
 	return &wire.Quarantine{
 		Fingerprint: r.key.fingerprint.Bytes(), Organisation: r.key.organisation, Proved: r.proved,
-		ExpiresMs: r.expires.UnixMilli(),
+		ExpiresMs: r.expires.UnixMilli(), IsPart: r.key.isPart,
 	}
 }
--- a/quarantine/snapshot.go
+++ b/quarantine/snapshot.go
@@ -25,9 +25,13 @@
 func (c *crash) snapshot() *wire.TrackedCrash {
 	m := &wire.TrackedCrash{AtMs: unixMilli(c.at), Revision: c.revision}
 	for _, s := range c.sightings {
-		m.Sightings = append(m.Sightings, &wire.TrackedSighting{
+		stored := &wire.TrackedSighting{
 			Fingerprint: s.request.fingerprint.Bytes(), Organisation: s.request.organisation, SentMs: unixMilli(s.sent),
-		})
+		}
+		for _, part := range s.parts {
+			stored.Parts = append(stored.Parts, part.fingerprint.Bytes())
+		}
+		m.Sightings = append(m.Sightings, stored)
 	}
 	return m
 }
@@ -60,9 +64,9 @@
 		if !ok {
 			continue
 		}
-		k := key{s.Organisation, f}
-		c.byRequest[k] = len(c.sightings)
-		c.sightings = append(c.sightings, sighting{request: k, sent: fromUnixMilli(s.SentMs)})
+		c.add(sighting{
+			request: key{organisation: s.Organisation, fingerprint: f}, parts: partKeys(s.Parts), sent: fromUnixMilli(s.SentMs),
+		})
 	}
 }
 
@@ -72,11 +76,14 @@
 		return
 	}
 	r := t.newRecord(
-		key{tracked.Verdict.Organisation, f}, time.UnixMilli(tracked.Verdict.ExpiresMs),
+		key{tracked.Verdict.Organisation, f, tracked.Verdict.IsPart}, time.UnixMilli(tracked.Verdict.ExpiresMs),
 	)
 	t.restoreCrashes(r, fromUnixMilli(tracked.SinceMs))
 	r.proved = tracked.Verdict.Proved
 	r.provedTerm = milliseconds(tracked.ProvedTermMs)
+	if r.provedTerm > 0 {
+		t.proved[r.key] = r
+	}
 	r.progress = fromUnixMilli(tracked.ProgressMs)
 	r.revision = tracked.Revision
 	r.earlierDeaths = int(tracked.EarlierDeaths)
@@ -88,7 +95,7 @@
 // restoreCrashes adds the crashes since a time in which the request was running to its record.
 func (t *Tracker) restoreCrashes(r *record, since time.Time) {
 	for _, c := range t.byTime {
-		if _, ran := c.byRequest[r.key]; ran && !c.at.Before(since) {
+		if len(c.carriers[r.key]) > 0 && !c.at.Before(since) {
 			r.addCrash(c)
 		}
 	}
--- /dev/null
+++ b/quarantine/subject.go
@@ -0,0 +1,28 @@
+package quarantine
+
+import "guavahitch.example/guavahitch/wire"
+
+// Subject is a request together with the parts of its prompt that other requests may share. Either may crash upstreams.
+type Subject struct {
+	Organisation string
+	Request      Fingerprint
+	Parts        []Fingerprint
+}
+
+// keys returns the keys of the request and of its parts.
+func (s Subject) keys() []key {
+	keys := []key{{organisation: s.Organisation, fingerprint: s.Request}}
+	for _, part := range s.Parts {
+		keys = append(keys, key{fingerprint: part, isPart: true})
+	}
+	return keys
+}
+
+// Suspect returns the message that reports the request as running in a crash.
+func (s Subject) Suspect() *wire.Suspect {
+	suspect := &wire.Suspect{Fingerprint: s.Request.Bytes(), Organisation: s.Organisation}
+	for _, part := range s.Parts {
+		suspect.Parts = append(suspect.Parts, part.Bytes())
+	}
+	return suspect
+}
--- a/quarantine/tracker.go
+++ b/quarantine/tracker.go
@@ -26,8 +26,12 @@
 	provedGrowth = 4
 	// deathLimit is the number of crashes after which a request is refused.
 	deathLimit = 2
-	// maxSightings bounds the requests kept of one crash.
+	// trustedPartLimit is the number of crashes after which a part is refused although answers to requests with it went on
+	// well before. Such a part is shared by many requests, which run beside whatever crashes.
+	trustedPartLimit = 4
+	// maxSightings bounds the requests kept of one crash, maxParts the parts kept of one request.
 	maxSightings = 512
+	maxParts     = 32
 )
 
 type (
@@ -46,11 +50,15 @@
 	// Tracker is the state machine that derives verdicts from crash reports. It is deterministic: the same inputs
 	// give the same state on every replica. It is not safe for concurrent use.
 	Tracker struct {
-		settings        Settings
-		records         map[key]*record
+		settings Settings
+		records  map[key]*record
+		// proved holds the records that are or were proved deadly by themselves.
+		proved          map[key]*record
 		perOrganisation map[string]int
 		crashes         map[string]*crash
 		byTime          []*crash // crashes, earliest first
+		// nextExpiry is the earliest time at which a record may expire.
+		nextExpiry time.Time
 		// revision increases with each new piece of evidence.
 		revision uint64
 	}
@@ -65,7 +73,7 @@
 	s.ProvedFor = cmp.Or(s.ProvedFor, ProvedFor)
 	s.SharedLimit = cmp.Or(s.SharedLimit, deathLimit)
 	return &Tracker{
-		settings: s, records: map[key]*record{}, perOrganisation: map[string]int{}, crashes: map[string]*crash{},
+		settings: s, records: map[key]*record{}, proved: map[key]*record{}, perOrganisation: map[string]int{}, crashes: map[string]*crash{},
 	}
 }
 
@@ -88,24 +96,27 @@
 	return verdicts
 }
 
-// judge updates the records of the requests that were running in a crash and returns their verdicts.
+// judge updates the records of the requests that were running in a crash, and of their parts, and returns their verdicts.
 func (t *Tracker) judge(now time.Time, c *crash) []*wire.Quarantine {
 	var affected, overLimit []*record
-	for _, s := range c.sightings {
-		r := t.records[s.request]
+	for _, k := range c.subjects() {
+		r := t.records[k]
 		if r == nil {
 			continue
 		}
 		affected = append(affected, r)
-		if t.deaths(r) >= deathLimit {
+		if t.deaths(r) >= r.limit() {
 			overLimit = append(overLimit, r)
 		}
 	}
 	for _, r := range overLimit {
+		deaths := t.deaths(r)
 		switch {
 		case len(overLimit) == 1:
-			r.prove(now, t.provedFor(t.deaths(r)))
-		case t.deaths(r) >= t.settings.SharedLimit:
+			r.prove(now, t.provedFor(deaths-r.limit()))
+			t.proved[r.key] = r
+			t.expireBy(r.expires)
+		case deaths >= t.settings.SharedLimit:
 			r.proved = true
 		}
 	}
@@ -116,10 +127,10 @@
 	return verdicts
 }
 
-// provedFor returns how long a request is refused after a number of crashes.
-func (t *Tracker) provedFor(deaths int) time.Duration {
+// provedFor returns how long a request is refused after a number of crashes beyond its limit.
+func (t *Tracker) provedFor(further int) time.Duration {
 	term := t.settings.ProvedFor
-	for range deaths - deathLimit {
+	for range further {
 		term = min(term*provedGrowth, max(maxProvedFor, t.settings.ProvedFor))
 	}
 	return term
@@ -128,7 +139,7 @@
 // Clear removes a suspect that ran alone and completed. It returns false if the request is no suspect or is proved
 // deadly.
 func (t *Tracker) Clear(organisation string, f Fingerprint) bool {
-	r, ok := t.records[key{organisation, f}]
+	r, ok := t.records[key{organisation: organisation, fingerprint: f}]
 	if !ok || r.proved {
 		return false
 	}
@@ -139,18 +150,31 @@
 // Expire removes the records that have expired. A request that was proved deadly by itself stays suspect for as long
 // again.
 func (t *Tracker) Expire(now time.Time) {
+	if now.Before(t.nextExpiry) {
+		return
+	}
+	t.nextExpiry = now.Add(maxProvedFor)
 	for _, r := range t.records {
 		if now.Before(r.expires) {
+			t.expireBy(r.expires)
 			continue
 		}
 		if r.proved && now.Before(r.expires.Add(r.provedTerm)) {
 			r.startTrial()
+			t.expireBy(r.expires)
 			continue
 		}
 		t.remove(r)
 	}
 }
 
+// expireBy makes Expire look at the records at a time.
+func (t *Tracker) expireBy(at time.Time) {
+	if at.Before(t.nextExpiry) {
+		t.nextExpiry = at
+	}
+}
+
 // Verdicts returns all verdicts, sorted by organisation and fingerprint.
 func (t *Tracker) Verdicts() []*wire.Quarantine {
 	all := make([]*wire.Quarantine, 0, len(t.records))
@@ -166,15 +190,15 @@
 func (t *Tracker) Len() int { return len(t.records) }
 
 // evict enforces the limits. For each organisation over its limit, and then for the largest organisation while the
-// total is too high, it removes the record that expires first.
+// total is too high, it removes the records that are evicted first.
 func (t *Tracker) evict() {
 	for _, organisation := range slices.Sorted(maps.Keys(t.perOrganisation)) {
-		for t.perOrganisation[organisation] > t.settings.PerOrganisation {
-			t.evictFirst(organisation)
+		if surplus := t.perOrganisation[organisation] - t.settings.PerOrganisation; surplus > 0 {
+			t.evictFirst(organisation, surplus)
 		}
 	}
 	for len(t.records) > t.settings.Limit {
-		t.evictFirst(t.largestOrganisation())
+		t.evictFirst(t.largestOrganisation(), 1)
 	}
 }
 
@@ -188,18 +212,23 @@
 	return largest
 }
 
-func (t *Tracker) evictFirst(organisation string) {
-	var first *record
+// evictFirst removes a number of records of an organisation.
+func (t *Tracker) evictFirst(organisation string, count int) {
+	var held []*record
 	for _, r := range t.records {
-		if r.key.organisation == organisation && (first == nil || r.isEvictedBefore(first)) {
-			first = r
+		if r.key.organisation == organisation {
+			held = append(held, r)
 		}
 	}
-	t.remove(first)
+	slices.SortFunc(held, (*record).compareEviction)
+	for _, r := range held[:count] {
+		t.remove(r)
+	}
 }
 
 func (t *Tracker) remove(r *record) {
 	delete(t.records, r.key)
+	delete(t.proved, r.key)
 	t.perOrganisation[r.key.organisation]--
 	if t.perOrganisation[r.key.organisation] == 0 {
 		delete(t.perOrganisation, r.key.organisation)
@@ -209,6 +238,7 @@
 func (t *Tracker) newRecord(k key, expires time.Time) *record {
 	r := &record{key: k, expires: expires}
 	t.records[k] = r
+	t.expireBy(expires)
 	t.perOrganisation[k.organisation]++
 	return r
 }
--- a/quarantine/view.go
+++ b/quarantine/view.go
@@ -45,7 +45,7 @@
 	next := make(map[key]verdict, len(verdicts))
 	for _, q := range verdicts {
 		if f, ok := FromBytes(q.GetFingerprint()); ok {
-			next[key{q.GetOrganisation(), f}] = verdict{proved: q.GetProved(), expires: time.UnixMilli(q.GetExpiresMs())}
+			next[key{q.GetOrganisation(), f, q.GetIsPart()}] = verdict{proved: q.GetProved(), expires: time.UnixMilli(q.GetExpiresMs())}
 		}
 	}
 	v.verdicts.Store(&next)
@@ -54,7 +54,7 @@
 // Check returns how a request may run. It refuses a request proved deadly, and a suspect that may not be repeated,
 // since a trial could run it twice. The outcome of a refusal is always NotRun.
 func (v *View) Check(now time.Time, organisation string, f Fingerprint, repeatable bool) (Treatment, *outcome.Error) {
-	found, ok := v.lookup(now, key{organisation, f})
+	found, ok := v.lookup(now, key{organisation: organisation, fingerprint: f})
 	if !ok {
 		return Unrestricted, nil
 	}
@@ -101,7 +101,7 @@
 		v.refusedLocally = map[key]time.Time{}
 	}
 	if len(v.refusedLocally) < DefaultLimit {
-		v.refusedLocally[key{organisation, f}] = now.Add(SuspectFor)
+		v.refusedLocally[key{organisation: organisation, fingerprint: f}] = now.Add(SuspectFor)
 	}
 }
 
--- a/registry/evidence_test.go
+++ b/registry/evidence_test.go
@@ -47,7 +47,9 @@
 }
 
 func refuses(m *quarantine.Memory) func() bool {
-	return func() bool { return m.Check(time.Now(), "levis", deadly) != nil }
+	return func() bool {
+		return m.Check(time.Now(), quarantine.Subject{Organisation: "levis", Request: deadly}) != nil
+	}
 }
 
 // Guards against verdicts that wait for a leader. One replica of three runs, so there is none; what two entries saw must
--- a/routed/request_log.go
+++ b/routed/request_log.go
@@ -114,7 +114,7 @@
 	d.logVerdicts(c.Verdicts)
 }
 
-// logVerdicts logs the requests that are refused from now on because upstreams crashed while they ran them.
+// logVerdicts logs the requests and parts that are refused from now on because upstreams crashed while they ran them.
 func (d *requestLog) logVerdicts(verdicts []*wire.Quarantine) {
 	for _, v := range verdicts {
 		if !v.Proved {
@@ -124,10 +124,17 @@
 		d.log.WithFields(logrus.Fields{
 			"fingerprint": hex.EncodeToString(v.Fingerprint), "organisation": v.Organisation,
 			"until": time.UnixMilli(v.ExpiresMs).UTC().Format(time.RFC3339),
-		}).Warn("request is refused as deadly")
+		}).Warn(deadlyText(v))
 	}
 }
 
+func deadlyText(v *wire.Quarantine) string {
+	if v.IsPart {
+		return "part is refused as deadly"
+	}
+	return "request is refused as deadly"
+}
+
 // logOutage logs that a group is down or is serving again.
 func (d *requestLog) logOutage(o forward.Outage) {
 	down := d.scope.Tagged(map[string]string{"service": o.Service}).Gauge("group_down")
