dispatch, sidecar, control: chats that share a deadly message are refused

The chat interface remembered whole requests only: ever new chats with one message that crashes engines took down all of them, and nobody was answered any more. Ruled out: that trials alone bound it; each new chat gets its own. Change: the messages of a chat but the last are parts, at most 32. Sidecars report them with the time for which each attempt ran, and the tracker of the replicated state judges them by the same rules as those of routed traffic; an entry that was answered speaks for the suspect parts of that chat, once a second. Engines that die together count once for a part. A part is refused for 2 minutes at first. The report of a death carries its age, so that one that waited for a leader keeps its place in time.

--- a/admission/gate.go
+++ b/admission/gate.go
@@ -75,9 +75,11 @@
 		Revision     uint64
 		Organisation string
 		Fingerprint  string
-		Priority     int32
-		Deadline     time.Time
-		Repeatable   bool
+		// Parts are the fingerprints of the parts of the prompt that other requests may share.
+		Parts      [][]byte
+		Priority   int32
+		Deadline   time.Time
+		Repeatable bool
 		// Key is the idempotency key of a request that may not be repeated.
 		Key string
 		// Alone requires that no other attempt runs at the same time.
@@ -91,6 +93,8 @@
 		Answer  *Answer
 		// Touched is the time at which an entry last asked for the attempt or the engine ended it.
 		Touched time.Time
+		// Began is the time at which the attempt was released to the engine.
+		Began time.Time
 	}
 
 	// Gate admits attempts to one upstream. It is not safe for concurrent use.
@@ -263,6 +267,7 @@
 		}
 		g.queue = g.queue[1:]
 		call.State = Running
+		call.Began = now
 		g.running++
 		g.runsAlone = call.Request.Alone
 		return call, expired
--- a/caller/chat.go
+++ b/caller/chat.go
@@ -10,12 +10,15 @@
 
 	"guavahitch.example/guavahitch/dispatch"
 	"guavahitch.example/guavahitch/outcome"
+	"guavahitch.example/guavahitch/quarantine"
 	"guavahitch.example/guavahitch/routing"
 )
 
 // chat.go serves the OpenAI-style interface: the list of models and chat completions.
 
 const (
+	// maxPromptParts bounds the parts of a prompt by which deadly requests are known.
+	maxPromptParts = 32
 	// bytesPerToken is the assumed size of a prompt token, by which the number of tokens is estimated.
 	bytesPerToken = 4
 	// defaultOutputTokens is the expected length of an answer whose request sets no maximum.
@@ -98,6 +101,7 @@
 	request.PromptTokens = len(request.Body)/bytesPerToken + 1
 	request.OutputTokens = tokens
 	request.PrefixHashes = prefixHashes(&body)
+	request.Parts = promptParts(&body)
 	return nil
 }
 
@@ -126,6 +130,16 @@
 	}
 }
 
+// promptParts returns the parts of the prompt that other requests may share: all messages but the last, at most
+// maxPromptParts of them.
+func promptParts(body *chatRequest) []quarantine.Fingerprint {
+	var parts []quarantine.Fingerprint
+	for _, m := range body.Messages[:min(len(body.Messages)-1, maxPromptParts)] {
+		parts = append(parts, quarantine.NewPart(m.Role+"\x00"+string(m.Content)))
+	}
+	return parts
+}
+
 // prefixHashes returns one hash for each full leading block of the prompt. Each hash covers the prompt from its start
 // to the end of the block.
 func prefixHashes(body *chatRequest) []uint64 {
--- a/control/quarantine.go
+++ b/control/quarantine.go
@@ -32,15 +32,27 @@
 	return &wire.Result{Applied: true}
 }
 
-// clear releases a suspected fingerprint whose request ran alone to completion.
+// clear releases a suspected fingerprint: that of a request that ran alone to completion, or of a part of a prompt that was
+// answered.
 func (s *State) clear(replica string, request *wire.ClearRequest) *wire.Result {
 	fingerprint, ok := quarantine.FromBytes(request.Fingerprint)
-	if !ok || !s.tracker.Clear(request.Organisation, fingerprint) {
+	cause := "it ran alone to its end"
+	switch {
+	case !ok:
+		return &wire.Result{Applied: true}
+	case request.IsPart:
+		ok, cause = s.tracker.ClearPart(time.UnixMilli(s.nowMs), fingerprint), "a request with it was answered"
+	default:
+		ok = s.tracker.Clear(request.Organisation, fingerprint)
+	}
+	if !ok {
 		return &wire.Result{Applied: true}
 	}
 	return s.quarantine(replica, &wire.QuarantineUpdate{
-		Quarantine: &wire.Quarantine{Fingerprint: request.Fingerprint, Organisation: request.Organisation},
-		Remove:     true, Cause: "it ran alone to its end",
+		Quarantine: &wire.Quarantine{
+			Fingerprint: request.Fingerprint, Organisation: request.Organisation, IsPart: request.IsPart,
+		},
+		Remove: true, Cause: cause,
 	})
 }
 
--- a/daemon/failure_benchmark_test.go
+++ b/daemon/failure_benchmark_test.go
@@ -150,7 +150,7 @@
 }
 
 // newDeadlySystem starts two entries and six engines that crash on requests that contain a certain word.
-func newDeadlySystem(b *testing.B) *system {
+func newDeadlySystem(b testing.TB) *system {
 	s := &system{cluster: newCluster(b, 1), reasons: map[string]int{}, client: &http.Client{Transport: &http.Transport{MaxIdleConnsPerHost: 64}}}
 	b.Cleanup(s.client.CloseIdleConnections)
 	for n := range 6 {
--- a/daemon/sidecar.go
+++ b/daemon/sidecar.go
@@ -159,12 +159,13 @@
 	report := &wire.DeathReport{
 		Upstream: r.process.settings.Name, Epoch: r.server.Epoch(), Running: running, CrashId: uuid.NewString(),
 	}
+	died := time.Now()
 	accepted := make(chan struct{})
 	go func() {
 		defer close(accepted)
 		ctx, cancel := context.WithTimeout(context.Background(), 10*lease.Duration)
 		defer cancel()
-		if _, failure := r.process.leader.ReportDeath(ctx, report); failure != nil {
+		if _, failure := r.process.leader.ReportDeath(ctx, died, report); failure != nil {
 			r.process.log.WithError(failure).Error("reporting the engine's death to control failed")
 		}
 	}()
--- a/dispatch/dispatcher.go
+++ b/dispatch/dispatcher.go
@@ -119,6 +119,9 @@
 	now := time.Now()
 	fingerprint := request.fingerprint()
 	treatment, refusal := d.verdicts.Check(now, request.Organisation, fingerprint, request.Repeatable)
+	if refusal == nil {
+		refusal = d.verdicts.CheckParts(now, request.Parts)
+	}
 	if refusal != nil {
 		d.recordEvent("refused", request, "", refusal)
 		return refusal
--- a/dispatch/job.go
+++ b/dispatch/job.go
@@ -167,7 +167,11 @@
 	if !j.request.Repeatable || !j.out.canContinue() || !wait.For(ctx, quarantine.TrialDelay) {
 		return failure
 	}
-	_, refusal := j.d.verdicts.Check(time.Now(), j.request.Organisation, j.fingerprint, true)
+	now := time.Now()
+	_, refusal := j.d.verdicts.Check(now, j.request.Organisation, j.fingerprint, true)
+	if refusal == nil {
+		refusal = j.d.verdicts.CheckParts(now, j.request.Parts)
+	}
 	j.alone = true
 	return refusal
 }
@@ -217,6 +221,7 @@
 	if j.out != nil {
 		start.ResumeText = j.out.resumeText()
 	}
+	start.Parts = r.partBytes()
 	return sidecar.NewAttempt(j.d.link(choice.Upstream.Address), choice.Upstream.Name, start)
 }
 
@@ -266,12 +271,18 @@
 	return true, nil
 }
 
-// clearSuspicion reports to control that a suspect request completed while it ran alone.
+// clearSuspicion reports to control that a suspect request completed while it ran alone, and that a request with suspect
+// parts completed.
 func (j *job) clearSuspicion(ctx context.Context) {
-	if !j.alone {
-		return
+	for _, part := range j.d.verdicts.TakeSuspectParts(time.Now(), j.request.Parts) {
+		j.clear(ctx, &wire.ClearRequest{Fingerprint: part.Bytes(), IsPart: true})
+	}
+	if j.alone {
+		j.clear(ctx, &wire.ClearRequest{Fingerprint: j.fingerprint.Bytes(), Organisation: j.request.Organisation})
 	}
-	request := &wire.ClearRequest{Fingerprint: j.fingerprint.Bytes(), Organisation: j.request.Organisation}
+}
+
+func (j *job) clear(ctx context.Context, request *wire.ClearRequest) {
 	ctx, cancel := context.WithTimeout(context.WithoutCancel(ctx), settleTimeout)
 	go func() {
 		defer cancel()
--- a/dispatch/request.go
+++ b/dispatch/request.go
@@ -41,6 +41,8 @@
 		OutputTokens int
 		// PrefixHashes are the hashes of the leading blocks of the prompt.
 		PrefixHashes []uint64
+		// Parts are the parts of the prompt that other requests may share.
+		Parts []quarantine.Fingerprint
 	}
 
 	// Sink receives the answer of a request. Head is called once before Data. An error from Data means that the
@@ -52,6 +54,15 @@
 	}
 )
 
+// partBytes returns the fingerprints of the parts as encoded in messages.
+func (r *Request) partBytes() [][]byte {
+	var parts [][]byte
+	for _, part := range r.Parts {
+		parts = append(parts, part.Bytes())
+	}
+	return parts
+}
+
 // fingerprint identifies the request across resends.
 func (r *Request) fingerprint() quarantine.Fingerprint {
 	return quarantine.NewFingerprint(r.Organisation, r.Method+" "+r.Path, r.Body)
--- a/fake/engine.go
+++ b/fake/engine.go
@@ -8,6 +8,7 @@
 	"fmt"
 	"net"
 	"net/http"
+	"slices"
 	"strings"
 	"sync"
 	"time"
@@ -326,10 +327,15 @@
 	return &sequence{
 		id: r.Header.Get("X-Request-Id"), words: Words(prompt, count), next: min(generated, count),
 		tokens: make(chan string, count+1), cancelled: r.Context().Done(),
-		crashes: crashWord != "" && strings.Contains(prompt, crashWord),
+		crashes: crashWord != "" && containsWord(messages, crashWord),
 	}
 }
 
+// containsWord reports whether a message contains a word.
+func containsWord(messages []chatMessage, word string) bool {
+	return slices.ContainsFunc(messages, func(m chatMessage) bool { return strings.Contains(m.Content, word) })
+}
+
 func (e *Engine) enqueue(s *sequence) bool {
 	e.mutex.Lock()
 	defer e.mutex.Unlock()
--- a/leader/client.go
+++ b/leader/client.go
@@ -151,9 +151,12 @@
 	})
 }
 
-// ReportDeath reports which requests an engine was running when it died.
-func (c *Client) ReportDeath(ctx context.Context, report *wire.DeathReport) (*wire.DeathReply, *outcome.Error) {
+// ReportDeath reports which requests an engine was running when it died at a time.
+func (c *Client) ReportDeath(
+	ctx context.Context, died time.Time, report *wire.DeathReport,
+) (*wire.DeathReply, *outcome.Error) {
 	return callLeader(ctx, c, "report-death", 0, func(ctx context.Context, client wire.Control) (*wire.DeathReply, error) {
+		report.AgeMs = time.Since(died).Milliseconds()
 		return client.ReportDeath(ctx, report)
 	})
 }
--- a/quarantine/crash.go
+++ b/quarantine/crash.go
@@ -155,7 +155,7 @@
 
 // deaths returns the number of crashes that speak against a request or part: those since an answer last went on well that
 // nothing else explains. Of crashes at the same time only one counts, because upstreams also end together for other
-// reasons: the request must have been sent after the crash that counted before. For a part, each crash must be that of
+// reasons: the request must have been sent after the crash that counted before (Settings.InSequence). For a part, each crash must be that of
 // another request, so that a request that is resent does not speak against its parts.
 func (t *Tracker) deaths(r *record) int {
 	count := r.earlierDeaths
@@ -173,7 +173,9 @@
 			counted = append(counted, s.request)
 		}
 		count++
-		last = c.at
+		if r.key.isPart || t.settings.InSequence {
+			last = c.at
+		}
 	}
 	return count
 }
--- a/quarantine/memory.go
+++ b/quarantine/memory.go
@@ -49,7 +49,7 @@
 	m := &Memory{
 		tracker: NewTracker(Settings{
 			PerOrganisation: memoryPerOrganisation, Crashes: memoryCrashes, ProvedFor: memoryProvedFor,
-			SharedLimit: memorySharedLimit,
+			SharedLimit: memorySharedLimit, InSequence: true,
 		}),
 		trials: map[key]time.Time{}, changed: make(chan struct{}),
 	}
--- a/quarantine/parts_test.go
+++ b/quarantine/parts_test.go
@@ -8,6 +8,7 @@
 	"time"
 
 	"github.com/stretchr/testify/require"
+	"google.golang.org/protobuf/proto"
 
 	"guavahitch.example/guavahitch/quarantine"
 	"guavahitch.example/guavahitch/wire"
@@ -218,3 +219,42 @@
 		m.RecordDeath(start, report)
 	}
 }
+
+// Engines that die together while they run requests with a shared part must not get the part refused in the replicated
+// state either. Without the times at which the requests began, they would.
+func TestTrackerCountsEnginesThatDieTogetherOnce(t *testing.T) {
+	for _, ranFor := range []time.Duration{time.Second, 0} {
+		tracker, view := quarantine.NewTracker(quarantine.Settings{}), &quarantine.View{}
+		for n := range 2 {
+			tracker.RecordDeath(start, crashReport(fmt.Sprint(n), ran(fmt.Sprint("r", n), ranFor, "system")))
+		}
+		view.SetVerdicts(tracker.Verdicts())
+		require.Equal(t, ranFor == 0, view.CheckParts(start, []quarantine.Fingerprint{quarantine.NewPart("system")}) != nil)
+	}
+}
+
+// An entry whose request with a suspect part was answered tells control so once, and the part is no longer suspect. After
+// that, two more crashes do not refuse it.
+func TestAnsweredRequestClearsAPart(t *testing.T) {
+	tracker, view := quarantine.NewTracker(quarantine.Settings{}), &quarantine.View{}
+	system := quarantine.NewPart("system")
+	death := func(n int) time.Time {
+		at := start.Add(time.Duration(n) * 10 * time.Second)
+		tracker.RecordDeath(at, crashReport(fmt.Sprint(n), ran(fmt.Sprint("r", n), time.Second, "system")))
+		view.SetVerdicts(tracker.Verdicts())
+		return at
+	}
+	now := death(0).Add(time.Second)
+	require.Equal(t, []quarantine.Fingerprint{system}, view.TakeSuspectParts(now, []quarantine.Fingerprint{system}))
+	require.Empty(t, view.TakeSuspectParts(now, []quarantine.Fingerprint{system}))
+	require.True(t, tracker.ClearPart(now, system))
+	require.False(t, tracker.ClearPart(now, system))
+	death(1)
+	require.Nil(t, view.CheckParts(death(2), []quarantine.Fingerprint{system}))
+	death(3)
+	require.NotNil(t, view.CheckParts(death(4), []quarantine.Fingerprint{system}))
+
+	restored := quarantine.NewTracker(quarantine.Settings{})
+	restored.Restore(tracker.Snapshot())
+	require.True(t, proto.Equal(tracker.Snapshot(), restored.Snapshot()))
+}
--- a/quarantine/tracker.go
+++ b/quarantine/tracker.go
@@ -26,6 +26,10 @@
 	provedGrowth = 4
 	// deathLimit is the number of crashes after which a request is refused.
 	deathLimit = 2
+	// sharedPartLimit is the number of crashes after which parts of the same crashes are all refused.
+	sharedPartLimit = 3
+	// partProvedFor is the time for which a part is refused at first. It may be shared, so a trial comes early.
+	partProvedFor = 2 * time.Minute
 	// trustedPartLimit is the number of crashes after which a part is refused although answers to requests with it went on
 	// well before. Such a part is shared by many requests, which run beside whatever crashes.
 	trustedPartLimit = 4
@@ -45,6 +49,9 @@
 		// SharedLimit is the number of crashes after which requests that ran in the same crashes are all refused. It is
 		// deathLimit by default.
 		SharedLimit int
+		// InSequence makes a crash count against a request only if the request was sent after the crash that counted
+		// before. For parts that always holds.
+		InSequence bool
 	}
 
 	// Tracker is the state machine that derives verdicts from crash reports. It is deterministic: the same inputs
@@ -113,10 +120,10 @@
 		deaths := t.deaths(r)
 		switch {
 		case len(overLimit) == 1:
-			r.prove(now, t.provedFor(deaths-r.limit()))
+			r.prove(now, t.provedFor(r, deaths))
 			t.proved[r.key] = r
 			t.expireBy(r.expires)
-		case deaths >= t.settings.SharedLimit:
+		case deaths >= t.sharedLimit(r):
 			r.proved = true
 		}
 	}
@@ -127,10 +134,21 @@
 	return verdicts
 }
 
-// provedFor returns how long a request is refused after a number of crashes beyond its limit.
-func (t *Tracker) provedFor(further int) time.Duration {
+// sharedLimit returns the number of crashes after which a request or part is refused though others ran in the same ones.
+func (t *Tracker) sharedLimit(r *record) int {
+	if r.key.isPart {
+		return max(t.settings.SharedLimit, sharedPartLimit)
+	}
+	return t.settings.SharedLimit
+}
+
+// provedFor returns how long a request or part is refused after a number of crashes.
+func (t *Tracker) provedFor(r *record, deaths int) time.Duration {
 	term := t.settings.ProvedFor
-	for range further {
+	if r.key.isPart {
+		term = min(term, partProvedFor)
+	}
+	for range deaths - r.limit() {
 		term = min(term*provedGrowth, max(maxProvedFor, t.settings.ProvedFor))
 	}
 	return term
@@ -147,6 +165,18 @@
 	return true
 }
 
+// ClearPart records that the answer to a request with a part went on well, and reports whether the part was suspect. The
+// crashes before no longer count against it.
+func (t *Tracker) ClearPart(now time.Time, part Fingerprint) bool {
+	k := key{fingerprint: part, isPart: true}
+	r := t.records[k]
+	if r == nil || r.proved || t.deaths(r) == 0 {
+		return false
+	}
+	t.observeProgress(now, k)
+	return true
+}
+
 // Expire removes the records that have expired. A request that was proved deadly by itself stays suspect for as long
 // again.
 func (t *Tracker) Expire(now time.Time) {
--- a/quarantine/view.go
+++ b/quarantine/view.go
@@ -18,6 +18,8 @@
 	// TrialDelay is the time between a crash and the trial of a request that was running in it. During this time
 	// the verdicts of that crash and of simultaneous ones reach every entry.
 	TrialDelay = 300 * time.Millisecond
+	// clearInterval is the shortest time between two reports of an entry that speak for the same part.
+	clearInterval = time.Second
 	// stepQuarantine is the step in refusals of this package.
 	stepQuarantine = "quarantine"
 )
@@ -32,6 +34,8 @@
 		mutex    sync.Mutex
 		// refusedLocally maps the requests passed to RefuseLocally to the time at which their refusal expires.
 		refusedLocally map[key]time.Time
+		// cleared maps the parts that TakeSuspectParts returned to the time at which it did.
+		cleared map[key]time.Time
 	}
 
 	verdict struct {
@@ -71,6 +75,52 @@
 	}
 }
 
+// CheckParts refuses a request with a part that is proved deadly. The outcome of the refusal is always NotRun.
+func (v *View) CheckParts(now time.Time, parts []Fingerprint) *outcome.Error {
+	for _, part := range parts {
+		found, ok := v.lookup(now, key{fingerprint: part, isPart: true})
+		if ok && found.proved {
+			return refusal(
+				"deadly", "upstreams crashed while they ran requests with a part of this prompt",
+				retryAfterDeadly(found.expires.Sub(now)),
+			)
+		}
+	}
+	return nil
+}
+
+// TakeSuspectParts returns those of the parts that are suspect, each at most once in clearInterval. The answer to a request
+// with them speaks for them.
+func (v *View) TakeSuspectParts(now time.Time, parts []Fingerprint) []Fingerprint {
+	var suspect []Fingerprint
+	for _, part := range parts {
+		k := key{fingerprint: part, isPart: true}
+		if found, ok := v.lookup(now, k); ok && !found.proved && v.markCleared(now, k) {
+			suspect = append(suspect, part)
+		}
+	}
+	return suspect
+}
+
+// markCleared records that a part is returned, unless that happened less than clearInterval ago.
+func (v *View) markCleared(now time.Time, k key) bool {
+	v.mutex.Lock()
+	defer v.mutex.Unlock()
+	if now.Sub(v.cleared[k]) < clearInterval {
+		return false
+	}
+	for k, at := range v.cleared {
+		if now.Sub(at) >= clearInterval {
+			delete(v.cleared, k)
+		}
+	}
+	if v.cleared == nil {
+		v.cleared = map[key]time.Time{}
+	}
+	v.cleared[k] = now
+	return true
+}
+
 func (v *View) lookup(now time.Time, k key) (verdict, bool) {
 	v.mutex.Lock()
 	seen, isSeen := v.refusedLocally[k]
--- a/sidecar/server.go
+++ b/sidecar/server.go
@@ -117,7 +117,7 @@
 func admissionRequest(now time.Time, request *wire.StartRequest) admission.StartRequest {
 	return admission.StartRequest{
 		ID: idOf(request.Id), Epoch: request.Epoch, Entry: request.Id.GetEntry(), Sequence: request.Id.GetSequence(), Revision: request.Revision,
-		Organisation: request.Organisation, Fingerprint: string(request.Fingerprint), Priority: request.Priority,
+		Organisation: request.Organisation, Fingerprint: string(request.Fingerprint), Parts: request.Parts, Priority: request.Priority,
 		Deadline:   now.Add(time.Duration(request.DeadlineMs) * time.Millisecond),
 		Repeatable: request.Repeatable, Alone: request.Alone, Key: keyOf(request),
 	}
--- a/sidecar/watch.go
+++ b/sidecar/watch.go
@@ -45,7 +45,7 @@
 	s.alive = alive
 	var suspects []*wire.Suspect
 	if died {
-		suspects = suspectsOf(s.gate.Running())
+		suspects = suspectsOf(time.Now(), s.gate.Running())
 		s.crashed.add(time.Now(), suspects)
 	}
 	s.mutex.Unlock()
@@ -65,12 +65,13 @@
 	return "dead"
 }
 
-func suspectsOf(running []*admission.Call) []*wire.Suspect {
+func suspectsOf(now time.Time, running []*admission.Call) []*wire.Suspect {
 	var suspects []*wire.Suspect
 	for _, call := range running {
 		suspects = append(suspects, &wire.Suspect{
 			Fingerprint: []byte(call.Request.Fingerprint), Organisation: call.Request.Organisation,
 			Repeatable: call.Request.Repeatable, Alone: call.Request.Alone,
+			Parts: call.Request.Parts, RanMs: max(now.Sub(call.Began).Milliseconds(), 1),
 		})
 	}
 	return suspects
