quarantine: the memory of an entry keeps the monotonic clock

Cause: times were cut to milliseconds, which strips the reading of the monotonic clock. A step of the wall clock between two crashes could put them in the wrong order, or end a refusal early. Found by reading; no test of its own, since a step cannot be set in a test. Change: times are kept as they are; ages in messages still have milliseconds. The replicated tracker works on the times of the log.

--- a/quarantine/evidence.go
+++ b/quarantine/evidence.go
@@ -17,7 +17,6 @@
 // before that time do not count against the request. If enough of them had counted to refuse it, or to leave open which of
 // several requests is deadly, the verdicts are to be derived again.
 func (t *Tracker) observeProgress(at time.Time, k key) (mayChangeVerdicts, isNews bool) {
-	at = at.Truncate(time.Millisecond)
 	r := t.records[k]
 	if r == nil {
 		r = t.newRecord(k, at)
--- a/quarantine/memory.go
+++ b/quarantine/memory.go
@@ -124,7 +124,7 @@
 func (m *Memory) RecordDeath(now time.Time, report *wire.DeathReport) []*wire.Quarantine {
 	m.mutex.Lock()
 	defer m.mutex.Unlock()
-	c := m.tracker.observe(now.Truncate(time.Millisecond), report)
+	c := m.tracker.observe(now, report)
 	if c == nil {
 		return nil
 	}
@@ -173,7 +173,7 @@
 		}
 	}
 	for _, report := range evidence.GetDeaths() {
-		mayChange = m.tracker.observe(now.Truncate(time.Millisecond), report) != nil || mayChange
+		mayChange = m.tracker.observe(now, report) != nil || mayChange
 	}
 	switch {
 	case mayChange:
