--- a/routed/deadly_cluster_test.go
+++ b/routed/deadly_cluster_test.go
@@ -42,7 +42,7 @@
 type (
 	// deadlyCluster is a control replica, some entries, and upstreams that end when they run a deadly request.
 	deadlyCluster struct {
-		t         *testing.T
+		t         testing.TB
 		replicas  []*registry.Replica
 		entries   []*entryProcess
 		upstreams []*mortalUpstream
@@ -83,7 +83,7 @@
 )
 
 // newDeadlyCluster starts a replica, entries and upstreams, which are the ranks of the group unless it is nil.
-func newDeadlyCluster(t *testing.T, entries, upstreams int, group *rankGroup, isDeadly func(*http.Request, string) bool) *deadlyCluster {
+func newDeadlyCluster(t testing.TB, entries, upstreams int, group *rankGroup, isDeadly func(*http.Request, string) bool) *deadlyCluster {
 	t.Helper()
 	c := &deadlyCluster{t: t, isDeadly: isDeadly, group: group, replicas: []*registry.Replica{startControl(t)}}
 	for number := range upstreams {
--- a/routed/entry_test.go
+++ b/routed/entry_test.go
@@ -26,7 +26,7 @@
 	Culprit: "X-Culprit",
 }
 
-func freeAddress(t *testing.T) string {
+func freeAddress(t testing.TB) string {
 	t.Helper()
 	listener, err := net.Listen("tcp", "127.0.0.1:0")
 	require.NoError(t, err)
@@ -64,7 +64,7 @@
 	}
 }
 
-func startControl(t *testing.T) *registry.Replica {
+func startControl(t testing.TB) *registry.Replica {
 	t.Helper()
 	id := freeAddress(t)
 	replica, err := registry.Open(registry.Settings{
