quarantine, registry: bounds of what is kept and sent; an entry sends only what it saw

Change: 64 crashes are kept; the evidence of others is sent only when a stream to a replica opens. The test of an entry that was cut off gave the evidence to a connected entry as that of others; it now records the crashes before it connects, as it was meant, and checks the same. Ruled out: repeated reports of dropped crashes, which are older than all that are kept and ignored.

--- a/quarantine/crash.go
+++ b/quarantine/crash.go
@@ -82,10 +82,12 @@
 // subjects returns the keys of all requests that were running in a crash, then those of their parts, without repetition.
 func (c *crash) subjects() []key {
 	var requests, parts []key
+	seen := map[key]bool{}
 	for _, s := range c.sightings {
 		requests = append(requests, s.request)
 		for _, k := range s.parts {
-			if !slices.Contains(parts, k) {
+			if !seen[k] {
+				seen[k] = true
 				parts = append(parts, k)
 			}
 		}
--- a/quarantine/memory.go
+++ b/quarantine/memory.go
@@ -13,8 +13,6 @@
 const (
 	// memoryPerOrganisation is the number of requests kept of one organisation, and that of parts.
 	memoryPerOrganisation = 1024
-	// memoryCrashes is the number of crashes that a memory keeps and sends.
-	memoryCrashes = 64
 	// memoryProvedFor is the time for which a request is refused after its second crash. Connections that end are weaker
 	// evidence than the report of a sidecar, so a trial comes earlier.
 	memoryProvedFor = 2 * time.Minute
@@ -48,8 +46,8 @@
 func NewMemory() *Memory {
 	m := &Memory{
 		tracker: NewTracker(Settings{
-			PerOrganisation: memoryPerOrganisation, Crashes: memoryCrashes, ProvedFor: memoryProvedFor,
-			SharedLimit: memorySharedLimit, InSequence: true,
+			PerOrganisation: memoryPerOrganisation, ProvedFor: memoryProvedFor, SharedLimit: memorySharedLimit,
+			InSequence: true,
 		}),
 		trials: map[key]time.Time{}, changed: make(chan struct{}),
 	}
@@ -233,9 +231,9 @@
 	return m.evidence(now, since, false)
 }
 
-// OwnEvidence is Evidence without what came from other processes, except at revision 0, where all of it is returned.
+// OwnEvidence is Evidence without what came from other processes.
 func (m *Memory) OwnEvidence(now time.Time, since uint64) (*wire.Evidence, uint64, <-chan struct{}) {
-	return m.evidence(now, since, since > 0)
+	return m.evidence(now, since, true)
 }
 
 func (m *Memory) evidence(now time.Time, since uint64, isOwn bool) (*wire.Evidence, uint64, <-chan struct{}) {
--- a/quarantine/tracker.go
+++ b/quarantine/tracker.go
@@ -14,8 +14,8 @@
 	DefaultPerOrganisation = 256
 	// DefaultLimit is the default limit of fingerprints kept for all organisations together.
 	DefaultLimit = 4096
-	// DefaultCrashes is the default limit of crashes kept.
-	DefaultCrashes = 1024
+	// DefaultCrashes is the default limit of crashes kept with the requests that were running.
+	DefaultCrashes = 64
 	// SuspectFor is the default time for which a fingerprint stays suspect after a crash.
 	SuspectFor = 5 * time.Minute
 	// ProvedFor is the default time for which a fingerprint proved deadly is refused.
--- a/registry/evidence.go
+++ b/registry/evidence.go
@@ -14,9 +14,9 @@
 // sendEvidence sends the evidence of an entry to a replica, all of it at first, until the stream to the replica ends.
 func (f *Follower) sendEvidence(ctx context.Context, address string) {
 	replica := wire.NewRegistryProtobufClient("http://"+address, f.client)
-	sent := uint64(0)
+	read, sent := f.settings.Memory.Evidence, uint64(0)
 	for {
-		evidence, revision, changed := f.settings.Memory.OwnEvidence(time.Now(), sent)
+		evidence, revision, changed := read(time.Now(), sent)
 		if evidence != nil {
 			if err := f.spread(ctx, replica, evidence); err != nil {
 				f.settings.Log.WithError(err).WithField("replica", address).Warn("cannot send evidence")
@@ -26,7 +26,7 @@
 				continue
 			}
 		}
-		sent = revision
+		read, sent = f.settings.Memory.OwnEvidence, revision
 		select {
 		case <-ctx.Done():
 			return
--- a/registry/evidence_test.go
+++ b/registry/evidence_test.go
@@ -23,6 +23,12 @@
 func follow(t *testing.T, isSending bool, addresses ...string) (memory *quarantine.Memory, stop func()) {
 	t.Helper()
 	memory = quarantine.NewMemory()
+	return memory, followWith(t, memory, isSending, addresses...)
+}
+
+// followWith starts an entry's follower with a memory.
+func followWith(t *testing.T, memory *quarantine.Memory, isSending bool, addresses ...string) (stop func()) {
+	t.Helper()
 	follower := registry.NewFollower(registry.FollowerSettings{
 		Seeds: func() []string { return append([]string(nil), addresses...) }, IsEntry: isSending, Memory: memory,
 		OnUpstreams: func([]roster.Entry, []roster.Entry) {}, Log: quietLog(),
@@ -35,7 +41,7 @@
 		<-done
 	}
 	require.Eventually(t, follower.IsConnected, 10*time.Second, 5*time.Millisecond)
-	return memory, stop
+	return stop
 }
 
 // recordCrash records that an upstream ended while it ran the deadly request.
@@ -93,10 +99,7 @@
 	recordCrash(memory, 2, time.Second)
 	require.True(t, refuses(memory)())
 	require.False(t, refuses(other)())
-	evidence, _, _ := memory.Evidence(time.Now(), 0)
-	late, stopLate := follow(t, true, g.seeds[0])
-	defer stopLate()
-	late.Merge(time.Now(), evidence)
+	defer followWith(t, memory, true, g.seeds[0])()
 	require.Eventually(t, refuses(other), evidenceTime, 5*time.Millisecond)
 }
 
