control: suspect parts neither push out verdicts nor leave records

Each death made the parts of all running requests suspect, with a durable record and a place in the quarantine each; the place that expires first was given up, and a part is refused for 2 minutes but suspect for 5. Change: suspects are evicted before what is proved; suspect parts are stored without a record; a chat has at most 8 parts.

--- a/caller/chat.go
+++ b/caller/chat.go
@@ -18,7 +18,7 @@
 
 const (
 	// maxPromptParts bounds the parts of a prompt by which deadly requests are known.
-	maxPromptParts = 32
+	maxPromptParts = 8
 	// bytesPerToken is the assumed size of a prompt token, by which the number of tokens is estimated.
 	bytesPerToken = 4
 	// defaultOutputTokens is the expected length of an answer whose request sets no maximum.
--- a/control/quarantine.go
+++ b/control/quarantine.go
@@ -26,6 +26,12 @@
 		Rule:  "suspicion is the intersection over distinct crashes",
 	})
 	for _, verdict := range s.tracker.RecordDeath(time.UnixMilli(s.nowMs), report) {
+		if verdict.IsPart && !verdict.Proved {
+			// The parts of all requests that were running are suspect at each death. They are not decisions to record.
+			s.setQuarantined(verdict)
+			s.quarantineChanged()
+			continue
+		}
 		cause := fmt.Sprintf("it was running when %s died in crash %s", report.Upstream, report.CrashId)
 		s.quarantine(replica, &wire.QuarantineUpdate{Quarantine: verdict, Cause: cause})
 	}
@@ -36,24 +42,26 @@
 // answered.
 func (s *State) clear(replica string, request *wire.ClearRequest) *wire.Result {
 	fingerprint, ok := quarantine.FromBytes(request.Fingerprint)
-	cause := "it ran alone to its end"
 	switch {
 	case !ok:
-		return &wire.Result{Applied: true}
 	case request.IsPart:
-		ok, cause = s.tracker.ClearPart(time.UnixMilli(s.nowMs), fingerprint), "a request with it was answered"
-	default:
-		ok = s.tracker.Clear(request.Organisation, fingerprint)
+		s.clearPart(fingerprint)
+	case s.tracker.Clear(request.Organisation, fingerprint):
+		return s.quarantine(replica, &wire.QuarantineUpdate{
+			Quarantine: &wire.Quarantine{Fingerprint: request.Fingerprint, Organisation: request.Organisation},
+			Remove:     true, Cause: "it ran alone to its end",
+		})
 	}
-	if !ok {
-		return &wire.Result{Applied: true}
+	return &wire.Result{Applied: true}
+}
+
+// clearPart releases a suspected part.
+func (s *State) clearPart(part quarantine.Fingerprint) {
+	if !s.tracker.ClearPart(time.UnixMilli(s.nowMs), part) {
+		return
 	}
-	return s.quarantine(replica, &wire.QuarantineUpdate{
-		Quarantine: &wire.Quarantine{
-			Fingerprint: request.Fingerprint, Organisation: request.Organisation, IsPart: request.IsPart,
-		},
-		Remove: true, Cause: cause,
-	})
+	delete(s.quarantined, string(part.Bytes()))
+	s.quarantineChanged()
 }
 
 // quarantine adds a fingerprint to the quarantine or removes it.
@@ -69,20 +77,30 @@
 		if q.Proved {
 			decision = "proved deadly"
 		}
-		s.quarantined[name] = q
-		s.evictFirstToExpire()
+		s.setQuarantined(q)
 	}
+	s.quarantineChanged()
 	s.record(replica, &wire.Record{
 		Kind: "quarantine", Subject: hex.EncodeToString(q.GetFingerprint()), Decision: decision, Cause: update.Cause,
 		Rule: "a fingerprint of one organisation never blocks another",
 	})
+	return &wire.Result{Applied: true}
+}
+
+// setQuarantined stores a verdict.
+func (s *State) setQuarantined(q *wire.Quarantine) {
+	s.quarantined[string(q.GetFingerprint())] = q
+	s.evictFirstToExpire()
+}
+
+// quarantineChanged makes the verdicts reach every process.
+func (s *State) quarantineChanged() {
 	s.quarantineVersion = s.index
 	s.signal()
-	return &wire.Result{Applied: true}
 }
 
-// evictFirstToExpire removes the fingerprint with the smallest expiry time if the quarantine exceeds its limit. A
-// time of 0 comes first, although such a fingerprint does not expire.
+// evictFirstToExpire removes a suspect, or if there is none a fingerprint proved deadly, if the quarantine exceeds its
+// limit: the one with the smallest expiry time. A time of 0 comes first, although such a fingerprint does not expire.
 func (s *State) evictFirstToExpire() {
 	if len(s.quarantined) <= maxQuarantined {
 		return
@@ -97,6 +115,9 @@
 }
 
 func expiresBefore(a, b *wire.Quarantine) bool {
+	if a.Proved != b.Proved {
+		return b.Proved
+	}
 	if a.ExpiresMs != b.ExpiresMs {
 		return a.ExpiresMs < b.ExpiresMs
 	}
