quarantine: an example of the memory that entries share

Cause: the package's doc comments are examples that run, and the memory had none. Change: ExampleMemory. Ruled out: nothing; no logic changed.

--- a/quarantine/memory_test.go
+++ b/quarantine/memory_test.go
@@ -230,3 +230,19 @@
 		}
 	})
 }
+
+// Two entries each saw an upstream end under the same request. Once they have exchanged their evidence, both refuse it.
+func ExampleMemory() {
+	now := time.Now()
+	deadly := quarantine.Subject{Organisation: "tuulai", Request: quarantine.NewFingerprint("tuulai", "/draft", []byte("deadly"))}
+	first, second := quarantine.NewMemory(), quarantine.NewMemory()
+	first.RecordDeath(now, &wire.DeathReport{CrashId: "u1/1", AgeMs: 900, Running: []*wire.Suspect{deadly.Suspect()}})
+	second.RecordDeath(now, &wire.DeathReport{CrashId: "u2/1", Running: []*wire.Suspect{deadly.Suspect()}})
+	fmt.Println(first.Check(now, deadly))
+	evidence, _, _ := second.Evidence(now, 0)
+	first.Merge(now, evidence)
+	fmt.Println(first.Check(now, deadly).Reason)
+	// Output:
+	// <nil>
+	// deadly
+}
