--- a/dispatch/job.go
+++ b/dispatch/job.go
@@ -221,7 +221,7 @@
 	if j.out != nil {
 		start.ResumeText = j.out.resumeText()
 	}
-	start.Parts = r.partBytes()
+	start.Parts = quarantine.EncodeAll(r.Parts)
 	return sidecar.NewAttempt(j.d.link(choice.Upstream.Address), choice.Upstream.Name, start)
 }
 
--- a/dispatch/request.go
+++ b/dispatch/request.go
@@ -54,15 +54,6 @@
 	}
 )
 
-// partBytes returns the fingerprints of the parts as encoded in messages.
-func (r *Request) partBytes() [][]byte {
-	var parts [][]byte
-	for _, part := range r.Parts {
-		parts = append(parts, part.Bytes())
-	}
-	return parts
-}
-
 // fingerprint identifies the request across resends.
 func (r *Request) fingerprint() quarantine.Fingerprint {
 	return quarantine.NewFingerprint(r.Organisation, r.Method+" "+r.Path, r.Body)
--- a/quarantine/fingerprint.go
+++ b/quarantine/fingerprint.go
@@ -49,6 +49,15 @@
 // String returns the fingerprint in hexadecimal, for logs.
 func (f Fingerprint) String() string { return hex.EncodeToString(f[:]) }
 
+// EncodeAll returns fingerprints as encoded in messages.
+func EncodeAll(fingerprints []Fingerprint) [][]byte {
+	var encoded [][]byte
+	for _, f := range fingerprints {
+		encoded = append(encoded, f.Bytes())
+	}
+	return encoded
+}
+
 // Key returns a number derived from the fingerprint, from which all entries choose the same upstream for the trial of
 // a suspect.
 func (f Fingerprint) Key() uint64 { return binary.LittleEndian.Uint64(f[:]) }
--- a/quarantine/subject.go
+++ b/quarantine/subject.go
@@ -20,9 +20,5 @@
 
 // Suspect returns the message that reports the request as running in a crash.
 func (s Subject) Suspect() *wire.Suspect {
-	suspect := &wire.Suspect{Fingerprint: s.Request.Bytes(), Organisation: s.Organisation}
-	for _, part := range s.Parts {
-		suspect.Parts = append(suspect.Parts, part.Bytes())
-	}
-	return suspect
+	return &wire.Suspect{Fingerprint: s.Request.Bytes(), Organisation: s.Organisation, Parts: EncodeAll(s.Parts)}
 }
