quarantine: of several parts, the one of the fewest requests is refused

Callers would have seen: if no request with a shared part was answered while three upstreams ended, the part was refused together with the deadly one, and with it all sound requests that share it, for 5 minutes. That can happen after everything has restarted, when deadly requests end an upstream as soon as its group serves. Evidence: TestThePartOfFewerRequestsIsRefused; on the code before, the shared part is refused too. Change: the tie of parts after three crashes goes to the part that the fewest requests had in them; what it explains counts no more. If that does not tell, all are refused as before. Ruled out: telling them apart after two crashes already, where one more request beside the deadly ones would decide.

--- a/quarantine/parts_test.go
+++ b/quarantine/parts_test.go
@@ -68,6 +68,24 @@
 	}
 }
 
+// While no request with a shared part was ever answered, the part of fewer requests must be refused and not the one that
+// sound requests share with it. Where both are of the same requests, they cannot be told apart.
+func TestThePartOfFewerRequestsIsRefused(t *testing.T) {
+	for _, withSound := range []bool{true, false} {
+		m := quarantine.NewMemory()
+		for n := range 3 {
+			report := crashReport(fmt.Sprint(n), ran(fmt.Sprint("deadly ", n), 60*time.Millisecond, "shared", "deadly"))
+			if withSound {
+				report.Running = append(report.Running, ran(fmt.Sprint("sound ", n), 90*time.Millisecond, "shared"))
+			}
+			m.RecordDeath(start.Add(time.Duration(n)*time.Second), report)
+		}
+		now := start.Add(3 * time.Second)
+		require.True(t, refusesPart(m, now, "deadly"))
+		require.Equal(t, !withSound, refusesPart(m, now, "shared"))
+	}
+}
+
 // What entries know of parts must reach the others with the crashes, and the progress that only one of them saw as well.
 func TestPartsArePassedOn(t *testing.T) {
 	first, second, third := quarantine.NewMemory(), quarantine.NewMemory(), quarantine.NewMemory()
--- a/quarantine/record.go
+++ b/quarantine/record.go
@@ -73,6 +73,15 @@
 	return slices.ContainsFunc(r.crashes, func(c *crash) bool { return c.at.After(after) && !c.at.After(until) })
 }
 
+// carriers returns how many requests with the part ran in its crashes.
+func (r *record) carriers() int {
+	count := 0
+	for _, c := range r.crashes {
+		count += len(c.carriers[r.key])
+	}
+	return count
+}
+
 // firstCrash returns the time of the earliest crash of which details are kept, the zero time if there is none.
 func (r *record) firstCrash() time.Time {
 	if len(r.crashes) == 0 {
--- a/quarantine/tracker.go
+++ b/quarantine/tracker.go
@@ -116,14 +116,14 @@
 			overLimit = append(overLimit, r)
 		}
 	}
+	if r := t.culprit(overLimit); r != nil {
+		r.prove(now, t.provedFor(r, t.deaths(r)))
+		t.proved[r.key] = r
+		t.expireBy(r.expires)
+	}
 	for _, r := range overLimit {
-		deaths := t.deaths(r)
-		switch {
-		case len(overLimit) == 1:
-			r.prove(now, t.provedFor(r, deaths))
-			t.proved[r.key] = r
-			t.expireBy(r.expires)
-		case deaths >= t.sharedLimit(r):
+		// What the culprit explains does not count any more.
+		if t.deaths(r) >= t.sharedLimit(r) {
 			r.proved = true
 		}
 	}
@@ -134,6 +134,33 @@
 	return verdicts
 }
 
+// culprit returns which of the requests and parts that ran in enough crashes is deadly, nil if that cannot be told: the only
+// one, or of several parts after sharedPartLimit crashes the one that the fewest requests had. Sound requests share parts
+// with deadly ones, so a part of more requests is the less likely cause.
+func (t *Tracker) culprit(overLimit []*record) *record {
+	if len(overLimit) == 1 {
+		return overLimit[0]
+	}
+	var best *record
+	fewest, isTie := 0, false
+	for _, r := range overLimit {
+		if !r.key.isPart || t.deaths(r) < t.sharedLimit(r) {
+			continue
+		}
+		carriers := r.carriers()
+		switch {
+		case best == nil || carriers < fewest:
+			best, fewest, isTie = r, carriers, false
+		case carriers == fewest:
+			isTie = true
+		}
+	}
+	if isTie {
+		return nil
+	}
+	return best
+}
+
 // sharedLimit returns the number of crashes after which a request or part is refused though others ran in the same ones.
 func (t *Tracker) sharedLimit(r *record) int {
 	if r.key.isPart {
