--- a/lockstep/coordinator_test.go
+++ b/lockstep/coordinator_test.go
@@ -38,10 +38,8 @@
 			cancel()
 			time.Sleep(time.Minute)
 		}()
-		go g.run(ctx)
 		before := g.skew()
-		c := lockstep.NewCoordinator(lockstep.Settings{Group: "g", Shape: smallShape}, g.engine(), lockstep.NewTokens(1))
-		go func() { _ = c.Run(ctx) }()
+		g.coordinate(ctx, lockstep.Settings{}, g.engine())
 		time.Sleep(5 * time.Second)
 		require.Less(t, g.skew(), 1.15, "from %.2f", before)
 		require.Empty(t, g.splits)
@@ -328,14 +326,12 @@
 					}
 					return g.read(ctx, rank, withCounts, withPlacement)
 				}
-				c := lockstep.NewCoordinator(lockstep.Settings{Group: "g", Shape: smallShape, GapObjective: gap, OnEvent: func(e lockstep.Event) {
+				ctx, cancel := context.WithCancel(t.Context())
+				g.coordinate(ctx, lockstep.Settings{GapObjective: gap, OnEvent: func(e lockstep.Event) {
 					if e.Kind == "switch" {
 						smallest = min(smallest, (e.Before-e.After)/e.Before)
 					}
-				}}, engine, lockstep.NewTokens(1))
-				ctx, cancel := context.WithCancel(t.Context())
-				go g.run(ctx)
-				go func() { _ = c.Run(ctx) }()
+				}}, engine)
 				for range 20 {
 					time.Sleep(time.Second)
 					g.locked(g.shiftDemand)
@@ -361,14 +357,12 @@
 			state, err := g.read(ctx, rank, withCounts && !withoutCounts.Load(), withPlacement)
 			return state, err
 		}
-		c := lockstep.NewCoordinator(lockstep.Settings{Group: "g", Shape: smallShape, OnEvent: func(e lockstep.Event) {
+		ctx, cancel := context.WithCancel(t.Context())
+		g.coordinate(ctx, lockstep.Settings{OnEvent: func(e lockstep.Event) {
 			if e.Kind == "switched" {
 				switches.Add(1)
 			}
-		}}, engine, lockstep.NewTokens(1))
-		ctx, cancel := context.WithCancel(t.Context())
-		go g.run(ctx)
-		go func() { _ = c.Run(ctx) }()
+		}}, engine)
 		time.Sleep(5 * time.Second)
 		withoutCounts.Store(true)
 		g.locked(func() { g.isIdle = true })
--- a/lockstep/delayed_state_test.go
+++ b/lockstep/delayed_state_test.go
@@ -22,13 +22,11 @@
 	ctx, cancel := context.WithCancel(t.Context())
 	var mutex sync.Mutex
 	var events []lockstep.Event
-	settings := lockstep.Settings{Group: "g", Shape: smallShape, OnEvent: func(e lockstep.Event) {
+	g.coordinate(ctx, lockstep.Settings{OnEvent: func(e lockstep.Event) {
 		mutex.Lock()
 		defer mutex.Unlock()
 		events = append(events, e)
-	}}
-	go g.run(ctx)
-	go func() { _ = lockstep.NewCoordinator(settings, g.engine(), lockstep.NewTokens(1)).Run(ctx) }()
+	}}, g.engine())
 	for range 5 {
 		time.Sleep(3 * time.Second)
 		g.locked(g.shiftDemand)
@@ -111,9 +109,7 @@
 		g := newFakeGroup(1, smallShape)
 		ctx, cancel := context.WithCancel(t.Context())
 		var events []lockstep.Event
-		settings := lockstep.Settings{Group: "g", Shape: smallShape, OnEvent: func(e lockstep.Event) { events = append(events, e) }}
-		go g.run(ctx)
-		go func() { _ = lockstep.NewCoordinator(settings, g.engine(), lockstep.NewTokens(1)).Run(ctx) }()
+		g.coordinate(ctx, lockstep.Settings{OnEvent: func(e lockstep.Event) { events = append(events, e) }}, g.engine())
 		g.locked(func() { g.isIdle = true })
 		for range 5 {
 			time.Sleep(5 * time.Second)
--- a/lockstep/fake_group_test.go
+++ b/lockstep/fake_group_test.go
@@ -89,6 +89,14 @@
 	return g
 }
 
+// coordinate runs the group and a coordinator of it until the context ends. The settings need no group and no shape.
+func (g *fakeGroup) coordinate(ctx context.Context, settings lockstep.Settings, engine lockstep.Engine) {
+	settings.Group, settings.Shape = "g", g.shape
+	c := lockstep.NewCoordinator(settings, engine, lockstep.NewTokens(1))
+	go g.run(ctx)
+	go func() { _ = c.Run(ctx) }()
+}
+
 // form opens the group in the current epoch with map 0.
 func (g *fakeGroup) form() {
 	g.ranks = nil
--- a/lockstep/pass_time_test.go
+++ b/lockstep/pass_time_test.go
@@ -26,16 +26,14 @@
 		g.expertShare = share
 		ctx, cancel := context.WithCancel(t.Context())
 		var switches atomic.Int64
-		c := lockstep.NewCoordinator(lockstep.Settings{
-			Group: "g", Shape: shape, TargetPassTime: target, ExpertShare: share, Interval: interval,
+		g.coordinate(ctx, lockstep.Settings{
+			TargetPassTime: target, ExpertShare: share, Interval: interval,
 			OnEvent: func(e lockstep.Event) {
 				if e.Kind == "switched" {
 					switches.Add(1)
 				}
 			},
-		}, g.engine(), lockstep.NewTokens(1))
-		go g.run(ctx)
-		go func() { _ = c.Run(ctx) }()
+		}, g.engine())
 		time.Sleep(5 * time.Second)
 		switches.Store(0)
 		for range shifts {
@@ -61,16 +59,14 @@
 			g.expertShare = 0.85
 			ctx, cancel := context.WithCancel(t.Context())
 			var moved atomic.Int64
-			c := lockstep.NewCoordinator(lockstep.Settings{
-				Group: "g", Shape: shape, TargetPassTime: 3 * passTime, ExpertShare: g.expertShare,
+			g.coordinate(ctx, lockstep.Settings{
+				TargetPassTime: 3 * passTime, ExpertShare: g.expertShare,
 				OnEvent: func(e lockstep.Event) {
 					if e.Kind == "switch" && e.Before <= nearlyEven {
 						moved.Add(int64(e.Moved))
 					}
 				},
-			}, g.engine(), lockstep.NewTokens(1))
-			go g.run(ctx)
-			go func() { _ = c.Run(ctx) }()
+			}, g.engine())
 			for range 20 {
 				time.Sleep(2 * passTime)
 				g.locked(func() { g.varyDemand(0.2) })
