quarantine: what cleared a request is kept as long as the crashes that it cleared

Callers would have seen: a popular request, or a part, that was answered well between several random crashes is refused for minutes, some time after the last of them, when an upstream ends for any reason. Cause: progress expired after five minutes without a crash, the crashes themselves were kept. Deriving the verdicts again then counted them. Change: a crash is evidence for ten minutes, or as long as something that ran in it is proved deadly, and progress lasts as long. Ruled out: vouching by entries as a remedy, which only knows parts that were answered lately.

--- a/quarantine/crash.go
+++ b/quarantine/crash.go
@@ -153,6 +153,7 @@
 	if !r.proved {
 		r.expires = later(r.expires, c.at.Add(t.settings.SuspectFor))
 	}
+	r.keepProgress()
 }
 
 // deaths returns the number of crashes that speak against a request or part: those since an answer last went on well that
--- a/quarantine/evidence.go
+++ b/quarantine/evidence.go
@@ -9,9 +9,14 @@
 // This file keeps a tracker as a set of evidence that processes exchange. The verdicts of such a tracker follow from the
 // set alone, whatever the order in which it came.
 
-// progressInterval is the time within which a later progress is no news unless a crash lies between. Ages that are passed
-// on grow by the time on the way.
-const progressInterval = time.Second
+const (
+	// progressInterval is the time within which a later progress is no news unless a crash lies between. Ages that are
+	// passed on grow by the time on the way.
+	progressInterval = time.Second
+	// crashFor is the time for which a crash is kept as evidence, and with it the progress that clears requests of it. A
+	// crash under which something ran that is proved deadly is kept as long as that.
+	crashFor = 2 * SuspectFor
+)
 
 // observeProgress notes that the answer to a request went on well at a time, and reports whether that is news. The crashes
 // before that time do not count against the request. If enough of them had counted to refuse it, or to leave open which of
@@ -27,6 +32,7 @@
 	}
 	wasOverLimit := r.proved || t.deaths(r) >= r.limit()
 	r.progress, r.isOwn = at, false
+	r.keepProgress()
 	t.revision++
 	r.revision = t.revision
 	return wasOverLimit, true
@@ -43,13 +49,25 @@
 		}
 	}
 	for _, c := range t.byTime {
-		next.applyCrash(c)
+		if now.Sub(c.at) < crashFor || t.isExplanation(c) {
+			next.applyCrash(c)
+		}
 	}
 	next.evict()
 	next.Expire(now)
 	return next
 }
 
+// isExplanation reports whether something ran in a crash that is or was proved deadly.
+func (t *Tracker) isExplanation(c *crash) bool {
+	for k := range t.proved {
+		if len(c.carriers[k]) > 0 {
+			return true
+		}
+	}
+	return false
+}
+
 // addProgress adds the progress of another tracker's record.
 func (t *Tracker) addProgress(other *record) {
 	r := t.newRecord(other.key, other.progress.Add(t.settings.SuspectFor))
--- a/quarantine/memory_test.go
+++ b/quarantine/memory_test.go
@@ -173,6 +173,28 @@
 	require.False(t, isRefused(m, trial.Add(3*refused.RetryAfter), "x"))
 }
 
+// What cleared a request must be known for as long as the crashes that it cleared, also at a process that did not see it.
+// Otherwise a later crash of something else makes the old ones count again.
+func TestClearedCrashesStayCleared(t *testing.T) {
+	m := quarantine.NewMemory()
+	popular := subject("popular", "common")
+	at := start
+	for n := range 4 {
+		m.RecordDeath(at, crashReport(fmt.Sprint(n), ran("popular", time.Second, "common"), ran(fmt.Sprint("other ", n), time.Second, "common")))
+		at = at.Add(5 * time.Second)
+		m.RecordProgress(at, popular)
+		at = at.Add(5 * time.Second)
+	}
+	witness := quarantine.NewMemory()
+	evidence, _, _ := m.Evidence(at, 0)
+	witness.Merge(at, evidence)
+	for minute := range 60 {
+		now := at.Add(time.Duration(minute) * time.Minute)
+		witness.RecordDeath(now, crashReport(fmt.Sprint("unrelated ", minute), ran(fmt.Sprint("unrelated ", minute), time.Second)))
+		require.Nil(t, witness.Check(now, popular), "minute %d", minute)
+	}
+}
+
 // Memories that receive the same evidence in another order, and some of it twice, must refuse the same requests.
 func TestOrderOfEvidenceDoesNotMatter(t *testing.T) {
 	rapid.Check(t, func(t *rapid.T) {
--- a/quarantine/record.go
+++ b/quarantine/record.go
@@ -82,6 +82,14 @@
 	return count
 }
 
+// keepProgress makes the record last as long as the latest crash in which the request was running is evidence, if its answer
+// ever went on well.
+func (r *record) keepProgress() {
+	if !r.progress.IsZero() && !r.proved && len(r.crashes) > 0 {
+		r.expires = later(r.expires, r.crashes[len(r.crashes)-1].at.Add(crashFor))
+	}
+}
+
 // firstCrash returns the time of the earliest crash of which details are kept, the zero time if there is none.
 func (r *record) firstCrash() time.Time {
 	if len(r.crashes) == 0 {
