quarantine: what a deadly request explains stays explained while it counts

Callers would have seen: an innocent request that ran beside a deadly one, and at one more upstream that ended, is refused if that happens between four and five minutes after the deadly one was last seen. Cause: the record of a deadly request ended two minutes after its refusal, before the suspicion of those beside it. Evidence: TestExplanationOutlivesSuspicion; on the code before, refused at 241 s. Change: the trial after a refusal lasts at least as long as a suspicion.

--- a/quarantine/memory_test.go
+++ b/quarantine/memory_test.go
@@ -173,6 +173,23 @@
 	require.False(t, isRefused(m, trial.Add(3*refused.RetryAfter), "x"))
 }
 
+// What a deadly request explains must stay explained until nothing counts any more of those that ran beside it.
+func TestExplanationOutlivesSuspicion(t *testing.T) {
+	m := quarantine.NewMemory()
+	for n := range 2 {
+		m.RecordDeath(start.Add(time.Duration(n)*time.Second), crashReport(fmt.Sprint(n),
+			ran("deadly", time.Second), ran(fmt.Sprint("innocent ", n), time.Second)))
+	}
+	for seconds := 1; seconds < 600; seconds += 10 {
+		now := start.Add(time.Duration(seconds) * time.Second)
+		later := quarantine.NewMemory()
+		evidence, _, _ := m.Evidence(now, 0)
+		later.Merge(now, evidence)
+		later.RecordDeath(now, crashReport("later", ran("innocent 1", 100*time.Millisecond)))
+		require.False(t, isRefused(later, now, "innocent 1"), "%d s", seconds)
+	}
+}
+
 // What cleared a request must be known for as long as the crashes that it cleared, also at a process that did not see it.
 // Otherwise a later crash of something else makes the old ones count again.
 func TestClearedCrashesStayCleared(t *testing.T) {
--- a/quarantine/record.go
+++ b/quarantine/record.go
@@ -105,10 +105,10 @@
 	r.expires = now.Add(term)
 }
 
-// startTrial ends the refusal of a request that was proved deadly by itself. It stays a suspect for as long again.
-func (r *record) startTrial() {
+// startTrial ends the refusal of a request that was proved deadly by itself. It stays a suspect for a time.
+func (r *record) startTrial(length time.Duration) {
 	r.proved = false
-	r.expires = r.expires.Add(r.provedTerm)
+	r.expires = r.expires.Add(length)
 }
 
 // isOnTrial reports whether the refusal of a request has ended and it is not known yet how its next answer goes.
--- a/quarantine/tracker.go
+++ b/quarantine/tracker.go
@@ -204,8 +204,8 @@
 	return true
 }
 
-// Expire removes the records that have expired. A request that was proved deadly by itself stays suspect for as long
-// again.
+// Expire removes the records that have expired. A request that was proved deadly by itself is on trial for as long again,
+// and at least until nothing counts any more of those that ran beside it.
 func (t *Tracker) Expire(now time.Time) {
 	if now.Before(t.nextExpiry) {
 		return
@@ -216,8 +216,9 @@
 			t.expireBy(r.expires)
 			continue
 		}
-		if r.proved && now.Before(r.expires.Add(r.provedTerm)) {
-			r.startTrial()
+		trialFor := max(r.provedTerm, t.settings.SuspectFor)
+		if r.proved && r.provedTerm > 0 && now.Before(r.expires.Add(trialFor)) {
+			r.startTrial(trialFor)
 			t.expireBy(r.expires)
 			continue
 		}
