quarantine: runs of a crash in place of sightings, and other names of the field

Cause: the read-through; three names needed explaining. Change: renames only, among them fields of this change that are stored. Ruled out: nothing.

--- a/quarantine/crash.go
+++ b/quarantine/crash.go
@@ -16,18 +16,18 @@
 type (
 	// crash is one end of an upstream, with the requests that were running there according to all reports.
 	crash struct {
-		id        string
-		at        time.Time
-		sightings []sighting
-		// carriers holds the indices of the sightings of each request and of each part.
+		id   string
+		at   time.Time
+		runs []run
+		// carriers holds the indices of the runs of each request and of each part.
 		carriers map[key][]int
 		// revision is that of the last report that added a request. isOwn is set if this process reported requests itself.
 		revision uint64
 		isOwn    bool
 	}
 
-	// sighting is a request that was running in a crash.
-	sighting struct {
+	// run is a request that was running in a crash.
+	run struct {
 		request key
 		// parts are the shared parts of its prompt.
 		parts []key
@@ -67,11 +67,11 @@
 	if c == nil {
 		return nil
 	}
-	before := len(c.sightings)
+	before := len(c.runs)
 	for _, suspect := range report.GetRunning() {
-		t.addSighting(c, suspect)
+		t.addRun(c, suspect)
 	}
-	if len(c.sightings) == before {
+	if len(c.runs) == before {
 		return nil
 	}
 	t.revision++
@@ -83,7 +83,7 @@
 func (c *crash) subjects() []key {
 	var requests, parts []key
 	seen := map[key]bool{}
-	for _, s := range c.sightings {
+	for _, s := range c.runs {
 		requests = append(requests, s.request)
 		for _, k := range s.parts {
 			if !seen[k] {
@@ -95,13 +95,13 @@
 	return append(requests, parts...)
 }
 
-// addSighting adds a request that was running in a crash, unless it is known.
-func (t *Tracker) addSighting(c *crash, suspect *wire.Suspect) {
+// addRun adds a request that was running in a crash, unless it is known.
+func (t *Tracker) addRun(c *crash, suspect *wire.Suspect) {
 	f, ok := FromBytes(suspect.GetFingerprint())
-	if !ok || len(c.sightings) >= maxSightings {
+	if !ok || len(c.runs) >= maxRuns {
 		return
 	}
-	s := sighting{request: key{organisation: suspect.GetOrganisation(), fingerprint: f}, parts: partKeys(suspect.GetParts())}
+	s := run{request: key{organisation: suspect.GetOrganisation(), fingerprint: f}, parts: partKeys(suspect.GetParts())}
 	if len(c.carriers[s.request]) > 0 {
 		return
 	}
@@ -112,16 +112,16 @@
 	t.suspectAll(c, s)
 }
 
-// add appends a sighting.
-func (c *crash) add(s sighting) {
+// add appends a run.
+func (c *crash) add(s run) {
 	for _, k := range s.subjects() {
-		c.carriers[k] = append(c.carriers[k], len(c.sightings))
+		c.carriers[k] = append(c.carriers[k], len(c.runs))
 	}
-	c.sightings = append(c.sightings, s)
+	c.runs = append(c.runs, s)
 }
 
 // subjects returns the keys of the request and of its parts.
-func (s *sighting) subjects() []key { return append([]key{s.request}, s.parts...) }
+func (s *run) subjects() []key { return append([]key{s.request}, s.parts...) }
 
 // partKeys returns the distinct keys of the parts in a message, at most maxParts.
 func partKeys(parts [][]byte) []key {
@@ -137,7 +137,7 @@
 }
 
 // suspectAll adds a crash to the records of a request that was running in it and of its parts.
-func (t *Tracker) suspectAll(c *crash, s sighting) {
+func (t *Tracker) suspectAll(c *crash, s run) {
 	for _, k := range s.subjects() {
 		t.suspect(c, k)
 	}
@@ -158,8 +158,8 @@
 
 // deaths returns the number of crashes that speak against a request or part: those since an answer last went on well that
 // nothing else explains. Of crashes at the same time only one counts, because upstreams also end together for other
-// reasons: the request must have been sent after the crash that counted before (Settings.InSequence). For a part, each crash must be that of
-// another request, so that a request that is resent does not speak against its parts.
+// reasons: the request must have been sent after the crash that counted before (Settings.InSequence). For a part, each
+// crash must be that of another request, so that a request that is resent does not speak against its parts.
 func (t *Tracker) deaths(r *record) int {
 	count := r.earlierDeaths
 	var last time.Time
@@ -168,7 +168,7 @@
 		if !c.at.After(r.progress) || t.isExplained(c, r) {
 			continue
 		}
-		s := c.sighting(r.key, last, counted)
+		s := c.countedRun(r.key, last, counted)
 		if s == nil {
 			continue
 		}
@@ -183,10 +183,11 @@
 	return count
 }
 
-// sighting returns a request with the key that was sent after a time and is not among those counted, nil if there is none.
-func (c *crash) sighting(k key, after time.Time, counted []key) *sighting {
+// countedRun returns a run of a request with the key that was sent after a time and is not among those counted, nil if
+// there is none.
+func (c *crash) countedRun(k key, after time.Time, counted []key) *run {
 	for _, n := range c.carriers[k] {
-		s := &c.sightings[n]
+		s := &c.runs[n]
 		isEarlier := !s.sent.IsZero() && s.sent.Add(sequenceSlack).Before(after)
 		if !isEarlier && !slices.Contains(counted, s.request) {
 			return s
@@ -203,7 +204,7 @@
 	}
 	for _, other := range t.proved {
 		for _, n := range c.carriers[other.key] {
-			if other.key.isPart || !slices.Contains(c.sightings[n].parts, r.key) {
+			if other.key.isPart || !slices.Contains(c.runs[n].parts, r.key) {
 				return true
 			}
 		}
--- a/quarantine/evidence.go
+++ b/quarantine/evidence.go
@@ -79,7 +79,7 @@
 	t.Expire(c.at)
 	t.crashes[c.id] = c
 	t.byTime = append(t.byTime, c)
-	for _, s := range c.sightings {
+	for _, s := range c.runs {
 		t.suspectAll(c, s)
 	}
 	t.judge(c.at, c)
@@ -108,7 +108,7 @@
 // report returns the report of a crash with all requests that are known to have run in it.
 func (c *crash) report(now time.Time) *wire.DeathReport {
 	report := &wire.DeathReport{CrashId: c.id, AgeMs: now.Sub(c.at).Milliseconds()}
-	for _, s := range c.sightings {
+	for _, s := range c.runs {
 		suspect := &wire.Suspect{Fingerprint: s.request.fingerprint.Bytes(), Organisation: s.request.organisation}
 		for _, part := range s.parts {
 			suspect.Parts = append(suspect.Parts, part.fingerprint.Bytes())
--- a/quarantine/memory.go
+++ b/quarantine/memory.go
@@ -33,9 +33,9 @@
 	isEmpty atomic.Bool
 	mutex   sync.Mutex
 	tracker *Tracker
-	// isBehind is set while the verdicts do not follow from the latest progress yet.
-	isBehind bool
-	recent   recentParts
+	// needsReplay is set while the verdicts do not follow from the latest progress yet.
+	needsReplay bool
+	recent      recentParts
 	// trials holds when the last request of each record on trial was admitted.
 	trials map[key]time.Time
 	// changed is closed and replaced at each new piece of evidence.
@@ -91,7 +91,7 @@
 
 // check implements Check. The caller holds the mutex.
 func (m *Memory) check(now time.Time, keys []key) *outcome.Error {
-	if m.isBehind {
+	if m.needsReplay {
 		m.replay(now)
 	}
 	m.tracker.Expire(now)
@@ -153,7 +153,7 @@
 	case isOverLimit:
 		m.update(now)
 	case isNews:
-		m.isBehind = true
+		m.needsReplay = true
 		m.notify()
 	}
 }
@@ -177,7 +177,7 @@
 	case mayChange:
 		return m.update(now)
 	case isNews:
-		m.isBehind = true
+		m.needsReplay = true
 		m.notify()
 	}
 	return nil
@@ -186,7 +186,7 @@
 // update derives the verdicts from new evidence and notifies those that pass it on. It returns the requests that were not
 // refused before. The caller holds the mutex.
 func (m *Memory) update(now time.Time) []*wire.Quarantine {
-	m.vouch()
+	m.addRecentProgress()
 	before := m.tracker
 	refusedBefore := map[key]bool{}
 	for k, r := range before.records {
@@ -203,7 +203,7 @@
 // replay derives the verdicts again. The caller holds the mutex.
 func (m *Memory) replay(now time.Time) {
 	m.tracker = m.tracker.replay(now)
-	m.isBehind = false
+	m.needsReplay = false
 }
 
 // notify wakes those that pass on evidence. The caller holds the mutex.
@@ -213,9 +213,9 @@
 	m.changed = make(chan struct{})
 }
 
-// vouch adds what this process knows of suspect parts that were answered well before they became suspect. The caller holds
+// addRecentProgress adds what this process knows of suspect parts that were answered well before they became suspect. The caller holds
 // the mutex.
-func (m *Memory) vouch() {
+func (m *Memory) addRecentProgress() {
 	for k, r := range m.tracker.records {
 		at := m.recent.last(k)
 		if !at.IsZero() && r.progress.IsZero() {
--- a/quarantine/snapshot.go
+++ b/quarantine/snapshot.go
@@ -24,14 +24,14 @@
 
 func (c *crash) snapshot() *wire.TrackedCrash {
 	m := &wire.TrackedCrash{AtMs: unixMilli(c.at), Revision: c.revision}
-	for _, s := range c.sightings {
-		stored := &wire.TrackedSighting{
+	for _, s := range c.runs {
+		stored := &wire.TrackedRun{
 			Fingerprint: s.request.fingerprint.Bytes(), Organisation: s.request.organisation, SentMs: unixMilli(s.sent),
 		}
 		for _, part := range s.parts {
 			stored.Parts = append(stored.Parts, part.fingerprint.Bytes())
 		}
-		m.Sightings = append(m.Sightings, stored)
+		m.Running = append(m.Running, stored)
 	}
 	return m
 }
@@ -59,12 +59,12 @@
 
 func (c *crash) restore(m *wire.TrackedCrash) {
 	c.revision = m.GetRevision()
-	for _, s := range m.GetSightings() {
+	for _, s := range m.GetRunning() {
 		f, ok := FromBytes(s.GetFingerprint())
 		if !ok {
 			continue
 		}
-		c.add(sighting{
+		c.add(run{
 			request: key{organisation: s.Organisation, fingerprint: f}, parts: partKeys(s.Parts), sent: fromUnixMilli(s.SentMs),
 		})
 	}
--- a/quarantine/tracker.go
+++ b/quarantine/tracker.go
@@ -33,9 +33,9 @@
 	// trustedPartLimit is the number of crashes after which a part is refused although answers to requests with it went on
 	// well before. Such a part is shared by many requests, which run beside whatever crashes.
 	trustedPartLimit = 4
-	// maxSightings bounds the requests kept of one crash, maxParts the parts kept of one request.
-	maxSightings = 512
-	maxParts     = 32
+	// maxRuns bounds the requests kept of one crash, maxParts the parts kept of one request.
+	maxRuns  = 512
+	maxParts = 32
 )
 
 type (
