availability, forward: what upstreams say of themselves is heard; responses without end are bounded

Cause: an entry read nothing from a response about the upstream itself. An upstream that said in its answers that it leaves went on to get requests, and one that answered 503 with Retry-After was avoided only as one that fails. http.ReadResponse read a head of any length, and nothing bounded the time from its first byte to its end. A refusal without the ID of a request was taken as a promise on a connection in use again, and a request without an ID took any answer there. A stream was cut after 2.5 s whatever its route allowed. Heads are bounded to 64 KB and 2 s from the first byte; large bodies and events share one memory.

--- /dev/null
+++ b/availability/retry_after.go
@@ -0,0 +1,57 @@
+package availability
+
+import (
+	"math"
+	"net/http"
+	"strings"
+	"time"
+)
+
+// maxClosure bounds the closures that ParseRetryAfter returns, so that times computed from them do not overflow.
+const maxClosure = 100 * 365 * 24 * time.Hour
+
+// ParseRetryAfter returns how long a Retry-After field asks to wait: seconds, with a fraction or without, or a date. The
+// date is compared with the Date field of the same response, or with now if that is missing, since the clocks of two
+// instances may disagree. isValid is false for a field that is missing or malformed. A date in the past gives 0.
+func ParseRetryAfter(header http.Header, now time.Time) (length time.Duration, isValid bool) {
+	value := strings.TrimSpace(header.Get("Retry-After"))
+	if seconds, isNumber := parseSeconds(value); isNumber {
+		return seconds, true
+	}
+	at, err := http.ParseTime(value)
+	if err != nil {
+		return 0, false
+	}
+	if sent, err := http.ParseTime(header.Get("Date")); err == nil {
+		now = sent
+	}
+	return min(max(at.Sub(now), 0), maxClosure), true
+}
+
+// parseSeconds parses decimal digits with at most one point. Numbers of any length are allowed; large ones give
+// maxClosure.
+func parseSeconds(value string) (length time.Duration, isNumber bool) {
+	whole, fraction, hasPoint := strings.Cut(value, ".")
+	if whole == "" || hasPoint && fraction == "" {
+		return 0, false
+	}
+	seconds, scale := 0.0, 1.0
+	for _, digits := range []string{whole, fraction} {
+		for _, digit := range digits {
+			if digit < '0' || digit > '9' {
+				return 0, false
+			}
+		}
+	}
+	for _, digit := range whole {
+		seconds = min(seconds*10+float64(digit-'0'), math.MaxInt32*1000)
+	}
+	for _, digit := range fraction {
+		scale /= 10
+		seconds += scale * float64(digit-'0')
+	}
+	if seconds >= maxClosure.Seconds() {
+		return maxClosure, true
+	}
+	return time.Duration(seconds * float64(time.Second)), true
+}
--- a/forward/attempt.go
+++ b/forward/attempt.go
@@ -12,6 +12,8 @@
 	"sync/atomic"
 	"time"
 
+	"github.com/rotisserie/eris"
+
 	"guavahitch.example/guavahitch/route"
 	"guavahitch.example/guavahitch/upstream"
 )
@@ -34,6 +36,8 @@
 	// unsafeIdleTimeout is the longest idle time of a connection that is used for a request which may run only once.
 	// The upstream may be about to close a connection that was idle for longer.
 	unsafeIdleTimeout = time.Second
+	// maxRefusalBytes bounds the body of a refusal.
+	maxRefusalBytes = 64 << 10
 	// writeGrace is how long after its deadline a caller may still receive its response.
 	writeGrace = time.Second
 )
@@ -97,6 +101,9 @@
 }
 
 func (a *attempt) connect() (*upstream.Connection, error) {
+	if a.job.id == "" {
+		return a.upstream.pool.Open(a.job.request.Context())
+	}
 	limit := upstream.DefaultIdleTimeout
 	if !a.job.route.IsRepeatable() {
 		limit = unsafeIdleTimeout
@@ -162,12 +169,20 @@
 	return id == a.job.id
 }
 
+// isRefusal reports whether a response says that the request was not run. One without the ID of the request on a
+// connection that has carried other requests may be a second answer to one of those, so it proves nothing.
+func (a *attempt) isRefusal(response *http.Response) bool {
+	names := a.job.server.settings.Headers
+	saysRefused := response.Header.Get(names.NotExecuted) != "" || response.StatusCode == http.StatusMisdirectedRequest
+	return saysRefused && (!a.conn.IsReused() || response.Header.Get(names.RequestID) != "")
+}
+
 // handleResponse classifies a response by its head, and passes it to the caller unless it is a refusal or a failure.
 func (a *attempt) handleResponse(response *http.Response) attemptResult {
 	names := a.job.server.settings.Headers
-	isRefusal := response.Header.Get(names.NotExecuted) != "" || response.StatusCode == http.StatusMisdirectedRequest
+	a.hearNotices(response)
 	switch {
-	case isRefusal:
+	case a.isRefusal(response):
 		return a.handleRefusal(response)
 	case response.Header.Get(names.Seal) == "" || response.Header.Get("Content-Encoding") != "":
 		a.upstream.recordBroken(time.Now())
@@ -185,8 +200,9 @@
 }
 
 func (a *attempt) handleRefusal(response *http.Response) attemptResult {
-	_, err := io.Copy(io.Discard, io.LimitReader(response.Body, a.job.server.settings.AnswerBytes))
-	a.isBodyRead = err == nil
+	if discard(response.Body) && response.Header.Get(a.job.server.settings.Headers.RequestID) != "" {
+		a.markBodyRead()
+	}
 	now := time.Now()
 	if response.StatusCode == http.StatusMisdirectedRequest {
 		a.upstream.recordBroken(now)
@@ -197,15 +213,26 @@
 	return refused
 }
 
+// discard reads the body of a refusal and reports whether it was read to its end.
+func discard(body io.Reader) bool {
+	n, err := io.Copy(io.Discard, io.LimitReader(body, maxRefusalBytes))
+	return err == nil && n < maxRefusalBytes
+}
+
+// markBodyRead records that the response was read to its end, so that the connection can be reused. Without the ID of a
+// request, a second copy of the response could not be told from the next one, so the connection is closed then.
+func (a *attempt) markBodyRead() { a.isBodyRead = a.job.id != "" }
+
 // relayBuffered reads the whole response before it sends any of it to the caller, so that a failure can still be
 // retried.
 func (a *attempt) relayBuffered(response *http.Response) attemptResult {
-	limit := a.job.server.settings.AnswerBytes
-	body, err := io.ReadAll(io.LimitReader(response.Body, limit+1))
-	if err != nil || int64(len(body)) > limit {
-		return a.fail(errors.Join(errors.New("read response body"), err))
+	settings := a.job.server.settings
+	body, release, err := upstream.ReadBody(response, settings.AnswerBytes, settings.ResponseMemory)
+	defer release()
+	if err != nil {
+		return a.fail(eris.Wrap(err, "read response body"))
 	}
-	a.isBodyRead = true
+	a.markBodyRead()
 	now := time.Now()
 	isFailure := response.StatusCode >= http.StatusInternalServerError
 	a.upstream.recordResponse(now, now.Sub(a.started), isFailure)
--- a/forward/decision.go
+++ b/forward/decision.go
@@ -60,3 +60,15 @@
 	// Verdicts are those on the requests that were running.
 	Verdicts []*wire.Quarantine
 }
+
+// Notice is what an upstream said of itself in a response.
+type Notice struct {
+	Request  string
+	Service  string
+	Upstream string
+	// Born is the start of the incarnation.
+	Born int64
+	// IsLeaving is set if it leaves. Otherwise it wants no requests for the time ClosedFor.
+	IsLeaving bool
+	ClosedFor time.Duration
+}
--- a/forward/fleet.go
+++ b/forward/fleet.go
@@ -1,39 +1,23 @@
 package forward
 
 import (
-	"math"
 	"slices"
 	"sync"
 	"sync/atomic"
 	"time"
 
+	"guavahitch.example/guavahitch/availability"
 	"guavahitch.example/guavahitch/registry"
 	"guavahitch.example/guavahitch/roster"
 	"guavahitch.example/guavahitch/upstream"
 )
 
-const (
-	// firstSuspension is the suspension after a first failure. It doubles with each consecutive failure up to
-	// longestSuspension.
-	firstSuspension   = 200 * time.Millisecond
-	longestSuspension = 2 * time.Second
-	// latencyWeight and failureWeight are the weights of a new sample in the moving averages.
-	latencyWeight = 0.2
-	failureWeight = 0.15
-	// failurePenalty scales how much the failure rate raises the cost of an upstream.
-	failurePenalty = 12.0
-	// slowPace is the pace above which an upstream counts as slow. Pace is the time of a token step divided by that of
-	// a healthy upstream.
-	slowPace = 1.25
-	// maxReportAge is the age from which a load report is not used to pick upstreams by load or to count streams.
-	maxReportAge = time.Second
-	// statisticsHalfLife is the time in which the failure rate of an unused upstream decays by half.
-	statisticsHalfLife = 3 * time.Second
-)
+// maxReportAge is the age from which a load report is not used to pick upstreams by load or to count streams.
+const maxReportAge = time.Second
 
 type (
 	// Upstream is the state that an entry keeps of one instance: its last announcement, its connection pool and
-	// statistics of its responses. It is safe for concurrent use.
+	// whether it takes requests. It is safe for concurrent use.
 	Upstream struct {
 		instance atomic.Pointer[roster.Instance]
 		pool     *upstream.Pool
@@ -41,22 +25,11 @@
 		// according to the last load report.
 		inFlight       atomic.Int64
 		othersInFlight atomic.Int64
-		// isGroupDown is set for a rank of a group that is not running.
-		isGroupDown atomic.Bool
-		migratable  migratable
-		crash       crashWatch
+		migratable     migratable
+		crash          crashWatch
 
-		mutex          sync.Mutex
-		lastHeartbeat  time.Time
-		failures       int
-		suspendedUntil time.Time
-		// latency is a moving average of response times in seconds, 0 without a sample.
-		latency     float64
-		failureRate float64
-		lastSample  time.Time
-		lastSuccess time.Time
-		// pace is the time of a token step divided by that of a healthy upstream, from the last load report.
-		pace float64
+		mutex sync.Mutex
+		state availability.State
 	}
 
 	// Fleet holds the upstreams that an entry knows. Updates from control rebuild an immutable view, which requests
@@ -110,9 +83,7 @@
 func (f *Fleet) updateHeartbeats() {
 	for id, u := range f.byID {
 		if entry := f.roster.Get(id); entry != nil {
-			u.mutex.Lock()
-			u.lastHeartbeat = entry.LastHeartbeat
-			u.mutex.Unlock()
+			u.update(func(s availability.State) availability.State { return s.WithHeartbeat(entry.LastHeartbeat) })
 		}
 	}
 }
@@ -140,7 +111,10 @@
 		}
 		u := f.byID[instance.ID]
 		if u == nil || u.isReplacedBy(instance) {
-			u = &Upstream{pool: upstream.NewPool(instance.Address, f.settings.ConnectTimeout), lastHeartbeat: entry.LastHeartbeat}
+			u = &Upstream{
+				pool:  upstream.NewPool(instance.Address, f.settings.ConnectTimeout),
+				state: availability.State{}.WithHeartbeat(entry.LastHeartbeat),
+			}
 		}
 		u.instance.Store(&instance)
 		kept[instance.ID] = u
@@ -165,7 +139,7 @@
 	defer f.mutex.Unlock()
 	for _, load := range loads {
 		if u := f.byID[load.ID]; u != nil {
-			u.setPace(load.Pace)
+			u.update(func(s availability.State) availability.State { return s.WithPace(load.Pace) })
 			u.othersInFlight.Store(max(int64(load.Running+load.Waiting)-u.inFlight.Load(), 0))
 		}
 	}
@@ -193,29 +167,37 @@
 	return held.Born != next.Born || held.Address != next.Address || held.Service != next.Service
 }
 
-// health is a snapshot of the statistics by which pick chooses among upstreams.
-type health struct {
-	lastHeartbeat time.Time
-	isSuspended   bool
-	latency       float64
-	failureRate   float64
-	lastSuccess   time.Time
-	pace          float64
-	isGroupDown   bool
+// State returns what is known of whether the upstream takes requests.
+func (u *Upstream) State() availability.State {
+	u.mutex.Lock()
+	defer u.mutex.Unlock()
+	return u.state
 }
 
-func (u *Upstream) health(now time.Time) health {
+// update replaces the state by a changed copy.
+func (u *Upstream) update(change func(availability.State) availability.State) {
 	u.mutex.Lock()
 	defer u.mutex.Unlock()
-	fade := math.Exp2(-now.Sub(u.lastSample).Seconds() / statisticsHalfLife.Seconds())
-	return health{
-		lastHeartbeat: u.lastHeartbeat, isSuspended: now.Before(u.suspendedUntil), latency: u.latency,
-		failureRate: u.failureRate * fade, lastSuccess: u.lastSuccess, pace: u.pace,
-		isGroupDown: u.isGroupDown.Load(),
-	}
+	u.state = change(u.state)
+}
+
+// recordResponse records a response and its duration.
+func (u *Upstream) recordResponse(now time.Time, took time.Duration, isFailure bool) {
+	u.update(func(s availability.State) availability.State { return s.WithResponse(now, took, isFailure) })
+}
+
+// recordBroken records a failed connection or an invalid response.
+func (u *Upstream) recordBroken(now time.Time) {
+	u.update(func(s availability.State) availability.State { return s.WithBroken(now) })
+}
+
+// takesRequests reports whether a further request may be sent to the upstream: it has not left and is not closed, and
+// while it opens again it has fewer requests of this entry than its limit.
+func (u *Upstream) takesRequests(s availability.State, now time.Time, drainTime time.Duration) bool {
+	return !s.HasLeft(now, drainTime) && u.inFlight.Load() < s.Limit(now, u.Instance().Slots)
 }
 
-// markDownGroups sets isGroupDown of all ranks. A group runs if any of its ranks announces it as open in the newest
+// markDownGroups records of all ranks whether their group is down. A group runs if any of its ranks announces it as open in the newest
 // epoch that its ranks announce.
 func markDownGroups(upstreams map[string]*Upstream) {
 	newest := map[string]roster.Group{}
@@ -228,7 +210,8 @@
 	}
 	for _, u := range upstreams {
 		group := u.Instance().Group
-		u.isGroupDown.Store(group.Size > 0 && !newest[group.Name].IsOpen)
+		isDown := group.Size > 0 && !newest[group.Name].IsOpen
+		u.update(func(s availability.State) availability.State { return s.WithGroupDown(isDown) })
 	}
 }
 
@@ -269,50 +252,5 @@
 
 // hasRunningUpstream reports whether a service has an upstream outside the groups that are down.
 func (f *Fleet) hasRunningUpstream(service string) bool {
-	return slices.ContainsFunc(f.Service(service), func(u *Upstream) bool { return !u.isGroupDown.Load() })
-}
-
-func (u *Upstream) setPace(pace float64) {
-	u.mutex.Lock()
-	defer u.mutex.Unlock()
-	u.pace = pace
-}
-
-// recordResponse records a response and its duration. A success ends a suspension.
-func (u *Upstream) recordResponse(now time.Time, took time.Duration, isFailure bool) {
-	u.mutex.Lock()
-	defer u.mutex.Unlock()
-	u.updateFailureRate(now, isFailure)
-	if isFailure {
-		return
-	}
-	u.failures = 0
-	u.suspendedUntil = time.Time{}
-	u.lastSuccess = now
-	if u.latency == 0 {
-		u.latency = took.Seconds()
-		return
-	}
-	u.latency += latencyWeight * (took.Seconds() - u.latency)
-}
-
-// recordBroken records a failed connection or an invalid response, and suspends the upstream.
-func (u *Upstream) recordBroken(now time.Time) {
-	u.mutex.Lock()
-	defer u.mutex.Unlock()
-	u.updateFailureRate(now, true)
-	suspension := min(firstSuspension<<min(u.failures, 8), longestSuspension)
-	u.failures++
-	u.suspendedUntil = now.Add(suspension)
-}
-
-func (u *Upstream) updateFailureRate(now time.Time, isFailure bool) {
-	fade := math.Exp2(-now.Sub(u.lastSample).Seconds() / statisticsHalfLife.Seconds())
-	u.failureRate *= fade
-	u.lastSample = now
-	sample := 0.0
-	if isFailure {
-		sample = 1
-	}
-	u.failureRate += failureWeight * (sample - u.failureRate)
+	return slices.ContainsFunc(f.Service(service), func(u *Upstream) bool { return !u.State().IsGroupDown })
 }
--- a/forward/job.go
+++ b/forward/job.go
@@ -1,11 +1,13 @@
 package forward
 
 import (
+	"cmp"
 	"fmt"
 	"net/http"
 	"strconv"
 	"time"
 
+	"guavahitch.example/guavahitch/availability"
 	"guavahitch.example/guavahitch/quarantine"
 	"guavahitch.example/guavahitch/route"
 )
@@ -177,7 +179,7 @@
 	case j.deadly != nil:
 		j.refuse(&refusal{status: http.StatusBadGateway, reason: reasonDeadly})
 	case !j.mayHaveRun:
-		j.refuse(&refusal{status: http.StatusServiceUnavailable, reason: "no upstream", retryAfter: j.retryAfter()})
+		j.refuse(j.noUpstreamRefusal())
 	case isLate:
 		j.refuse(&refusal{status: http.StatusGatewayTimeout, reason: "deadline"})
 	default:
@@ -185,6 +187,17 @@
 	}
 }
 
+// noUpstreamRefusal returns the refusal of a request that no upstream ran. If all upstreams are closed, callers return
+// spread over the time in which the first of them opens.
+func (j *job) noUpstreamRefusal() *refusal {
+	if wait, isClosed := j.server.opensIn(j.service, time.Now()); isClosed {
+		return &refusal{
+			status: http.StatusServiceUnavailable, reason: "upstreams closed", retryAfter: wait, spread: availability.RampTime,
+		}
+	}
+	return &refusal{status: http.StatusServiceUnavailable, reason: "no upstream", retryAfter: j.retryAfter()}
+}
+
 // retryAfter returns the Retry-After of a request that no upstream ran.
 func (j *job) retryAfter() time.Duration {
 	switch {
@@ -197,8 +210,8 @@
 	}
 }
 
-// refuse sends the refusal to the caller. Retry-After is raised by a random part, so that refused requests do not
-// return all at once.
+// refuse sends the refusal to the caller. Retry-After is raised by a random part of its spread, so that refused requests
+// do not return all at once.
 func (j *job) refuse(r *refusal) {
 	header := j.writer.Header()
 	header.Set("Content-Type", "text/plain; charset=utf-8")
@@ -206,7 +219,8 @@
 		header.Set(j.server.settings.Headers.RequestID, j.id)
 	}
 	if r.retryAfter > 0 {
-		seconds := r.retryAfter.Seconds() * (1 + retryJitter*j.server.random())
+		spread := cmp.Or(r.spread, time.Duration(retryJitter*float64(r.retryAfter)))
+		seconds := r.retryAfter.Seconds() + spread.Seconds()*j.server.random()
 		header.Set("Retry-After", strconv.FormatFloat(seconds, 'f', 3, 64))
 	}
 	text := r.reason + "\n"
@@ -220,7 +234,7 @@
 	j.logDecision(r.reason, r.status)
 }
 
-// retryJitter is the largest part by which Retry-After is randomly raised.
+// retryJitter is the spread of Retry-After as a part of it, unless the refusal gives another.
 const retryJitter = 0.5
 
 // logDecision passes the Decision about the request to Settings.Log.
--- a/forward/migration.go
+++ b/forward/migration.go
@@ -71,8 +71,8 @@
 	slow := map[*Upstream]float64{}
 	upstreams := s.fleet.Service(service.Name)
 	for _, u := range upstreams {
-		if pace := u.health(now).pace; pace > slowPace {
-			slow[u] = pace
+		if state := u.State(); state.IsSlow() {
+			slow[u] = state.Pace
 		}
 	}
 	if len(slow) == 0 || 2*len(slow) > len(upstreams) {
--- /dev/null
+++ b/forward/notice_test.go
@@ -0,0 +1,204 @@
+package forward_test
+
+import (
+	"fmt"
+	"net"
+	"net/http"
+	"strconv"
+	"strings"
+	"sync"
+	"testing"
+	"time"
+
+	"github.com/stretchr/testify/require"
+
+	"guavahitch.example/guavahitch/forward"
+	"guavahitch.example/guavahitch/roster"
+)
+
+// soundUpstream starts an upstream that answers every request.
+func soundUpstream(t *testing.T) *fakeUpstream {
+	return newUpstream(t, func(conn net.Conn, request *http.Request, _ string) bool {
+		writeResponse(conn, request, 200, "done")
+		return true
+	})
+}
+
+// writeWith writes a complete response with further header lines.
+func writeWith(conn net.Conn, request *http.Request, status int, lines ...string) {
+	fmt.Fprintf(conn, "HTTP/1.1 %d Status\r\nX-Request: %s\r\nX-Seal: s1\r\nContent-Length: 0\r\n%s\r\n",
+		status, request.Header.Get("X-Request"), strings.Join(lines, ""))
+}
+
+// leavingUpstream starts an upstream that says in each answer that it leaves.
+func leavingUpstream(t *testing.T) *fakeUpstream {
+	return newUpstream(t, func(conn net.Conn, request *http.Request, _ string) bool {
+		writeWith(conn, request, 200, "X-Leaving: 1\r\n")
+		return true
+	})
+}
+
+// closedUpstream starts an upstream that refuses every request with this Retry-After.
+func closedUpstream(t *testing.T, retryAfter string) *fakeUpstream {
+	return newUpstream(t, func(conn net.Conn, request *http.Request, _ string) bool {
+		writeWith(conn, request, 503, "X-Not-Executed: 1\r\n", "Retry-After: "+retryAfter+"\r\n")
+		return true
+	})
+}
+
+// sendMany sends requests one after the other and returns how many were answered with 200.
+func (e *entry) sendMany(count int, target string) int {
+	served := 0
+	for range count {
+		response, _, err := e.send("POST", target, "x")
+		if err == nil && response.StatusCode == http.StatusOK {
+			served++
+		}
+	}
+	return served
+}
+
+// announce announces an incarnation of the first upstream.
+func (e *entry) announce(u *fakeUpstream, born int64, sequence uint64) {
+	e.fleet.Update([]roster.Entry{{LastHeartbeat: time.Now(), Instance: roster.Instance{
+		ID: "u0", Born: born, Sequence: sequence, Service: "ledger", Address: u.listener.Addr().String(), State: roster.Ready,
+	}}}, nil)
+}
+
+// An upstream that says in an answer that it leaves must get no further request while there is another, whatever it
+// announces, until it starts again.
+func TestUpstreamThatLeavesGetsNoRequests(t *testing.T) {
+	leaving := leavingUpstream(t)
+	e := newEntry(t, leaving, soundUpstream(t))
+	require.Equal(t, 20, e.sendMany(20, "/balance/"))
+	require.Len(t, leaving.received(), 1)
+	e.announce(leaving, 1, 2)
+	require.Equal(t, 10, e.sendMany(10, "/balance/"))
+	require.Len(t, leaving.received(), 1, "a later announcement of the same incarnation")
+	e.announce(leaving, 2, 1)
+	e.sendMany(10, "/balance/")
+	require.Len(t, leaving.received(), 2, "another incarnation at the same address")
+}
+
+// While its drain time lasts, an upstream that leaves must still serve requests that no other can serve.
+func TestLastUpstreamThatLeavesServesForItsDrainTime(t *testing.T) {
+	settings := testSettings()
+	settings.DrainTime = 200 * time.Millisecond
+	leaving := leavingUpstream(t)
+	e := newEntryWith(t, settings, leaving)
+	require.Equal(t, 5, e.sendMany(5, "/balance/"))
+	time.Sleep(settings.DrainTime)
+	response, _, err := e.send("POST", "/balance/", "x")
+	require.NoError(t, err)
+	require.Equal(t, http.StatusServiceUnavailable, response.StatusCode)
+	require.Len(t, leaving.received(), 5)
+}
+
+// An upstream that answers 503 with Retry-After must get nothing until that time is over. A field that is 0 or malformed
+// closes nothing.
+func TestUpstreamThatWantsNothingGetsNothing(t *testing.T) {
+	for value, isClosing := range map[string]bool{
+		"30": true, "3600": true, strings.Repeat("9", 300): true, "2.5": true,
+		time.Now().Add(time.Minute).UTC().Format(http.TimeFormat): true,
+		"0": false, "-5": false, "soon": false, "": false,
+	} {
+		t.Run(value, func(t *testing.T) {
+			closed := closedUpstream(t, value)
+			e := newEntry(t, closed, soundUpstream(t))
+			require.Equal(t, 30, e.sendMany(30, "/balance/"), "requests go on to the other upstream")
+			alone := closedUpstream(t, value)
+			e = newEntry(t, alone)
+			require.Zero(t, e.sendMany(5, "/balance/"))
+			if isClosing {
+				require.Len(t, closed.received(), 1)
+				require.Len(t, alone.received(), 1)
+			} else {
+				require.Len(t, alone.received(), 5)
+			}
+		})
+	}
+}
+
+// A notice in the refusal of another upstream at the same address says nothing of the upstream.
+func TestNoticesOfAnotherUpstreamAreIgnored(t *testing.T) {
+	isOther := true
+	u := newUpstream(t, func(conn net.Conn, request *http.Request, _ string) bool {
+		if isOther {
+			writeWith(conn, request, 421, "X-Leaving: 1\r\n", "Retry-After: 30\r\n")
+			return true
+		}
+		writeResponse(conn, request, 200, "done")
+		return true
+	})
+	e := newEntry(t, u)
+	require.Equal(t, 0, e.sendMany(1, "/balance/"))
+	isOther = false
+	require.Equal(t, 5, e.sendMany(5, "/balance/"))
+}
+
+// When every upstream is closed, requests must be refused at once and truthfully, with the time until the first one
+// opens; after that its work returns by and by.
+func TestAllUpstreamsClosed(t *testing.T) {
+	var mutex sync.Mutex
+	isClosed, running, peak := true, 0, 0
+	serve := func(conn net.Conn, request *http.Request, _ string) bool {
+		mutex.Lock()
+		defer mutex.Unlock()
+		if isClosed {
+			writeWith(conn, request, 503, "X-Not-Executed: 1\r\n", "Retry-After: 1\r\n")
+			return true
+		}
+		running++
+		peak = max(peak, running)
+		mutex.Unlock()
+		time.Sleep(20 * time.Millisecond)
+		mutex.Lock()
+		running--
+		writeResponse(conn, request, 200, "done")
+		return true
+	}
+	upstreams := []*fakeUpstream{newUpstream(t, serve), newUpstream(t, serve)}
+	e := newEntry(t, upstreams...)
+	e.sendMany(2, "/credit/")
+	closedAt := time.Now()
+	start := time.Now()
+	response, _, err := e.send("POST", "/credit/", "x")
+	require.NoError(t, err)
+	require.Equal(t, http.StatusServiceUnavailable, response.StatusCode)
+	require.Less(t, time.Since(start), 300*time.Millisecond)
+	wait, err := strconv.ParseFloat(response.Header.Get("Retry-After"), 64)
+	require.NoError(t, err)
+	require.InDelta(t, 1, wait, 0.3)
+	sent := len(upstreams[0].received()) + len(upstreams[1].received())
+	require.Equal(t, 2, sent)
+
+	mutex.Lock()
+	isClosed = false
+	mutex.Unlock()
+	time.Sleep(time.Until(closedAt.Add(time.Second)))
+	var group sync.WaitGroup
+	for range 24 {
+		group.Go(func() { e.sendMany(1, "/credit/") })
+	}
+	group.Wait()
+	require.LessOrEqual(t, peak, 4, "the work must not return in one wave")
+	require.Positive(t, peak)
+}
+
+// Each change of what an entry believes of an upstream is reported once.
+func TestNoticesAreReported(t *testing.T) {
+	var mutex sync.Mutex
+	var notices []forward.Notice
+	settings := testSettings()
+	settings.OnNotice = func(n forward.Notice) {
+		mutex.Lock()
+		defer mutex.Unlock()
+		notices = append(notices, n)
+	}
+	e := newEntryWith(t, settings, closedUpstream(t, "9"), leavingUpstream(t), soundUpstream(t))
+	e.sendMany(20, "/balance/")
+	require.ElementsMatch(t, []forward.Notice{
+		{Request: "q1", Service: "ledger", Upstream: "u0", Born: 1, ClosedFor: 9 * time.Second},
+		{Request: "q1", Service: "ledger", Upstream: "u1", Born: 1, IsLeaving: true},
+	}, notices)
+}
--- a/forward/pick.go
+++ b/forward/pick.go
@@ -4,9 +4,13 @@
 	"math"
 	"slices"
 	"time"
+
+	"guavahitch.example/guavahitch/availability"
 )
 
 const (
+	// failurePenalty scales how much the failure rate raises the cost of an upstream.
+	failurePenalty = 12.0
 	// maxSlowReportAge is the age from which a load report no longer marks an upstream as slow.
 	maxSlowReportAge = 2 * time.Second
 	// remoteCost multiplies the cost of an upstream in another failure domain.
@@ -15,16 +19,18 @@
 	loadChoices = 2
 )
 
-// candidate is an upstream with a snapshot of its health.
+// candidate is an upstream with a snapshot of its state.
 type candidate struct {
 	*Upstream
-	health health
+	state       availability.State
+	failureRate float64
 	// tier is the result of Server.tier.
 	tier int
 }
 
-// pick returns the upstream for the next attempt, or nil if there is none. It skips the upstreams in tried. Upstreams
-// that are silent, suspended, slow or of a group that is down are used only when there is no other.
+// pick returns the upstream for the next attempt, or nil if there is none. It skips the upstreams in tried and those
+// that take no requests. Upstreams that are leaving, silent, suspended, slow or of a group that is down are used only
+// when there is no other.
 func (s *Server) pick(service string, tried []*Upstream, now time.Time) *Upstream {
 	candidates, meanLatency := s.candidates(service, tried, now)
 	if len(candidates) == 0 {
@@ -58,7 +64,7 @@
 	bestCost := 0.0
 	for range loadChoices {
 		c := candidates[int(s.random()*float64(len(candidates)))]
-		cost := float64(c.totalInFlight()+1) * (1 + failurePenalty*c.health.failureRate)
+		cost := float64(c.totalInFlight()+1) * (1 + failurePenalty*c.failureRate)
 		if best == nil || cost < bestCost {
 			best, bestCost = c.Upstream, cost
 		}
@@ -74,15 +80,16 @@
 	var latest time.Time
 	total, sampled := 0.0, 0
 	for _, u := range upstreams {
-		c := candidate{Upstream: u, health: u.health(now)}
-		if c.health.lastHeartbeat.After(latest) {
-			latest = c.health.lastHeartbeat
+		c := candidate{Upstream: u, state: u.State()}
+		c.failureRate = c.state.FailureRate(now)
+		if c.state.LastHeartbeat.After(latest) {
+			latest = c.state.LastHeartbeat
 		}
-		if c.health.latency > 0 {
-			total += c.health.latency
+		if c.state.Latency > 0 {
+			total += c.state.Latency
 			sampled++
 		}
-		if !slices.Contains(tried, u) {
+		if !slices.Contains(tried, u) && u.takesRequests(c.state, now, s.settings.DrainTime) {
 			all = append(all, c)
 		}
 	}
@@ -97,34 +104,54 @@
 func (s *Server) bestTier(all []candidate, latest, now time.Time) []candidate {
 	least := math.MaxInt
 	for i := range all {
-		all[i].tier = s.tier(all[i].health, latest, now)
+		all[i].tier = s.tier(all[i].state, latest, now)
 		least = min(least, all[i].tier)
 	}
 	return slices.DeleteFunc(all, func(c candidate) bool { return c.tier != least })
 }
 
-// tier groups upstreams by how likely they are to answer at all; lower is better. An upstream is in the last tier if
-// its last heartbeat is HeartbeatTimeout older than the newest one of its service and it has not answered recently
-// either.
-func (s *Server) tier(c health, latest, now time.Time) int {
-	isSilent := latest.Sub(c.lastHeartbeat) > s.settings.HeartbeatTimeout && now.Sub(c.lastSuccess) > s.settings.HeartbeatTimeout/2
+// tier groups upstreams by how likely they are to answer at all; lower is better. An upstream is silent if its last
+// heartbeat is HeartbeatTimeout older than the newest one of its service and it has not answered recently either.
+func (s *Server) tier(c availability.State, latest, now time.Time) int {
+	isSilent := latest.Sub(c.LastHeartbeat) > s.settings.HeartbeatTimeout && now.Sub(c.LastSuccess) > s.settings.HeartbeatTimeout/2
+	hasFreshPace := now.Sub(*s.fleet.loadsReported.Load()) < maxSlowReportAge
 	switch {
+	case c.IsLeaving():
+		return 3
 	case isSilent:
 		return 2
-	case c.isSuspended || c.isGroupDown || c.pace > slowPace && now.Sub(*s.fleet.loadsReported.Load()) < maxSlowReportAge:
+	case c.IsSuspended(now) || c.IsGroupDown || c.IsSlow() && hasFreshPace:
 		return 1
 	default:
 		return 0
 	}
 }
 
+// opensIn returns the time until the first upstream of a service opens that is closed now, and whether every upstream
+// of the service is closed or has left and at least one is closed.
+func (s *Server) opensIn(service string, now time.Time) (wait time.Duration, isClosed bool) {
+	for _, u := range s.fleet.Service(service) {
+		state := u.State()
+		if state.HasLeft(now, s.settings.DrainTime) {
+			continue
+		}
+		if !state.IsClosed(now) {
+			return 0, false
+		}
+		if left := state.OpensAt().Sub(now); !isClosed || left < wait {
+			wait, isClosed = left, true
+		}
+	}
+	return wait, isClosed
+}
+
 // cost returns an estimate of the wait at an upstream, raised by its failure rate and for another failure domain.
 func (s *Server) cost(c candidate, meanLatency float64) float64 {
-	latency := c.health.latency
+	latency := c.state.Latency
 	if latency == 0 || c.Instance().Group.Size > 0 {
 		latency = meanLatency
 	}
-	cost := float64(c.inFlight.Load()+1) * latency * (1 + failurePenalty*c.health.failureRate)
+	cost := float64(c.inFlight.Load()+1) * latency * (1 + failurePenalty*c.failureRate)
 	if c.Instance().Domain != s.settings.Domain {
 		cost *= remoteCost
 	}
--- a/forward/relay.go
+++ b/forward/relay.go
@@ -11,6 +11,15 @@
 	"guavahitch.example/guavahitch/upstream"
 )
 
+const (
+	// objectivesWaited and gapsWaited are for how many latency objectives and gap objectives a caller may wait for an
+	// event.
+	objectivesWaited = 4
+	gapsWaited       = 8
+	// idleMargin is added to that, because a silent upstream may still answer.
+	idleMargin = 500 * time.Millisecond
+)
+
 // errCallerGone means that writing to the caller failed.
 var errCallerGone = eris.New("caller disconnected")
 
@@ -18,13 +27,14 @@
 // the last event, so that another upstream can resume the stream from there.
 func (a *attempt) relay(response *http.Response) attemptResult {
 	j := a.job
-	events := upstream.NewEventReader(response.Body)
+	events := upstream.NewEventReader(response.Body, j.server.settings.ResponseMemory)
+	defer events.Close()
 	control := http.NewResponseController(j.writer)
 	_ = control.SetWriteDeadline(j.deadline.Add(writeGrace))
 	previous := a.started
 	isFirst := true
 	for {
-		a.conn.SetReadDeadline(earlier(time.Now().Add(j.server.settings.StreamIdleTimeout), j.deadline))
+		a.conn.SetReadDeadline(earlier(time.Now().Add(j.streamIdleTimeout()), j.deadline))
 		event, id, hasID, err := events.Next()
 		if err == io.EOF {
 			return a.endStream(response)
@@ -53,6 +63,13 @@
 	}
 }
 
+// streamIdleTimeout returns the pause after which a stream counts as broken: the longest that a caller may wait for an
+// event, judged by the objectives of the route, and some time more.
+func (j *job) streamIdleTimeout() time.Duration {
+	patience := max(objectivesWaited*j.route.Objective, gapsWaited*j.route.GapObjective)
+	return max(j.server.settings.StreamIdleTimeout, patience+idleMargin)
+}
+
 // recordPause records the time to the first event of the stream and the longest pause between events.
 func (j *job) recordPause(now time.Time, pause time.Duration, isFirst bool) {
 	if !j.hasEvent {
@@ -98,7 +115,7 @@
 // endStream handles the end of a complete stream, which may have had no events.
 func (a *attempt) endStream(response *http.Response) attemptResult {
 	a.job.writeHead(response)
-	a.isBodyRead = true
+	a.markBodyRead()
 	if isFramed(response) {
 		a.recordProgress()
 	}
--- a/forward/server.go
+++ b/forward/server.go
@@ -53,6 +53,8 @@
 		// retryAfter is the minimum wait before the caller should retry a request that was not run, 0 for no
 		// Retry-After field.
 		retryAfter time.Duration
+		// spread is the largest time that is randomly added to retryAfter, 0 for retryJitter.
+		spread time.Duration
 	}
 )
 
--- a/forward/server_test.go
+++ b/forward/server_test.go
@@ -22,7 +22,7 @@
 
 var testHeaders = forward.Headers{
 	RequestID: "X-Request", Deadline: "X-Deadline", Seal: "X-Seal", NotExecuted: "X-Not-Executed",
-	ExpectInstance: "X-Expect", Organisation: "X-Organisation", LastEvent: "Last-Event-Id",
+	ExpectInstance: "X-Expect", Organisation: "X-Organisation", LastEvent: "Last-Event-Id", Leaving: "X-Leaving",
 }
 
 type (
@@ -49,7 +49,7 @@
 	}
 )
 
-func newUpstream(t *testing.T, answer func(net.Conn, *http.Request, string) bool) *fakeUpstream {
+func newUpstream(t testing.TB, answer func(net.Conn, *http.Request, string) bool) *fakeUpstream {
 	listener, err := net.Listen("tcp", "127.0.0.1:0")
 	require.NoError(t, err)
 	t.Cleanup(func() { _ = listener.Close() })
@@ -533,6 +533,62 @@
 	require.True(e.t, e.server.SetTable(route.NewTable(c)))
 }
 
+// setGapObjective sets the gap objective of all routes.
+func (e *entry) setGapObjective(gap time.Duration) {
+	c := configuration()
+	c.Version = 2
+	for i := range c.Routes {
+		c.Routes[i].GapObjective = gap
+	}
+	require.True(e.t, e.server.SetTable(route.NewTable(c)))
+}
+
+// A refusal without an ID that comes on a connection in use again may be a second answer to an earlier request. It must
+// not be taken for a promise that this request was not run.
+func TestLateRefusalWithoutAnIDProvesNothing(t *testing.T) {
+	calls := 0
+	u := newUpstream(t, func(conn net.Conn, request *http.Request, _ string) bool {
+		calls++
+		if calls == 1 {
+			writeResponse(conn, request, 200, "done")
+			return true
+		}
+		fmt.Fprint(conn, "HTTP/1.1 503 No\r\nX-Not-Executed: 1\r\nContent-Length: 0\r\n\r\n")
+		return true
+	})
+	e := newEntry(t, u)
+	response, _, err := e.send("POST", "/credit/", "x")
+	require.NoError(t, err)
+	require.Equal(t, http.StatusOK, response.StatusCode)
+	response, _, err = e.send("POST", "/credit/", "x", "X-Request", "q2")
+	require.NoError(t, err)
+	require.Equal(t, http.StatusBadGateway, response.StatusCode)
+	response, _, err = e.send("POST", "/credit/", "x", "X-Request", "q3")
+	require.NoError(t, err)
+	require.Equal(t, http.StatusServiceUnavailable, response.StatusCode, "on a new connection it is a promise")
+}
+
+// The second copy of an answer must not reach a request without an ID, which cannot tell it from its own answer.
+func TestSecondCopyDoesNotReachARequestWithoutAnID(t *testing.T) {
+	u := newUpstream(t, func(conn net.Conn, request *http.Request, body string) bool {
+		if body == "late copy" {
+			writeResponse(conn, request, 200, "late copy")
+			time.AfterFunc(100*time.Millisecond, func() { writeResponse(conn, request, 200, "late copy") })
+			return true
+		}
+		time.Sleep(300 * time.Millisecond)
+		writeResponse(conn, request, 200, "own")
+		return true
+	})
+	e := newEntry(t, u)
+	_, body, err := e.send("POST", "/credit/", "late copy")
+	require.NoError(t, err)
+	require.Equal(t, "late copy", body)
+	_, body, err = e.send("POST", "/credit/", "other", "X-Request", "")
+	require.NoError(t, err)
+	require.Equal(t, "own", body)
+}
+
 // A request without an ID must get the response even though it cannot be matched by ID.
 func TestRequestsWithoutAnID(t *testing.T) {
 	u := newUpstream(t, func(conn net.Conn, _ *http.Request, _ string) bool {
--- a/forward/settings.go
+++ b/forward/settings.go
@@ -10,13 +10,14 @@
 	"time"
 
 	"guavahitch.example/guavahitch/quarantine"
+	"guavahitch.example/guavahitch/upstream"
 )
 
 const (
 	// DefaultConnectTimeout bounds opening a connection to an upstream.
 	DefaultConnectTimeout = 350 * time.Millisecond
-	// DefaultStreamIdleTimeout is the pause after which a stream counts as broken. It is longer than the time after
-	// which callers disconnect, because a silent upstream may still answer.
+	// DefaultStreamIdleTimeout is the pause after which a stream counts as broken, if the objectives of its route do not
+	// allow a longer one.
 	DefaultStreamIdleTimeout = 2500 * time.Millisecond
 	// DefaultHeartbeatTimeout is the time without a heartbeat to control after which an upstream gets requests only if
 	// there is no other.
@@ -46,6 +47,8 @@
 		LastEvent string
 		// Culprit holds the address of the upstream at fault, in a refusal by another upstream.
 		Culprit string
+		// Leaving marks every response of an upstream that is about to leave.
+		Leaving string
 	}
 
 	// Outage reports that the group of a service is down or, if IsDown is false, that it serves again.
@@ -80,7 +83,12 @@
 		StreamIdleTimeout time.Duration
 		HeartbeatTimeout  time.Duration
 		AnswerBytes       int64
-		Retry             RetryLimits
+		// ResponseMemory bounds the large responses and events that are held at once. NewServer makes one if it is nil.
+		ResponseMemory *upstream.Memory
+		// DrainTime is how long after its first response that says so an upstream that is leaving still takes requests for
+		// which there is no other upstream.
+		DrainTime time.Duration
+		Retry     RetryLimits
 		// PromptParts returns the IDs of the parts of a prompt that other requests may share, without the part that belongs
 		// to the request itself. Requests have none if it is nil.
 		PromptParts func(http.Header) []string
@@ -92,6 +100,8 @@
 		Memory *quarantine.Memory
 		// OnCrash is called when an upstream has ended while it ran requests of this entry, unless it is nil.
 		OnCrash func(Crash)
+		// OnNotice is called when an upstream says that it leaves or wants no requests for a time, unless it is nil.
+		OnNotice func(Notice)
 		// OnOutage is called when the group of a service goes down and when it serves again, unless it is nil.
 		OnOutage func(Outage)
 		// Random returns a number in [0, 1). Tests set it to replace the default generator.
@@ -104,6 +114,9 @@
 	s.StreamIdleTimeout = cmp.Or(s.StreamIdleTimeout, DefaultStreamIdleTimeout)
 	s.HeartbeatTimeout = cmp.Or(s.HeartbeatTimeout, DefaultHeartbeatTimeout)
 	s.AnswerBytes = cmp.Or(s.AnswerBytes, DefaultAnswerBytes)
+	if s.ResponseMemory == nil {
+		s.ResponseMemory = upstream.NewMemory(upstream.DefaultMemory)
+	}
 	if s.Memory == nil {
 		s.Memory = quarantine.NewMemory()
 	}
--- a/routed/request_log.go
+++ b/routed/request_log.go
@@ -107,6 +107,27 @@
 	d.log.WithError(b.Cause).WithFields(fields).Warn("upstream broke off")
 }
 
+// logNotice counts and logs what an upstream said of itself, unless the limit of lines is reached.
+func (d *requestLog) logNotice(n forward.Notice) {
+	reason := "upstream is closed"
+	if n.IsLeaving {
+		reason = "upstream is leaving"
+	}
+	d.scope.Tagged(map[string]string{"service": n.Service, "notice": reason}).Counter("upstream_notices").Inc(1)
+	skipped, isAllowed := d.allowLine()
+	if !isAllowed {
+		return
+	}
+	fields := logrus.Fields{"request": n.Request, "service": n.Service, "upstream": n.Upstream, "born": n.Born}
+	if n.ClosedFor > 0 {
+		fields["closed_ms"] = milliseconds(n.ClosedFor)
+	}
+	if skipped > 0 {
+		fields["lines_skipped"] = skipped
+	}
+	d.log.WithFields(fields).Info(reason)
+}
+
 // logCrash counts and logs the end of an upstream that ran requests of this entry.
 func (d *requestLog) logCrash(c forward.Crash) {
 	d.scope.Counter("upstream_crashes").Inc(1)
--- a/upstream/client.go
+++ b/upstream/client.go
@@ -14,19 +14,18 @@
 // maxResponseBytes is the largest response body that a Client reads.
 const maxResponseBytes = 4 << 20
 
-var errTooLarge = eris.Errorf("response body is longer than %d bytes", maxResponseBytes)
-
 // Client is the HTTP client of generated RPC clients. It pools connections by address. Unlike http.Client it never
 // sends a request twice and starts no goroutines per connection. It is safe for concurrent use.
 type Client struct {
 	timeout time.Duration
+	memory  *Memory
 	mutex   sync.Mutex
 	pools   map[string]*Pool
 }
 
 // NewClient returns a client. The timeout bounds opening a connection.
 func NewClient(timeout time.Duration) *Client {
-	return &Client{timeout: timeout, pools: map[string]*Pool{}}
+	return &Client{timeout: timeout, memory: NewMemory(DefaultMemory), pools: map[string]*Pool{}}
 }
 
 func (c *Client) pool(address string) *Pool {
@@ -54,7 +53,7 @@
 		return nil, err
 	}
 	stop := context.AfterFunc(ctx, conn.Abort)
-	response, err := exchange(conn, request, body)
+	response, err := c.exchange(conn, request, body)
 	isOver := !stop()
 	if isOver && err == nil {
 		err = ctx.Err()
@@ -75,7 +74,7 @@
 	return body, eris.Wrap(err, "read request body")
 }
 
-func exchange(conn *Connection, request *http.Request, body []byte) (*http.Response, error) {
+func (c *Client) exchange(conn *Connection, request *http.Request, body []byte) (*http.Response, error) {
 	deadline, _ := request.Context().Deadline()
 	conn.SetDeadline(deadline)
 	if err := conn.Send(request.Method, request.URL.RequestURI(), request.URL.Host, request.Header, body); err != nil {
@@ -85,26 +84,11 @@
 	if err != nil {
 		return nil, err
 	}
-	answer, err := readResponseBody(response)
+	answer, release, err := ReadBody(response, maxResponseBytes, c.memory)
+	release()
 	if err != nil {
 		return nil, eris.Wrap(err, "read response body")
 	}
 	response.Body = io.NopCloser(bytes.NewReader(answer))
 	return response, nil
 }
-
-func readResponseBody(response *http.Response) ([]byte, error) {
-	if response.ContentLength > maxResponseBytes {
-		return nil, errTooLarge
-	}
-	if response.ContentLength >= 0 {
-		answer := make([]byte, response.ContentLength)
-		_, err := io.ReadFull(response.Body, answer)
-		return answer, err
-	}
-	answer, err := io.ReadAll(io.LimitReader(response.Body, maxResponseBytes+1))
-	if err == nil && len(answer) > maxResponseBytes {
-		return nil, errTooLarge
-	}
-	return answer, err
-}
--- a/upstream/connection.go
+++ b/upstream/connection.go
@@ -27,6 +27,9 @@
 	maxStaleResponses = 2
 	// maxStaleBytes bounds the body that is read to skip a response to an earlier request.
 	maxStaleBytes = 256 << 10
+	// maxHeadBytes bounds the head of one response, and headTimeout the time from its first byte to its end.
+	maxHeadBytes = 64 << 10
+	headTimeout  = 2 * time.Second
 	// keepAliveMargin is subtracted from the keep-alive timeout that an upstream announces.
 	keepAliveMargin = 500 * time.Millisecond
 )
@@ -35,9 +38,12 @@
 // goroutine uses it.
 type Connection struct {
 	conn   net.Conn
+	input  *limitedReader
 	reader *bufio.Reader
 	writer *bufio.Writer
-	// idleSince is the time at which the last response ended.
+	// readDeadline is the deadline of reads, zero for none.
+	readDeadline time.Time
+	// idleSince is the time at which the last response ended, zero before the first one.
 	idleSince time.Time
 	// idleTimeout is the keep-alive timeout that the upstream announced, less keepAliveMargin. It is 0, and does not
 	// apply, if the upstream announced nothing or a timeout of 0.
@@ -58,11 +64,15 @@
 
 // NewConnection returns a Connection that uses an open network connection.
 func NewConnection(conn net.Conn) *Connection {
+	input := &limitedReader{source: conn, left: unlimited}
 	return &Connection{
-		conn: conn, reader: bufio.NewReaderSize(conn, readBuffer), writer: bufio.NewWriterSize(conn, writeBuffer),
+		conn: conn, input: input, reader: bufio.NewReaderSize(input, readBuffer), writer: bufio.NewWriterSize(conn, writeBuffer),
 	}
 }
 
+// IsReused reports whether the connection has carried a request before.
+func (c *Connection) IsReused() bool { return !c.idleSince.IsZero() }
+
 // Close closes an idle connection.
 func (c *Connection) Close() {
 	c.mustClose = true
@@ -80,10 +90,16 @@
 }
 
 // SetDeadline sets the deadline of later reads and writes.
-func (c *Connection) SetDeadline(at time.Time) { _ = c.conn.SetDeadline(at) }
+func (c *Connection) SetDeadline(at time.Time) {
+	c.readDeadline = at
+	_ = c.conn.SetDeadline(at)
+}
 
 // SetReadDeadline sets the deadline of later reads.
-func (c *Connection) SetReadDeadline(at time.Time) { _ = c.conn.SetReadDeadline(at) }
+func (c *Connection) SetReadDeadline(at time.Time) {
+	c.readDeadline = at
+	_ = c.conn.SetReadDeadline(at)
+}
 
 // Buffered reports whether the read buffer holds unread bytes.
 func (c *Connection) Buffered() bool { return c.reader.Buffered() > 0 }
@@ -120,7 +136,7 @@
 func (c *Connection) Receive(method string, isExpected func(http.Header) bool) (*http.Response, error) {
 	request := &http.Request{Method: method}
 	for range maxStaleResponses + 1 {
-		response, err := http.ReadResponse(c.reader, request)
+		response, err := c.readHead(request)
 		if err != nil {
 			return nil, eris.Wrap(err, "read response")
 		}
@@ -142,6 +158,23 @@
 	return nil, eris.New("too many responses to earlier requests")
 }
 
+// readHead reads the head of one response. It waits for the first byte until the deadline of the connection; the rest is
+// bounded by maxHeadBytes and headTimeout.
+func (c *Connection) readHead(request *http.Request) (*http.Response, error) {
+	if _, err := c.reader.Peek(1); err != nil {
+		return nil, err
+	}
+	deadline := c.readDeadline
+	if limit := time.Now().Add(headTimeout); deadline.IsZero() || limit.Before(deadline) {
+		_ = c.conn.SetReadDeadline(limit)
+	}
+	c.input.left = maxHeadBytes
+	response, err := http.ReadResponse(c.reader, request)
+	c.input.left = unlimited
+	_ = c.conn.SetReadDeadline(deadline)
+	return response, err
+}
+
 func (c *Connection) readKeepAlive(response *http.Response) {
 	if response.Close {
 		c.mustClose = true
@@ -161,7 +194,7 @@
 		return false
 	}
 	c.idleSince = now
-	c.reader.Reset(c.conn)
+	c.reader.Reset(c.input)
 	return true
 }
 
--- a/upstream/events.go
+++ b/upstream/events.go
@@ -16,13 +16,18 @@
 type EventReader struct {
 	reader *bufio.Reader
 	event  []byte
+	held   reservation
 }
 
-// NewEventReader returns a reader of the events in a response body.
-func NewEventReader(body io.Reader) *EventReader {
-	return &EventReader{reader: bufio.NewReaderSize(body, readBuffer)}
+// NewEventReader returns a reader of the events in a response body. Large events take from the memory until Close is
+// called.
+func NewEventReader(body io.Reader, memory *Memory) *EventReader {
+	return &EventReader{reader: bufio.NewReaderSize(body, readBuffer), held: reservation{memory: memory}}
 }
 
+// Close returns what the events have taken from the memory.
+func (r *EventReader) Close() { r.held.release() }
+
 // Next returns the bytes of the next whole event and its ID; hasID is false for an event without an ID. The bytes are
 // valid until the next call. The error is io.EOF when the stream ends between events, and io.ErrUnexpectedEOF when it
 // ends within one.
@@ -30,9 +35,12 @@
 	r.event = r.event[:0]
 	for {
 		line, err := r.reader.ReadSlice('\n')
+		if len(r.event)+len(line) > maxEventBytes {
+			return nil, 0, false, eris.Wrap(ErrTooLong, "event")
+		}
 		r.event = append(r.event, line...)
-		if len(r.event) > maxEventBytes {
-			return nil, 0, false, eris.New("event is too long")
+		if !r.held.grow(int64(cap(r.event))) {
+			return nil, 0, false, eris.Wrap(ErrNoMemory, "event")
 		}
 		if err == bufio.ErrBufferFull {
 			continue
--- a/upstream/pool.go
+++ b/upstream/pool.go
@@ -37,9 +37,12 @@
 		}
 		c.Close()
 	}
-	return Dial(ctx, p.address, p.timeout)
+	return p.Open(ctx)
 }
 
+// Open opens a connection.
+func (p *Pool) Open(ctx context.Context) (*Connection, error) { return Dial(ctx, p.address, p.timeout) }
+
 func (p *Pool) pop() *Connection {
 	p.mutex.Lock()
 	defer p.mutex.Unlock()
--- a/upstream/upstream_test.go
+++ b/upstream/upstream_test.go
@@ -20,7 +20,7 @@
 // Events are returned whole even if the bytes arrive one at a time.
 func ExampleEventReader() {
 	body := "id: 1\ndata: roof\n\nid: 2\ndata: lease\n\nid: 3\nda"
-	reader := upstream.NewEventReader(iotest.OneByteReader(strings.NewReader(body)))
+	reader := upstream.NewEventReader(iotest.OneByteReader(strings.NewReader(body)), upstream.NewMemory(upstream.DefaultMemory))
 	for {
 		event, id, _, err := reader.Next()
 		if err != nil {
@@ -44,7 +44,7 @@
 		"before the blank line": {"id: 1\n\ndata: x\n", io.ErrUnexpectedEOF},
 	} {
 		t.Run(name, func(t *testing.T) {
-			reader := upstream.NewEventReader(strings.NewReader(c.body))
+			reader := upstream.NewEventReader(strings.NewReader(c.body), upstream.NewMemory(upstream.DefaultMemory))
 			_, id, hasID, err := reader.Next()
 			require.NoError(t, err)
 			require.True(t, hasID)
@@ -59,7 +59,7 @@
 	f.Add("id: 1\ndata: x\n\n")
 	f.Add("id: x\n\n")
 	f.Fuzz(func(t *testing.T, body string) {
-		reader := upstream.NewEventReader(strings.NewReader(body))
+		reader := upstream.NewEventReader(strings.NewReader(body), upstream.NewMemory(upstream.DefaultMemory))
 		total := 0
 		for {
 			event, _, _, err := reader.Next()
