--- a/admission/answer.go
+++ b/admission/answer.go
@@ -57,6 +57,7 @@
 		digest     *xxhash.Digest
 		ended      bool
 		fetched    bool
+		abandoned  bool
 		failure    *outcome.Error
 	}
 )
@@ -196,7 +197,14 @@
 func (a *Answer) Abandon() {
 	a.mutex.Lock()
 	defer a.mutex.Unlock()
-	a.fetched = true
+	a.fetched, a.abandoned = true, true
+}
+
+// IsAbandoned reports whether Abandon was called.
+func (a *Answer) IsAbandoned() bool {
+	a.mutex.Lock()
+	defer a.mutex.Unlock()
+	return a.abandoned
 }
 
 // Whole returns a complete answer that was kept whole as one piece without a checksum, or the failure that ended it.
--- a/admission/gate.go
+++ b/admission/gate.go
@@ -33,6 +33,9 @@
 	// among the entry's barred attempts that the gate no longer remembers individually.
 	ReasonStale = "stale"
 
+	// confirmTimeout is how long a drain waits for an entry to release an answer that it has fetched.
+	confirmTimeout = time.Second
+
 	// retryAfterRefusal is the retry advice in refusals, except for a passed deadline.
 	retryAfterRefusal = 250 * time.Millisecond
 )
@@ -397,9 +400,20 @@
 	return running
 }
 
-// IsIdle reports whether no attempt is queued or running and every answer has been fetched to its end or abandoned.
-func (g *Gate) IsIdle() bool {
-	return g.running == 0 && len(g.queue) == 0 && len(g.Unfetched()) == 0
+// IsIdle reports whether no attempt is queued or running and every answer has reached its entry or was abandoned. An
+// answer has reached its entry once that has released it, or confirmTimeout after it was fetched to its end.
+func (g *Gate) IsIdle(now time.Time) bool {
+	if g.running > 0 || len(g.queue) > 0 {
+		return false
+	}
+	for _, call := range g.calls {
+		isUnfetched := call.State == Ended && !call.Answer.IsFetched()
+		isUnconfirmed := call.State == Ended && !call.Answer.IsAbandoned() && now.Sub(call.Touched) < confirmTimeout
+		if isUnfetched || isUnconfirmed {
+			return false
+		}
+	}
+	return true
 }
 
 // Unfetched returns the ended attempts whose answer has been neither fetched to its end nor abandoned.
--- a/admission/gate_test.go
+++ b/admission/gate_test.go
@@ -136,11 +136,27 @@
 	require.Equal(t, admission.ReasonDraining, refusal.Reason)
 	call, _ := gate.Next(start)
 	require.NotNil(t, call)
-	require.False(t, gate.IsIdle())
+	require.False(t, gate.IsIdle(start))
 	gate.End(start, call.Request.ID)
 	call.Answer.Finish(nil)
 	call.Answer.Abandon()
-	require.True(t, gate.IsIdle())
+	require.True(t, gate.IsIdle(start))
+}
+
+// Guards against a planned stop that ends while the last answer is on its way to its entry.
+func TestDrainWaitsUntilTheAnswerHasReachedItsEntry(t *testing.T) {
+	gate := admission.NewGate("u", 1, limits)
+	_, refusal := gate.Start(start, startRequest(gate, 1, 1))
+	require.Nil(t, refusal)
+	gate.Drain()
+	call, _ := gate.Next(start)
+	gate.End(start, call.Request.ID)
+	call.Answer.Finish(nil)
+	_ = read(t, call.Answer, 0)
+	require.False(t, gate.IsIdle(start.Add(900*time.Millisecond)), "it was fetched, but not released")
+	require.True(t, gate.IsIdle(start.Add(time.Second)), "an entry that is gone does not hold up the stop")
+	gate.Forget(call.Request.ID)
+	require.True(t, gate.IsIdle(start))
 }
 
 func TestEntryOnAnOldInventoryIsRefused(t *testing.T) {
--- a/daemon/failure_test.go
+++ b/daemon/failure_test.go
@@ -3,6 +3,7 @@
 import (
 	"fmt"
 	"net/http"
+	"slices"
 	"sync"
 	"sync/atomic"
 	"testing"
@@ -76,6 +77,23 @@
 	s.sidecars = append(s.sidecars, s.start(settings))
 }
 
+// openLinks makes calls at the same time until each relay carries a connection, and drops them from the history.
+func (s *system) openLinks() {
+	isOpen := func() bool {
+		return !slices.ContainsFunc(s.relays, func(r *relay) bool { return r.connectionCount() == 0 })
+	}
+	for round := 0; !isOpen(); round++ {
+		require.Less(s.t, round, 100, "no call reaches a relay")
+		var group sync.WaitGroup
+		for n := range concurrentCallers {
+			group.Go(func() { s.call(n, -round-1) })
+		}
+		group.Wait()
+	}
+	require.Empty(s.t, s.history.unanswered())
+	s.history.calls = nil
+}
+
 // restart aborts a sidecar and starts it again behind its relay.
 func (s *system) restart(n int, name, engine, kind, service string) {
 	s.abort(s.sidecars[n], name)
@@ -133,7 +151,7 @@
 // requireHistory checks the guarantees to callers, and that at least this many calls were answered in full.
 func (s *system) requireHistory(answered int) {
 	require.Empty(s.t, s.history.check(s.engines, s.services))
-	require.GreaterOrEqual(s.t, s.history.answered(), answered)
+	require.GreaterOrEqual(s.t, s.history.answered(), answered, s.history.unanswered())
 }
 
 const allCalls = concurrentCallers * callsPerCaller
@@ -141,6 +159,7 @@
 // Guards against calls that hang or fail when all open connections to the sidecars silently drop their bytes.
 func TestSilentConnectionsUnderLoad(t *testing.T) {
 	s := newSystem(t, 1)
+	s.openLinks()
 	s.run(func() {
 		for _, r := range s.relays {
 			require.Positive(t, r.silence())
@@ -166,6 +185,27 @@
 	s.requireHistory(allCalls)
 }
 
+// Guards against a start that reaches a sidecar at the end of its planned stop and is lost with its connection: the call
+// would end as one that may have run, and its key could never be settled.
+func TestStartOnItsWayDuringAPlannedStop(t *testing.T) {
+	s := newSystem(t, 1)
+	s.openLinks()
+	for _, r := range s.relays {
+		r.delay.Store(int64(250 * time.Millisecond))
+	}
+	var group sync.WaitGroup
+	for n := range 8 {
+		group.Go(func() { s.keyedCall(fmt.Sprintf("late %d", n), n) })
+		group.Go(func() { s.call(1, n) })
+	}
+	time.Sleep(50 * time.Millisecond)
+	s.drain("ledger-1")
+	s.drain("up-1")
+	group.Wait()
+	s.requireHistory(16)
+	require.Empty(t, s.history.refusals("unsettled"))
+}
+
 // Guards against duplicate runs, wrong answers and more than one failed call per caller when two sidecars crash and
 // restart.
 func TestSidecarRestartUnderLoad(t *testing.T) {
--- a/daemon/history_test.go
+++ b/daemon/history_test.go
@@ -41,13 +41,41 @@
 	defer h.mutex.Unlock()
 	n := 0
 	for _, c := range h.calls {
-		if c.got.err == nil && c.got.status == http.StatusOK {
+		if c.isAnswered() {
 			n++
 		}
 	}
 	return n
 }
 
+// unanswered describes the calls that were not answered in full.
+func (h *history) unanswered() string {
+	h.mutex.Lock()
+	defer h.mutex.Unlock()
+	var text strings.Builder
+	for _, c := range h.calls {
+		if !c.isAnswered() {
+			fmt.Fprintf(&text, "%+v\n", c)
+		}
+	}
+	return text.String()
+}
+
+// refusals returns the calls that were refused with this reason.
+func (h *history) refusals(reason string) []call {
+	h.mutex.Lock()
+	defer h.mutex.Unlock()
+	var refused []call
+	for _, c := range h.calls {
+		if refusal, err := refusalOf(c.got.body); err == nil && refusal.Reason == reason {
+			refused = append(refused, c)
+		}
+	}
+	return refused
+}
+
+func (c call) isAnswered() bool { return c.got.err == nil && c.got.status == http.StatusOK }
+
 // check returns every violation of the guarantees to callers: an answer belongs to its request and is complete, a
 // request refused as NotRun did not run, and a call with an idempotency key runs at most once and gets one answer.
 func (h *history) check(engines []*fake.Engine, services []*fake.Service) []string {
--- a/daemon/relay_test.go
+++ b/daemon/relay_test.go
@@ -14,8 +14,10 @@
 	// relay forwards TCP connections to an address. It can make the open connections silent for good while new ones
 	// work, like a middlebox that has lost the state of the open ones.
 	relay struct {
-		listener    net.Listener
-		target      string
+		listener net.Listener
+		target   string
+		// delay is how long bytes to the target are held, in nanoseconds.
+		delay       atomic.Int64
 		mutex       sync.Mutex
 		connections []*relayedConnection
 	}
@@ -63,18 +65,18 @@
 		r.mutex.Lock()
 		r.connections = append(r.connections, p)
 		r.mutex.Unlock()
-		go p.copy(client, server, false)
-		go p.copy(server, client, true)
+		go p.copy(client, server, nil)
+		go p.copy(server, client, &r.delay)
 	}
 }
 
-// copy forwards bytes. On a silent connection it discards them without closing either end.
-func (p *relayedConnection) copy(to, from net.Conn, isRequest bool) {
+// copy forwards bytes, requests after a delay. On a silent connection it discards them without closing either end.
+func (p *relayedConnection) copy(to, from net.Conn, delay *atomic.Int64) {
 	buffer := make([]byte, 32<<10)
 	for {
 		n, err := from.Read(buffer)
 		if p.silent.Load() {
-			if isRequest && n > 0 {
+			if delay != nil && n > 0 {
 				p.discarded.Store(time.Now().UnixNano())
 			}
 			if err != nil {
@@ -82,6 +84,9 @@
 			}
 			continue
 		}
+		if delay != nil {
+			time.Sleep(time.Duration(delay.Load()))
+		}
 		if n > 0 {
 			if _, err := to.Write(buffer[:n]); err != nil {
 				_ = from.Close()
@@ -105,6 +110,13 @@
 	return len(r.connections)
 }
 
+// connectionCount returns how many connections were opened through the relay.
+func (r *relay) connectionCount() int {
+	r.mutex.Lock()
+	defer r.mutex.Unlock()
+	return len(r.connections)
+}
+
 // lastDiscarded returns when a silent connection last discarded bytes on their way to the sidecar.
 func (r *relay) lastDiscarded() time.Time {
 	r.mutex.Lock()
--- a/daemon/sidecar.go
+++ b/daemon/sidecar.go
@@ -15,6 +15,7 @@
 	"guavahitch.example/guavahitch/lease"
 	"guavahitch.example/guavahitch/ranks"
 	"guavahitch.example/guavahitch/sidecar"
+	"guavahitch.example/guavahitch/wait"
 	"guavahitch.example/guavahitch/wire"
 )
 
@@ -27,6 +28,9 @@
 	answerTTL = 10 * time.Minute
 	// deathReportWait bounds how long failed attempts wait until control has accepted the report of the engine's death.
 	deathReportWait = 500 * time.Millisecond
+	// departureNotice is how long a stopped sidecar still refuses work after control knows that it has left. Attempts that
+	// entries have sent meanwhile learn in this way that they did not run.
+	departureNotice = 500 * time.Millisecond
 	// watchRetryPause is the pause after a failed watch request to control.
 	watchRetryPause = 100 * time.Millisecond
 	// epochRandomBits is the number of random low bits in an epoch. They distinguish starts in the same millisecond.
@@ -183,8 +187,8 @@
 	return failure == nil && reply.Failure == nil
 }
 
-// drain refuses new work at once, announces this to control, waits for the end of all admitted work and then ends the
-// membership.
+// drain refuses new work at once, announces this to control, waits for the end of all admitted work, ends the membership,
+// and refuses what entries sent before they knew.
 func (r *sidecarRole) drain(ctx context.Context) {
 	done := make(chan error, 1)
 	go func() { done <- r.server.Drain(ctx) }()
@@ -195,6 +199,7 @@
 		r.process.log.WithError(err).Error("drain")
 	}
 	r.process.leave(ctx, r.member())
+	wait.For(ctx, departureNotice)
 }
 
 // SidecarServer returns the server of the sidecar role. The process must have that role.
--- a/sidecar/watch.go
+++ b/sidecar/watch.go
@@ -144,7 +144,7 @@
 	return request
 }
 
-// Drain refuses new attempts. It waits until every admitted attempt has ended and its answer has been fetched or
+// Drain refuses new attempts. It waits until every admitted attempt has ended and its answer has reached its entry or was
 // abandoned, or until the context ends.
 func (s *Server) Drain(ctx context.Context) error {
 	s.mutex.Lock()
@@ -155,7 +155,7 @@
 	defer ticker.Stop()
 	for {
 		s.mutex.Lock()
-		idle := s.gate.IsIdle()
+		idle := s.gate.IsIdle(time.Now())
 		s.mutex.Unlock()
 		if idle {
 			return nil
