engine, sidecar, routing: the chat interface hears what engines say of themselves, and takes only answers to its calls

Cause: the sidecar's client was that of the standard library. It takes the next response on a kept connection for its own, accepts heads of 10 MB, and bounds no time; a load report was read whole into memory; nothing read Server-Leaving or Retry-After. Ruled out: calls that may not be repeated were on connections of their own before (their second copies reach nobody). Change: one client for both interfaces (upstream.Connection). A connection is kept only by an engine that repeats the ID of the request. Calls end 60 s after their deadline at the latest. The sidecar's gate refuses under an availability.State, entries count closed upstreams apart from failing ones and refuse at once with the first opening when all are closed. An engine that starts again after it left gets a new admission epoch.

--- a/admission/gate.go
+++ b/admission/gate.go
@@ -8,6 +8,7 @@
 	"container/list"
 	"time"
 
+	"guavahitch.example/guavahitch/availability"
 	"guavahitch.example/guavahitch/outcome"
 )
 
@@ -25,6 +26,8 @@
 	ReasonEpoch = "epoch"
 	// ReasonDraining refuses an attempt because the upstream is draining.
 	ReasonDraining = "draining"
+	// ReasonClosed refuses an attempt because the engine wants no work for a time.
+	ReasonClosed = "closed"
 	// ReasonOverloaded refuses an attempt because the queue is full.
 	ReasonOverloaded = "overloaded"
 	// ReasonRevision refuses an attempt of an entry that uses an outdated revision of the inventory.
@@ -107,6 +110,8 @@
 		peer       string
 		draining   bool
 		refusesAll bool
+		// engine is whether the engine takes work.
+		engine availability.State
 		// oldestRevision is the oldest revision of the inventory that an entry may use.
 		oldestRevision uint64
 		calls          map[AttemptID]*Call
@@ -138,12 +143,15 @@
 // Epoch returns the admission epoch. An attempt sent under another epoch is refused.
 func (g *Gate) Epoch() uint64 { return g.epoch }
 
-// IsDraining reports whether the gate refuses all new attempts.
-func (g *Gate) IsDraining() bool { return g.draining }
+// IsDraining reports whether the gate refuses all new attempts, because the upstream stops or its engine leaves.
+func (g *Gate) IsDraining() bool { return g.draining || g.engine.IsLeaving() }
 
 // Drain makes the gate refuse all new attempts. Admitted attempts continue.
 func (g *Gate) Drain() { g.draining = true }
 
+// SetEngine sets whether the engine takes work, according to its responses.
+func (g *Gate) SetEngine(engine availability.State) { g.engine = engine }
+
 // SetAdmitting sets whether the gate admits new attempts at all, according to the inventory.
 func (g *Gate) SetAdmitting(allowed bool) { g.refusesAll = !allowed }
 
@@ -193,7 +201,7 @@
 		refusal.Reason = "barred"
 	case g.isBelowHorizon(request.Entry, request.Sequence):
 		refusal.Reason, refusal.Outcome = ReasonStale, outcome.Unknown
-	case g.draining:
+	case g.IsDraining():
 		refusal.Reason = ReasonDraining
 	case request.Revision < g.oldestRevision:
 		refusal.Reason = ReasonRevision
@@ -201,7 +209,9 @@
 		refusal.Reason = "not-listed"
 	case !request.Deadline.After(now):
 		refusal.Reason, refusal.RetryAfter = "deadline", 0
-	case len(g.queue) >= g.limits.Queued && !g.hasRoom(request.Alone):
+	case g.engine.IsClosed(now):
+		refusal.Reason, refusal.RetryAfter = ReasonClosed, g.engine.OpensAt().Sub(now)
+	case len(g.queue) >= g.limits.Queued && !g.hasRoom(now, request.Alone):
 		refusal.Reason = ReasonOverloaded
 	default:
 		return nil
@@ -247,11 +257,25 @@
 	g.queue[at] = call
 }
 
-func (g *Gate) hasRoom(alone bool) bool {
+func (g *Gate) hasRoom(now time.Time, alone bool) bool {
 	if alone {
 		return g.running == 0
 	}
-	return !g.runsAlone && g.running < g.limits.Running
+	limit := min(int64(g.limits.Running), g.engine.Limit(now, g.limits.Running))
+	return !g.runsAlone && int64(g.running) < limit
+}
+
+// TurnAway bars and returns the queued attempts if the engine wants no work, so that they go on elsewhere.
+func (g *Gate) TurnAway(now time.Time) []*Call {
+	if !g.engine.IsClosed(now) && !g.engine.IsLeaving() {
+		return nil
+	}
+	turnedAway := g.queue
+	g.queue = nil
+	for _, call := range turnedAway {
+		g.barCall(call)
+	}
+	return turnedAway
 }
 
 // Next releases the next attempt to the engine. It returns nil if none is queued or the engine has no capacity for the
@@ -265,7 +289,7 @@
 			expired = append(expired, call)
 			continue
 		}
-		if !g.hasRoom(call.Request.Alone) {
+		if !g.hasRoom(now, call.Request.Alone) {
 			return nil, expired
 		}
 		g.queue = g.queue[1:]
--- /dev/null
+++ b/daemon/notice_test.go
@@ -0,0 +1,106 @@
+package daemon_test
+
+import (
+	"fmt"
+	"net"
+	"net/http"
+	"strconv"
+	"sync/atomic"
+	"testing"
+	"time"
+
+	"github.com/stretchr/testify/require"
+
+	"guavahitch.example/guavahitch/engine"
+)
+
+// moodyEngine is an engine that answers calls, turns them away, or says that it leaves.
+type moodyEngine struct {
+	address string
+	// retryAfter is the Retry-After with which it turns calls away, 0 to answer them.
+	retryAfter atomic.Int64
+	isLeaving  atomic.Bool
+	calls      atomic.Int64
+}
+
+func (c *cluster) addMoodyEngine(name string) *moodyEngine {
+	listener, err := net.Listen("tcp", loopback)
+	require.NoError(c.t, err)
+	m := &moodyEngine{address: listener.Addr().String()}
+	server := &http.Server{Handler: m}
+	go func() { _ = server.Serve(listener) }()
+	c.t.Cleanup(func() { _ = server.Close() })
+	c.addSidecar(name, m.address, "model", "m", 16)
+	return m
+}
+
+// ServeHTTP answers a call or a request for the load.
+func (m *moodyEngine) ServeHTTP(w http.ResponseWriter, r *http.Request) {
+	if m.isLeaving.Load() {
+		w.Header().Set(engine.HeaderLeaving, "1")
+	}
+	if r.Method == http.MethodGet {
+		fmt.Fprint(w, `{"capacity":16,"step_us":1000}`)
+		return
+	}
+	m.calls.Add(1)
+	if seconds := m.retryAfter.Load(); seconds > 0 {
+		w.Header().Set("Retry-After", strconv.FormatInt(seconds, 10))
+		w.WriteHeader(http.StatusServiceUnavailable)
+		return
+	}
+	fmt.Fprint(w, `{"choices":[{"message":{"content":"done"}}]}`)
+}
+
+// ask sends requests one after the other and returns the statuses.
+func (c *cluster) ask(client *http.Client, address string, count int) map[int]int {
+	statuses := map[int]int{}
+	for n := range count {
+		got := send(client, address, chatPath, "", chatBody(fmt.Sprint("ask ", n), 1, false))
+		require.NoError(c.t, got.err)
+		statuses[got.status]++
+	}
+	return statuses
+}
+
+// An engine that turns calls away for a time, or says that it leaves, must get no further calls through the chat
+// interface; the calls go on to the other engine, and are refused with the time of the first opening if there is none.
+func TestEnginesThatTurnAwayOrLeave(t *testing.T) {
+	c := newCluster(t, 1)
+	closing, leaving := c.addMoodyEngine("up-1"), c.addMoodyEngine("up-2")
+	entry := c.addEntry("entry-1")
+	c.awaitRoom(entry, "m", 2)
+	client := &http.Client{}
+	t.Cleanup(client.CloseIdleConnections)
+	address := entry.CallerAddress()
+
+	closing.retryAfter.Store(4)
+	require.Equal(t, map[int]int{200: 20}, c.ask(client, address, 20))
+	require.EqualValues(t, 1, closing.calls.Load())
+	turnedAway := time.Now()
+
+	leaving.retryAfter.Store(30)
+	c.ask(client, address, 1)
+	require.Equal(t, map[int]int{503: 5}, c.ask(client, address, 5))
+	got := send(client, address, chatPath, "", chatBody("refused", 1, false))
+	refusal, err := refusalOf(got.body)
+	require.NoError(t, err)
+	require.Equal(t, "NotRun", refusal.Outcome)
+	require.Equal(t, "closed", refusal.Reason)
+	require.InDelta(t, 4000, refusal.RetryAfterMs, 2100)
+	require.EqualValues(t, 1, closing.calls.Load())
+
+	closing.retryAfter.Store(0)
+	require.Eventually(t, func() bool { return c.ask(client, address, 1)[200] == 1 }, waitTimeout, 50*time.Millisecond)
+	require.Greater(t, time.Since(turnedAway), 3*time.Second)
+
+	closing.isLeaving.Store(true)
+	leaving.retryAfter.Store(0)
+	require.Equal(t, map[int]int{200: 1}, c.ask(client, address, 1))
+	before := closing.calls.Load()
+	require.NotEqual(t, 200, c.ask(client, address, 1)[200])
+	require.Equal(t, before, closing.calls.Load())
+	closing.isLeaving.Store(false)
+	require.Eventually(t, func() bool { return c.ask(client, address, 1)[200] == 1 }, waitTimeout, 50*time.Millisecond,
+		"an engine that no longer says so has started again")
+}
--- a/engine/client.go
+++ b/engine/client.go
@@ -4,7 +4,6 @@
 package engine
 
 import (
-	"bytes"
 	"context"
 	"encoding/json"
 	"errors"
@@ -15,8 +14,12 @@
 	"sync"
 	"time"
 
+	"github.com/rotisserie/eris"
+
 	"guavahitch.example/guavahitch/admission"
+	"guavahitch.example/guavahitch/availability"
 	"guavahitch.example/guavahitch/outcome"
+	"guavahitch.example/guavahitch/upstream"
 	"guavahitch.example/guavahitch/wire"
 )
 
@@ -25,9 +28,16 @@
 	ReasonFailed = "engine-failed"
 	// ReasonDied is the reason of a call whose connection broke because the engine died.
 	ReasonDied = "engine-died"
+	// ReasonTurnedAway is the reason of a repeatable call that the engine answered with 503 and a Retry-After.
+	ReasonTurnedAway = "engine-turned-away"
 
 	// HeaderRank is the request header that tells a model engine which rank should hold the request.
 	HeaderRank = "Guavahitch-Rank"
+	// HeaderLeaving is the response header by which an engine says that it is about to leave.
+	HeaderLeaving = "Server-Leaving"
+	// headerRequestID is the request header with the ID of the request. An engine that repeats it in its responses keeps
+	// its connections.
+	headerRequestID = "X-Request-Id"
 
 	// dialTimeout bounds the dialling of a connection to the engine.
 	dialTimeout = time.Second
@@ -35,10 +45,11 @@
 	loadTimeout = time.Second
 	// readSize is the maximum size of one read of an answer, in bytes.
 	readSize = 32 << 10
-	// maxIdleConnections is the maximum number of idle connections to the engine.
-	maxIdleConnections = 1024
 )
 
+// errUnmatched is the error of a response without an ID on a connection in use again: it may belong to an earlier call.
+var errUnmatched = eris.New("the response cannot be matched to its request")
+
 type (
 	// Call is one request to the engine.
 	Call struct {
@@ -49,7 +60,8 @@
 		Body      []byte
 		// Rank is the rank of the group that should hold the request; -1 leaves the choice to the engine.
 		Rank int
-		// Repeatable allows the HTTP transport to send the call again when a reused connection breaks.
+		// Repeatable is set for a call that may run more than once. It may use an idle connection, and is not answered with
+		// the engine's word that it is busy.
 		Repeatable bool
 		// ResumeText is the text that earlier attempts delivered. The engine continues the answer after it.
 		ResumeText string
@@ -58,10 +70,11 @@
 	// Client is the client of one engine. It is safe for concurrent use.
 	Client struct {
 		address string
-		pooled  *http.Client
-		// singleUse opens a new connection for each call that is not repeatable, because net/http may send a call
-		// again on its own when a reused connection breaks.
-		singleUse *http.Client
+		pool    *upstream.Pool
+		calls   *upstream.Client
+
+		mutex sync.Mutex
+		state availability.State
 	}
 
 	loadReport struct {
@@ -80,62 +93,147 @@
 
 // NewClient returns a client for the engine at an IP address and port.
 func NewClient(address string) *Client {
-	dialer := &net.Dialer{Timeout: dialTimeout}
-	transport := &http.Transport{
-		DialContext: dialer.DialContext, MaxIdleConnsPerHost: maxIdleConnections, DisableCompression: true,
-	}
-	withoutKeepAlive := transport.Clone()
-	withoutKeepAlive.DisableKeepAlives = true
-	return &Client{
-		address:   address,
-		pooled:    &http.Client{Transport: transport, CheckRedirect: doNotFollow},
-		singleUse: &http.Client{Transport: withoutKeepAlive, CheckRedirect: doNotFollow},
-	}
+	return &Client{address: address, pool: upstream.NewPool(address, dialTimeout), calls: upstream.NewClient(dialTimeout)}
+}
+
+// State returns whether the engine takes calls, according to its responses.
+func (c *Client) State() availability.State {
+	c.mutex.Lock()
+	defer c.mutex.Unlock()
+	return c.state
 }
 
-func doNotFollow(*http.Request, []*http.Request) error { return http.ErrUseLastResponse }
+// Forget drops what the engine said of itself. The sidecar calls it when the engine has died.
+func (c *Client) Forget() {
+	c.mutex.Lock()
+	defer c.mutex.Unlock()
+	c.state = availability.State{}
+}
 
 // Run sends the call and copies the response to the answer until its end. In an error, the Outcome is NotRun when the
 // connection could not be opened, so that nothing was sent, and Unknown when the call may have run.
 func (c *Client) Run(ctx context.Context, call Call, answer *admission.Answer) *outcome.Error {
-	request, err := c.newRequest(ctx, call)
+	request, body, err := c.newRequest(ctx, call)
 	if err != nil {
 		return outcome.Error{Step: "engine", Peer: c.address, Outcome: outcome.NotRun, Reason: "bad-request"}.WithCause(err)
 	}
-	client := c.singleUse
-	if call.Repeatable {
-		client = c.pooled
+	conn, err := c.connect(ctx, call)
+	if err != nil {
+		return c.callError(err)
 	}
-	response, err := client.Do(request)
+	stop := context.AfterFunc(ctx, conn.Abort)
+	isReusable := false
+	defer func() {
+		if stop() && isReusable {
+			c.pool.Put(conn, time.Now())
+			return
+		}
+		conn.Abort()
+	}()
+	response, err := exchange(conn, request, body)
 	if err != nil {
 		return c.callError(err)
 	}
-	defer func() { _ = response.Body.Close() }()
+	if failure := c.hear(response, call); failure != nil {
+		return failure
+	}
 	answer.SetHead(headOf(response))
-	return c.copyBody(ctx, response.Body, answer)
+	failure := c.copyBody(ctx, response.Body, answer)
+	isReusable = failure == nil && response.Header.Get(headerRequestID) == call.RequestID
+	return failure
 }
 
-func (c *Client) newRequest(ctx context.Context, call Call) (*http.Request, error) {
+// connect returns an idle connection for a repeatable call, and a new one for any other.
+func (c *Client) connect(ctx context.Context, call Call) (*upstream.Connection, error) {
+	if !call.Repeatable || call.RequestID == "" {
+		return c.pool.Open(ctx)
+	}
+	return c.pool.Get(ctx, time.Now(), upstream.DefaultIdleTimeout)
+}
+
+// exchange sends a request and returns the head of its response. Responses to earlier requests on the connection are
+// skipped.
+func exchange(conn *upstream.Connection, request *http.Request, body []byte) (*http.Response, error) {
+	err := conn.Send(request.Method, request.URL.RequestURI(), request.URL.Host, request.Header, body)
+	if err != nil {
+		return nil, err
+	}
+	id := request.Header.Get(headerRequestID)
+	response, err := conn.Receive(request.Method, func(header http.Header) bool {
+		answered := header.Get(headerRequestID)
+		return answered == "" || answered == id
+	})
+	if err == nil && conn.IsReused() && response.Header.Get(headerRequestID) == "" {
+		return nil, errUnmatched
+	}
+	return response, err
+}
+
+// hear records what the head of a response says of the engine. A repeatable call that the engine turned away fails, so
+// that it is tried elsewhere.
+func (c *Client) hear(response *http.Response, call Call) *outcome.Error {
+	now := time.Now()
+	c.mutex.Lock()
+	defer c.mutex.Unlock()
+	if isLeaving(response.Header) {
+		c.state = c.state.WithLeaving(now)
+	}
+	if response.StatusCode != http.StatusServiceUnavailable {
+		return nil
+	}
+	length, isValid := availability.ParseRetryAfter(response.Header, now)
+	if !isValid || length == 0 {
+		return nil
+	}
+	c.state = c.state.WithClosure(now, length)
+	if !call.Repeatable {
+		return nil
+	}
+	return &outcome.Error{
+		Step: "engine", Peer: c.address, Outcome: outcome.Unknown, Reason: ReasonTurnedAway, RetryAfter: length,
+		Detail: "the engine wants no calls for a time",
+	}
+}
+
+func isLeaving(header http.Header) bool {
+	value := header.Get(HeaderLeaving)
+	return value != "" && value != "0"
+}
+
+// hearLoad records what the response to a load request says of the engine. An engine that was leaving and no longer says
+// so has started again.
+func (c *Client) hearLoad(header http.Header) {
+	c.mutex.Lock()
+	defer c.mutex.Unlock()
+	switch {
+	case isLeaving(header):
+		c.state = c.state.WithLeaving(time.Now())
+	case c.state.IsLeaving():
+		c.state = availability.State{}
+	}
+}
+
+func (c *Client) newRequest(ctx context.Context, call Call) (*http.Request, []byte, error) {
 	body := call.Body
 	if call.ResumeText != "" {
 		resumed, err := withResumeText(body, call.ResumeText)
 		if err != nil {
-			return nil, err
+			return nil, nil, err
 		}
 		body = resumed
 	}
-	request, err := http.NewRequestWithContext(ctx, call.Method, "http://"+c.address+call.Path, bytes.NewReader(body))
+	request, err := http.NewRequestWithContext(ctx, call.Method, "http://"+c.address+call.Path, http.NoBody)
 	if err != nil {
-		return nil, err
+		return nil, nil, eris.Wrap(err, "build the request to the engine")
 	}
 	for _, h := range call.Headers {
 		request.Header.Add(h.Name, h.Value)
 	}
-	request.Header.Set("X-Request-Id", call.RequestID)
+	request.Header.Set(headerRequestID, call.RequestID)
 	if call.Rank >= 0 {
 		request.Header.Set(HeaderRank, strconv.Itoa(call.Rank))
 	}
-	return request, nil
+	return request, body, nil
 }
 
 func headOf(response *http.Response) admission.Head {
@@ -200,11 +298,11 @@
 	if err != nil {
 		return nil, err
 	}
-	response, err := c.pooled.Do(request)
+	response, err := c.calls.Do(request)
 	if err != nil {
 		return nil, err
 	}
-	defer func() { _ = response.Body.Close() }()
+	c.hearLoad(response.Header)
 	var report loadReport
 	if response.StatusCode != http.StatusOK || json.NewDecoder(response.Body).Decode(&report) != nil || report.Capacity == 0 {
 		return nil, nil
@@ -222,11 +320,10 @@
 	if err != nil {
 		return false, false
 	}
-	response, err := c.pooled.Do(request)
+	response, err := c.calls.Do(request)
 	if err != nil {
 		return false, false
 	}
-	defer func() { _ = response.Body.Close() }()
 	switch response.StatusCode {
 	case http.StatusOK:
 		return true, true
--- a/fake/engine.go
+++ b/fake/engine.go
@@ -296,6 +296,7 @@
 		return
 	}
 	s := newSequence(r, &request, e.settings.CrashWord)
+	w.Header().Set("X-Request-Id", s.id)
 	if e.isAborted(&request) || !e.enqueue(s) {
 		panic(http.ErrAbortHandler)
 	}
--- a/operator/client.go
+++ b/operator/client.go
@@ -19,8 +19,12 @@
 	"guavahitch.example/guavahitch/outcome"
 )
 
-// clientTimeout bounds one request to a server, including its response.
-const clientTimeout = 30 * time.Second
+const (
+	// clientTimeout bounds one request to a server, including its response.
+	clientTimeout = 30 * time.Second
+	// maxResponseBytes bounds a response of a server.
+	maxResponseBytes = 64 << 20
+)
 
 type (
 	// Client sends requests to the operator servers of the control replicas. When one server does not respond, it
@@ -167,7 +171,7 @@
 		return false, nil, err
 	}
 	defer func() { _ = response.Body.Close() }()
-	text, err := io.ReadAll(response.Body)
+	text, err := io.ReadAll(io.LimitReader(response.Body, maxResponseBytes))
 	if err != nil {
 		return false, nil, err
 	}
--- a/ranks/engine.go
+++ b/ranks/engine.go
@@ -9,6 +9,7 @@
 	"context"
 	"encoding/json"
 	"fmt"
+	"io"
 	"net/http"
 	"time"
 
@@ -22,8 +23,13 @@
 // This file holds the client of the engine of one rank. The engine serves JSON over HTTP: GET and POST /ranks/SLOT, and
 // GET /ranks/SLOT/counts.
 
-// engineTimeout is the timeout of one HTTP request to an engine.
-const engineTimeout = 2 * time.Second
+const (
+	// engineTimeout is the timeout of one HTTP request to an engine.
+	engineTimeout = 2 * time.Second
+	// maxEngineAnswer bounds the body of a response of an engine in bytes, maxEngineHead its head.
+	maxEngineAnswer = 16 << 20
+	maxEngineHead   = 64 << 10
+)
 
 type (
 	// EngineReport is the answer of a rank's engine to a read or an order.
@@ -67,7 +73,10 @@
 
 func newEngineClient(address string, slot int) *engineClient {
 	return &engineClient{
-		base: fmt.Sprintf("http://%s/ranks/%d", address, slot), http: &http.Client{Timeout: engineTimeout},
+		base: fmt.Sprintf("http://%s/ranks/%d", address, slot),
+		http: &http.Client{
+			Timeout: engineTimeout, Transport: &http.Transport{MaxResponseHeaderBytes: maxEngineHead},
+		},
 	}
 }
 
@@ -129,5 +138,6 @@
 	if response.StatusCode != http.StatusOK {
 		return eris.Errorf("engine %s%s answered %s", c.base, path, response.Status)
 	}
-	return eris.Wrap(json.NewDecoder(response.Body).Decode(into), "decode engine's answer")
+	limited := io.LimitReader(response.Body, maxEngineAnswer)
+	return eris.Wrap(json.NewDecoder(limited).Decode(into), "decode engine's answer")
 }
--- a/routing/attempt.go
+++ b/routing/attempt.go
@@ -115,6 +115,16 @@
 	a.Refused(now)
 }
 
+// Closed records that the upstream refused the attempt because it wants no work for a time.
+func (a *Attempt) Closed(now time.Time, length time.Duration) {
+	if until := now.Add(length); until.After(a.state.closedUntil.get()) {
+		a.state.closedUntil.set(until)
+	}
+	if a.markEnded(now) {
+		a.onEnd()
+	}
+}
+
 // Failed records that the upstream failed the attempt or could not be reached.
 func (a *Attempt) Failed(now time.Time) {
 	if !a.markEnded(now) {
--- a/routing/index.go
+++ b/routing/index.go
@@ -119,9 +119,32 @@
 
 // isServing reports whether the upstream accepts work, according to control and to the upstream itself.
 func (c *candidate) isServing(now time.Time) bool {
+	return c.isStaying(now) && !now.Before(c.state.closedUntil.get())
+}
+
+// isStaying reports whether the upstream accepts work or will do so once it is no longer closed.
+func (c *candidate) isStaying(now time.Time) bool {
 	return c.upstream.AcceptsWork(now) && !c.state.draining.Load()
 }
 
+// opensIn returns the time until the first upstream of the service opens, if all that stay are closed.
+func (l *pool) opensIn(now time.Time) (wait time.Duration, isClosed bool) {
+	for _, point := range l.ring {
+		c := point.candidate
+		if !c.isStaying(now) {
+			continue
+		}
+		left := c.state.closedUntil.get().Sub(now)
+		if left <= 0 {
+			return 0, false
+		}
+		if !isClosed || left < wait {
+			wait, isClosed = left, true
+		}
+	}
+	return wait, isClosed
+}
+
 // isAvailable reports whether the upstream is serving and not excluded because of failures.
 func (c *candidate) isAvailable(now time.Time) bool {
 	return c.isServing(now) && !now.Before(c.state.trippedUntil.get())
--- a/routing/picker_test.go
+++ b/routing/picker_test.go
@@ -96,3 +96,33 @@
 	choice, _ := picker.Pick(start.Add(time.Hour), request)
 	require.InDelta(t, 3*time.Second, choice.Total, float64(time.Second), "uses the mean length, not the maximum")
 }
+
+// An upstream that wants no work for a time must get none until then, whatever else happens, and if all are closed the
+// refusal says when the first one opens.
+func TestClosedUpstreams(t *testing.T) {
+	picker := routing.NewPicker(routing.Settings{Entry: "entry-1"})
+	picker.Use(routing.Table{}.With(upstream("a"), upstream("b")))
+	pick := func(at time.Duration) (string, *outcome.Error) {
+		choice, refused := picker.Pick(start.Add(at), routing.Request{Service: "match"})
+		if refused == nil {
+			defer choice.Attempt.Ended(start.Add(at))
+		}
+		return choice.Upstream.Name, refused
+	}
+	first, _ := picker.Pick(start, routing.Request{Service: "match"})
+	first.Attempt.Closed(start, 20*time.Second)
+	for range 10 {
+		name, refused := pick(time.Second)
+		require.Nil(t, refused)
+		require.NotEqual(t, first.Upstream.Name, name)
+	}
+	second, _ := picker.Pick(start.Add(time.Second), routing.Request{Service: "match"})
+	second.Attempt.Closed(start.Add(time.Second), 5*time.Second)
+	_, refused := pick(2 * time.Second)
+	require.Equal(t, "closed", refused.Reason)
+	require.Equal(t, outcome.NotRun, refused.Outcome)
+	require.InDelta(t, 5, refused.RetryAfter.Seconds(), 1.01)
+	name, refused := pick(6 * time.Second)
+	require.Nil(t, refused)
+	require.Equal(t, second.Upstream.Name, name)
+}
--- a/sidecar/server.go
+++ b/sidecar/server.go
@@ -12,6 +12,7 @@
 	"github.com/uber-go/tally/v4"
 
 	"guavahitch.example/guavahitch/admission"
+	"guavahitch.example/guavahitch/availability"
 	"guavahitch.example/guavahitch/engine"
 	"guavahitch.example/guavahitch/event"
 	"guavahitch.example/guavahitch/outcome"
@@ -24,8 +25,14 @@
 	// MaxPieceInterval is the longest time between two pieces of a stream, and the longest wait of a Fetch. A reader
 	// that receives nothing for MaxPieceInterval plus ResponseGrace treats its connection as lost.
 	MaxPieceInterval = 300 * time.Millisecond
+	// noticeOpen and noticeLeaving are what events say of an engine that takes work and of one that is about to leave.
+	noticeOpen    = "takes work"
+	noticeLeaving = "leaving"
 	// idempotencyHeader is the request header that carries the idempotency key.
 	idempotencyHeader = "Idempotency-Key"
+	// maxOverrun is how long after its deadline a call may still run at the engine. A call that must not be repeated runs
+	// on after its caller has left, so that its outcome can be found out.
+	maxOverrun = time.Minute
 	// watchInterval is the time between two checks of the engine's liveness and load.
 	watchInterval = 200 * time.Millisecond
 )
@@ -56,14 +63,16 @@
 	Server struct {
 		settings ServerSettings
 		// probeMutex is held while the engine's liveness is checked and its death is reported.
-		probeMutex  sync.Mutex
-		mutex       sync.Mutex
-		gate        *admission.Gate
-		requests    map[admission.AttemptID]*wire.StartRequest
-		cancels     map[admission.AttemptID]context.CancelFunc
-		load        *wire.Load
-		sequence    uint64
-		alive       bool
+		probeMutex sync.Mutex
+		mutex      sync.Mutex
+		gate       *admission.Gate
+		requests   map[admission.AttemptID]*wire.StartRequest
+		cancels    map[admission.AttemptID]context.CancelFunc
+		load       *wire.Load
+		sequence   uint64
+		alive      bool
+		// notice is what the engine said of itself last.
+		notice      string
 		crashed     fingerprints
 		baseContext context.Context
 		runs        sync.WaitGroup
@@ -75,7 +84,7 @@
 	return &Server{
 		settings: settings, gate: admission.NewGate(settings.Name, settings.Epoch, settings.Limits),
 		requests: map[admission.AttemptID]*wire.StartRequest{}, cancels: map[admission.AttemptID]context.CancelFunc{},
-		alive: true, baseContext: ctx,
+		alive: true, notice: noticeOpen, baseContext: ctx,
 	}
 }
 
@@ -94,6 +103,7 @@
 		}
 	}
 	start := admissionRequest(now, request)
+	s.gate.SetEngine(s.settings.Engine.State())
 	if start.Alone && s.crashed.has(now, start.Fingerprint) {
 		return nil, &outcome.Error{
 			Step: "admit", Peer: s.settings.Name, Outcome: outcome.NotRun, Reason: "died-here", RetryAfter: time.Second,
@@ -137,8 +147,10 @@
 	return admission.AttemptID{Request: id.GetRequest(), Attempt: id.GetAttempt()}
 }
 
-// dispatch starts queued attempts on the engine while it has free capacity. The caller holds the mutex.
+// dispatch starts queued attempts on the engine while it has free capacity. If the engine wants no work, the queued
+// attempts end as not run. The caller holds the mutex.
 func (s *Server) dispatch(now time.Time) {
+	s.turnAway(now)
 	for {
 		call, expired := s.gate.Next(now)
 		for _, late := range expired {
@@ -150,13 +162,48 @@
 		if call == nil {
 			return
 		}
-		ctx, cancel := context.WithCancel(s.baseContext)
+		ctx, cancel := context.WithDeadline(s.baseContext, call.Request.Deadline.Add(maxOverrun))
 		s.cancels[call.Request.ID] = cancel
 		s.runs.Add(1)
 		go s.run(ctx, call, s.requests[call.Request.ID])
 	}
 }
 
+// turnAway ends the queued attempts as not run if the engine wants no work. The caller holds the mutex.
+func (s *Server) turnAway(now time.Time) {
+	engineState := s.settings.Engine.State()
+	s.gate.SetEngine(engineState)
+	refusal := &outcome.Error{Step: "queue", Peer: s.settings.Name, Outcome: outcome.NotRun, Reason: admission.ReasonDraining}
+	if !engineState.IsLeaving() {
+		refusal.Reason, refusal.RetryAfter = admission.ReasonClosed, max(engineState.OpensAt().Sub(now), 0)
+	}
+	for _, call := range s.gate.TurnAway(now) {
+		delete(s.requests, call.Request.ID)
+		call.Answer.Finish(refusal)
+	}
+	s.recordNotice(engineState, now)
+}
+
+// recordNotice adds an event when the engine begins or ends to want no work. The caller holds the mutex.
+func (s *Server) recordNotice(engineState availability.State, now time.Time) {
+	notice := noticeOpen
+	switch {
+	case engineState.IsLeaving():
+		notice = noticeLeaving
+	case engineState.IsClosed(now):
+		notice = "closed until " + engineState.OpensAt().UTC().Format(time.RFC3339)
+	}
+	if notice == s.notice {
+		return
+	}
+	s.settings.Events.Add(&wire.Event{Kind: "engine", Detail: notice})
+	if s.notice == noticeLeaving {
+		// Entries use an upstream that was draining again only under a new epoch.
+		s.gate.NewEpoch(s.gate.Epoch() + 1)
+	}
+	s.notice = notice
+}
+
 func (s *Server) run(ctx context.Context, call *admission.Call, request *wire.StartRequest) {
 	defer s.runs.Done()
 	failure := s.settings.Engine.Run(ctx, s.engineCall(request), call.Answer)
--- a/sidecar/watch.go
+++ b/sidecar/watch.go
@@ -29,10 +29,18 @@
 			s.readLoad(ctx)
 			s.expire()
 			s.settleOrphans()
+			s.dispatchQueued()
 		}
 	}
 }
 
+// dispatchQueued starts queued attempts for which an engine that opens again has room.
+func (s *Server) dispatchQueued() {
+	s.mutex.Lock()
+	defer s.mutex.Unlock()
+	s.dispatch(time.Now())
+}
+
 // probeEngine checks whether the engine is alive, and reports its death once with the attempts that it was running. It
 // returns after the report, so that control knows which attempts may have caused the death before any of them fails.
 func (s *Server) probeEngine() {
@@ -47,6 +55,7 @@
 	if died {
 		suspects = suspectsOf(time.Now(), s.gate.Running())
 		s.crashed.add(time.Now(), suspects)
+		s.settings.Engine.Forget()
 	}
 	s.mutex.Unlock()
 	if changed {
@@ -77,8 +86,10 @@
 	return suspects
 }
 
+// readLoad asks a model engine for its load. It asks any engine that is leaving, since the answer shows whether it has
+// started again.
 func (s *Server) readLoad(ctx context.Context) {
-	if !s.settings.IsModel {
+	if !s.settings.IsModel && !s.settings.Engine.State().IsLeaving() {
 		return
 	}
 	load, err := s.settings.Engine.Load(ctx)
