relocation, lockstep: experts are moved where the moves pay back before the demand changes

Cause: a plan asked for the most even map within what may be staged, in each set of layers by itself, and nothing weighed how long the copies take against how long the gain lasts. With 0.4 s for a copy a rank copied up to 12 experts for 1.6 to 2 s while the demand changed each 3.1 s; the first plan after a change was made for counts of both demands. Change: package relocation chooses the number of new experts a rank, in all sets together, by what copies, delay and pause of earlier switches cost and how long demands have lasted; balance.MapLeveller makes the best moves of all sets within it. A report across a change of the demand is taken without the counts of the earlier demand. A prepared map that the demand has overtaken is given up.

--- a/balance/level.go
+++ b/balance/level.go
@@ -37,9 +37,13 @@
 	leveller struct {
 		load []float64
 		// unitTimes holds the time that each rank takes for a unit of load.
-		unitTimes  []float64
-		slots      int
-		maxNew     int
+		unitTimes []float64
+		slots     int
+		maxNew    int
+		// mayMove reports whether a rank may take a further new expert; nil allows all within maxNew.
+		mayMove func(rank int) bool
+		// present is the placement at first, and origin the ranks that held each expert then.
+		present    Placement
 		origin     [][]bool
 		held       Placement
 		holders    [][]int
@@ -66,24 +70,12 @@
 // is worth making, or at maxChangesPerRank. UnitTimes holds the time that each rank takes for a unit of load; nil
 // means all are equal. A rank holds at most slots experts, of which at most maxNew are new to it.
 func LevelLayer(present Placement, load, unitTimes []float64, slots, maxNew int, goal float64) LevelResult {
-	l := newLeveller(present, load, unitTimes, slots, maxNew)
-	before := l.skew()
-	for range maxChangesPerRank * len(present) {
-		if l.skew() <= goal || !l.improve() {
-			break
-		}
-	}
-	if l.skew() > before {
-		// The changes evened out the other ranks but raised the busiest one, which alone determines the time of a pass.
-		return LevelResult{
-			Placement: newLeveller(present, load, unitTimes, slots, maxNew).held, Before: before, After: before,
-		}
-	}
-	moved := 0
-	for _, count := range l.newExperts {
-		moved += count
+	m := NewMapLeveller([]Placement{present}, [][]float64{load}, unitTimes, slots, maxNew)
+	m.Level(maxNew, goal)
+	result := m.Result()
+	return LevelResult{
+		Placement: result.Placements[0], Before: result.Before, After: result.After, Moved: result.Moved,
 	}
-	return LevelResult{Placement: l.held, Before: before, After: l.skew(), Moved: moved}
 }
 
 // Skew returns the time of the busiest rank of one layer over the time of ranks among which the load is perfectly
@@ -97,7 +89,7 @@
 		unitTimes = slices.Repeat([]float64{1}, len(present))
 	}
 	l := &leveller{
-		load: load, unitTimes: unitTimes, slots: slots, maxNew: maxNew, holders: make([][]int, len(load)),
+		load: load, unitTimes: unitTimes, slots: slots, maxNew: maxNew, present: present, holders: make([][]int, len(load)),
 		rankTimes: make([]float64, len(present)), newExperts: make([]int, len(present)),
 		delta: make([]float64, len(present)), order: make([]int, len(present)),
 	}
@@ -135,15 +127,14 @@
 	return slices.Max(l.rankTimes) / l.mean
 }
 
-// improve makes the best change that takes load off the busiest rank. It returns false when no change is worth
-// making.
-func (l *leveller) improve() bool {
+// bestChange returns the best change that takes load off the busiest rank, with a gain of 0 when none is worth making.
+func (l *leveller) bestChange() (best change, bestGain float64) {
 	if l.mean == 0 {
-		return false
+		return change{}, 0
 	}
 	slices.SortFunc(l.order, func(a, b int) int { return cmp.Compare(l.rankTimes[a], l.rankTimes[b]) })
 	hot := l.order[len(l.order)-1]
-	best, bestGain := change{}, minLevelGain
+	bestGain = minLevelGain
 	consider := func(c change) {
 		if gain := l.gain(c); gain > bestGain {
 			best, bestGain = c, gain
@@ -156,10 +147,9 @@
 		l.eachReceiver(hot, e, consider)
 	}
 	if bestGain == minLevelGain {
-		return false
+		return change{}, 0
 	}
-	l.apply(best)
-	return true
+	return best, bestGain
 }
 
 // eachReceiver calls consider with the changes that bring an expert of the busiest rank, hot, to one of the least
@@ -194,7 +184,8 @@
 
 // mayTake reports whether a rank lacks an expert and may add it without exceeding maxNew.
 func (l *leveller) mayTake(r, e int) bool {
-	return (l.origin[r][e] || l.newExperts[r] < l.maxNew) && !slices.Contains(l.holders[e], r)
+	isAllowed := l.newExperts[r] < l.maxNew && (l.mayMove == nil || l.mayMove(r))
+	return (l.origin[r][e] || isAllowed) && !slices.Contains(l.holders[e], r)
 }
 
 // gain returns by how much a change lowers the summed timeCost of the ranks.
--- a/lockstep/coordinator.go
+++ b/lockstep/coordinator.go
@@ -20,8 +20,8 @@
 	DefaultInterval = 120 * time.Millisecond
 	// DefaultHalfLife is the default of Settings.HalfLife.
 	DefaultHalfLife = 400 * time.Millisecond
-	// DefaultMinGain is the default of Settings.MinGain.
-	DefaultMinGain = 0.07
+	// DefaultMinSaving is the default of Settings.MinSaving. Less is within the error of the estimated demand.
+	DefaultMinSaving = 0.05
 	// DefaultLeadPasses is the default of Settings.LeadPasses.
 	DefaultLeadPasses = 2
 
@@ -62,6 +62,9 @@
 	losses          losses
 	contactFailures contactFailures
 	armingTime      armingTime
+	// copyTime is the mean time in which a rank copied one expert, switchDelay the mean time from the decision on a switch
+	// until its map was in use, without copying. Both are 0 before a switch.
+	copyTime, switchDelay time.Duration
 	// failureReported is the time of the last "failed" event.
 	failureReported time.Time
 	// slow holds the ranks that were slow at the last read.
@@ -73,7 +76,7 @@
 func NewCoordinator(settings Settings, engine Engine, tokens *Tokens) *Coordinator {
 	settings.Interval = cmp.Or(settings.Interval, DefaultInterval)
 	settings.HalfLife = cmp.Or(settings.HalfLife, DefaultHalfLife)
-	settings.MinGain = cmp.Or(settings.MinGain, DefaultMinGain)
+	settings.MinSaving = cmp.Or(settings.MinSaving, DefaultMinSaving)
 	settings.LeadPasses = cmp.Or(settings.LeadPasses, DefaultLeadPasses)
 	return &Coordinator{
 		settings: settings, engine: engine, tokens: tokens, demand: newDemand(settings.Shape, settings.HalfLife),
--- a/lockstep/demand.go
+++ b/lockstep/demand.go
@@ -2,7 +2,10 @@
 
 import (
 	"math"
+	"slices"
 	"time"
+
+	"guavahitch.example/guavahitch/relocation"
 )
 
 const (
@@ -11,6 +14,8 @@
 	// shiftDistance is the distance between the short-term and the long-term estimate above which the demand counts as
 	// changed. The distance is the sum over all experts of the difference of their shares, between 0 and 2.
 	shiftDistance = 0.25
+	// changeTime is the time in which several changes of the demand count as one.
+	changeTime = 600 * time.Millisecond
 )
 
 type (
@@ -23,6 +28,10 @@
 		// lastKnown is the last estimate that was based on enough counts, nil before there was one.
 		lastKnown [][]float64
 		updated   time.Time
+		// outlook expects how long the demand lasts.
+		outlook relocation.Outlook
+		// changed is when the demand changed last.
+		changed time.Time
 	}
 
 	// rankCounts is the last report of a rank.
@@ -41,28 +50,43 @@
 	return d
 }
 
-// add takes the counts that all ranks reported at one time. When the demand has changed, the short-term estimate
-// replaces the long-term one.
+// add takes the counts that all ranks reported at one time. When the demand has changed, the counts of this report
+// without those of the earlier demand replace the estimate.
 func (d *demand) add(states []State, now time.Time) {
 	if !d.updated.IsZero() {
 		decay(d.load, now.Sub(d.updated), d.halfLife)
 		decay(d.shortTerm, now.Sub(d.updated), shortHalfLife)
 	}
 	d.updated = now
-	for _, s := range states {
-		d.addRank(s)
+	recent := d.takeCounts(states)
+	isEnough := relocation.Total(d.shortTerm)+relocation.Total(recent) >= minChoices*float64(len(states))
+	earlier := clone(d.load)
+	addTo(d.load, recent)
+	addTo(d.shortTerm, recent)
+	if relocation.Total(d.load) > 0 {
+		d.outlook = d.outlook.WithStart(now)
 	}
-	if total(d.shortTerm) >= minChoices*float64(len(states)) && distance(d.load, d.shortTerm) > shiftDistance {
-		for set := range d.load {
-			copy(d.load[set], d.shortTerm[set])
-		}
+	if isEnough && distance(d.load, d.shortTerm) > shiftDistance {
+		d.replace(relocation.WithoutEarlier(recent, earlier), now)
 	}
 	d.saveKnown()
 }
 
+// replace makes the estimate that of a demand which has just changed. Changes within changeTime count as one.
+func (d *demand) replace(load [][]float64, now time.Time) {
+	for set := range load {
+		copy(d.load[set], load[set])
+		copy(d.shortTerm[set], load[set])
+	}
+	if now.Sub(d.changed) > changeTime {
+		d.outlook = d.outlook.WithChange(now)
+	}
+	d.changed = now
+}
+
 // isKnown reports whether the estimate is based on enough counts.
 func (d *demand) isKnown() bool {
-	return total(d.load) >= minChoices*float64(len(d.load)*len(d.load[0]))
+	return relocation.Total(d.load) >= minChoices*float64(len(d.load)*len(d.load[0]))
 }
 
 // saveKnown stores the estimate in lastKnown if it is based on enough counts.
@@ -105,7 +129,7 @@
 
 // distance returns the sum over all experts of the absolute difference of their shares in two estimates.
 func distance(a, b [][]float64) float64 {
-	sumA, sumB := total(a), total(b)
+	sumA, sumB := relocation.Total(a), relocation.Total(b)
 	if sumA == 0 || sumB == 0 {
 		return 0
 	}
@@ -118,35 +142,51 @@
 	return sum
 }
 
-// addRank adds the counts of a rank since its last report. Counts start at 0 when the engine restarts.
-func (d *demand) addRank(s State) {
+// takeCounts returns how often each expert was chosen since the last reports of the ranks, by set and expert. Counts start
+// at 0 when the engine restarts.
+func (d *demand) takeCounts(states []State) [][]float64 {
+	recent := make([][]float64, len(d.load))
+	for set := range recent {
+		recent[set] = make([]float64, len(d.load[set]))
+	}
+	for _, s := range states {
+		d.takeRank(s, recent)
+	}
+	return recent
+}
+
+func (d *demand) takeRank(s State, recent [][]float64) {
 	if len(s.Counts) == 0 {
 		return
 	}
 	before := d.last[s.Rank]
 	d.last[s.Rank] = rankCounts{born: s.Born, counts: s.Counts}
 	isSame := before.born == s.Born && len(before.counts) == len(s.Counts)
-	if len(d.load) == 0 || len(s.Counts) != len(d.load)*len(d.load[0]) {
+	if len(recent) == 0 || len(s.Counts) != len(recent)*len(recent[0]) {
 		return
 	}
-	experts := len(d.load[0])
+	experts := len(recent[0])
 	for i, count := range s.Counts {
 		earlier := uint32(0)
 		if isSame && before.counts[i] <= count {
 			earlier = before.counts[i]
 		}
-		d.load[i/experts][i%experts] += float64(count - earlier)
-		d.shortTerm[i/experts][i%experts] += float64(count - earlier)
+		recent[i/experts][i%experts] += float64(count - earlier)
 	}
 }
 
-// total returns the sum over all sets and experts.
-func total(load [][]float64) float64 {
-	sum := 0.0
-	for _, set := range load {
-		for _, v := range set {
-			sum += v
+func clone(load [][]float64) [][]float64 {
+	copied := make([][]float64, len(load))
+	for set := range load {
+		copied[set] = slices.Clone(load[set])
+	}
+	return copied
+}
+
+func addTo(load, more [][]float64) {
+	for set := range load {
+		for e := range load[set] {
+			load[set][e] += more[set][e]
 		}
 	}
-	return sum
 }
--- a/lockstep/fake_group_test.go
+++ b/lockstep/fake_group_test.go
@@ -17,6 +17,8 @@
 const (
 	passTime = 50 * time.Millisecond
 	copyTime = 30 * time.Millisecond
+	// copySlowdown is the fraction by which passes take longer while a rank copies.
+	copySlowdown = 0.15
 	// reportLag is the age of the state that a delayed rank reports.
 	reportLag = 200 * time.Millisecond
 )
@@ -67,6 +69,12 @@
 		splits []string
 		// expertShare is the fraction of a pass that takes longer in proportion to the skew of the map.
 		expertShare float64
+		// copyTime is how long a rank takes to copy one expert, after the constant copyTime. Until copiedAt passes take
+		// copySlowdown longer.
+		copyTime time.Duration
+		copiedAt time.Time
+		// passes is the number of passes that began in all epochs.
+		passes int
 		// stalled is the total time for which a hold delayed a pass.
 		stalled time.Duration
 	}
@@ -169,7 +177,13 @@
 	if g.expertShare == 0 {
 		return passTime
 	}
-	return time.Duration((1 - g.expertShare + g.expertShare*g.skew()) * float64(passTime))
+	pass := (1 - g.expertShare + g.expertShare*g.skew()) * float64(passTime)
+	g.locked(func() {
+		if time.Now().Before(g.copiedAt) {
+			pass *= 1 + copySlowdown
+		}
+	})
+	return time.Duration(pass)
 }
 
 // pass begins the next pass, unless the group is idle or held, and records a split if ranks use different maps.
@@ -188,6 +202,7 @@
 		}
 	}
 	g.step = next
+	g.passes++
 	for _, r := range g.ranks {
 		if r.armed != 0 && r.armedStep == next {
 			r.mapping, r.content, r.placement = r.armed, r.next, r.plan
@@ -344,14 +359,19 @@
 		return lockstep.ErrInvalidState
 	}
 	var plan [][]int
+	took := copyTime
 	for set, placement := range o.Map {
+		took += time.Duration(countNew(placement[rank], r.placement[set])) * g.copyTime
 		if countNew(placement[rank], r.placement[set]) > g.shape.StagingSlots || len(placement[rank]) > g.shape.Slots {
 			return lockstep.ErrInvalidState
 		}
 		plan = append(plan, placement[rank])
 	}
 	r.highest, r.waiting, r.prepared = o.Version, o.Version, 0
-	time.AfterFunc(copyTime, func() {
+	if ready := time.Now().Add(took); g.copyTime > 0 && ready.After(g.copiedAt) {
+		g.copiedAt = ready
+	}
+	time.AfterFunc(took, func() {
 		g.mutex.Lock()
 		defer g.mutex.Unlock()
 		if r.waiting == o.Version {
--- a/lockstep/losses.go
+++ b/lockstep/losses.go
@@ -21,8 +21,8 @@
 	maxLead = 30
 	// unreachableTime is how long the ranks count as hard to reach after a read failed or an order was not answered.
 	unreachableTime = 1500 * time.Millisecond
-	// minGainWhileUnreachable is the minimum gain of a switch while ranks are hard to reach.
-	minGainWhileUnreachable = 0.2
+	// unreachablePause is how long a switch is expected to hold the group while ranks are hard to reach.
+	unreachablePause = 300 * time.Millisecond
 	// defaultPassTime is the assumed pass time before one was measured.
 	defaultPassTime = 60 * time.Millisecond
 )
@@ -72,15 +72,6 @@
 	return now.Sub(t.last) < unreachableTime
 }
 
-// minGain returns the minimum gain of a switch. While ranks are hard to reach, a switch may hold the group for a while.
-// If passes then are within the gap objective, the gain must be large enough to outweigh that pause.
-func (c *Coordinator) minGain(now time.Time) float64 {
-	if c.contactFailures.isRecent(now) && c.passTimer.mean < c.settings.GapObjective {
-		return max(c.settings.MinGain, minGainWhileUnreachable)
-	}
-	return c.settings.MinGain
-}
-
 // armingTime measures how long it takes to arm all ranks. It keeps the longest recent time, which decays with each
 // switch.
 type armingTime struct{ longest time.Duration }
--- a/lockstep/pass_timer.go
+++ b/lockstep/pass_timer.go
@@ -1,6 +1,10 @@
 package lockstep
 
-import "time"
+import (
+	"time"
+
+	"guavahitch.example/guavahitch/relocation"
+)
 
 // passTimeWeight is the weight of a new sample in the moving average.
 const passTimeWeight = 0.4
@@ -48,12 +52,9 @@
 	mean time.Duration
 }
 
-// factor returns the time of a pass with a skew divided by that of an even one.
-func (e *evenPass) factor(skew float64) float64 { return 1 - e.expertShare + e.expertShare*skew }
-
 // add takes the pass time that was measured while the map had the given skew.
 func (e *evenPass) add(pass time.Duration, skew float64) {
-	e.mean = movingAverage(e.mean, time.Duration(float64(pass)/e.factor(skew)))
+	e.mean = movingAverage(e.mean, time.Duration(float64(pass)/relocation.PassTime(e.expertShare, skew)))
 }
 
 // skewAt returns the skew at which a pass takes the given time.
--- a/lockstep/plan.go
+++ b/lockstep/plan.go
@@ -1,22 +1,29 @@
 package lockstep
 
 import (
+	"cmp"
 	"context"
+	"fmt"
 	"slices"
 	"time"
 
 	"github.com/rotisserie/eris"
 
 	"guavahitch.example/guavahitch/balance"
+	"guavahitch.example/guavahitch/relocation"
 )
 
-// minSkewGoal is the lowest skew that a map is balanced to if Settings.TargetPassTime is set and a pass was measured.
-const minSkewGoal = 1.15
+const (
+	// minSkewGoal is the lowest skew that a map is balanced to if Settings.TargetPassTime is set and a pass was measured.
+	minSkewGoal = 1.15
+	// defaultCopyTime is the assumed time in which a rank copies one expert, if neither the settings nor a switch tell.
+	defaultCopyTime = 50 * time.Millisecond
+	// defaultSwitchDelay is the assumed time that a switch takes besides copying before one was measured.
+	defaultSwitchDelay = 200 * time.Millisecond
+)
 
-// plan returns the map to use after that of the given version, and the event that describes the switch. The map is nil
-// when too little is known of the demand or the gain is too small.
+// plan returns the map to switch to, or nil when none is worth the moves. The event describes the switch.
 func (c *Coordinator) plan(ctx context.Context, states []State, version uint64) ([]balance.Placement, Event, error) {
-	shape := c.settings.Shape
 	load := c.demand.estimate(version == 0 && isBusy(states))
 	if load == nil {
 		return nil, Event{}, nil
@@ -24,22 +31,37 @@
 	if err := c.readMaps(ctx, states[0].Epoch, version); err != nil {
 		return nil, Event{}, err
 	}
-	event := Event{Kind: "switch", Epoch: states[0].Epoch}
 	paces := pacesOf(states)
 	c.measureEvenPass(load, paces)
-	goal := c.skewGoal(paces)
-	next := make([]balance.Placement, shape.Sets)
-	for set := range next {
-		levelled := balance.LevelLayer(c.maps[set], load[set], paces, shape.Slots, shape.StagingSlots, goal)
-		next[set] = levelled.Placement
-		event.Before += levelled.Before / float64(shape.Sets)
-		event.After += levelled.After / float64(shape.Sets)
-		event.Moved += levelled.Moved
-	}
-	if event.Moved == 0 || event.Before-event.After < c.minGain(time.Now())*event.Before {
+	now := time.Now()
+	choice := relocation.Choose(relocation.Group{
+		Placements: c.maps, Load: load, UnitTimes: paces, Slots: c.settings.Shape.Slots,
+		Staging: c.settings.Shape.StagingSlots, ExpertShare: c.expertShare(), Goal: c.skewGoal(paces),
+	}, c.costs(now), c.demand.outlook.Remaining(now))
+	if !choice.IsWorthMaking(c.settings.MinSaving) {
 		return nil, Event{}, nil
 	}
-	return next, event, nil
+	return choice.Placements, Event{
+		Kind: "switch", Epoch: states[0].Epoch, Before: choice.Before, After: choice.After, Moved: choice.Moved,
+		Detail: fmt.Sprintf("at most %d new experts on a rank, ready in %v, demand expected for %v; saves %v, takes %v",
+			choice.MaxMoved, choice.Ready.Round(time.Millisecond), choice.Remaining.Round(time.Millisecond),
+			choice.Saved.Round(time.Millisecond), choice.Spent.Round(time.Millisecond)),
+	}, nil
+}
+
+// expertShare returns the fraction of the pass time that grows with the skew, all of it if the settings do not say.
+func (c *Coordinator) expertShare() float64 { return cmp.Or(c.settings.ExpertShare, 1) }
+
+// costs returns what a switch takes from the group, as earlier switches showed.
+func (c *Coordinator) costs(now time.Time) relocation.Costs {
+	costs := relocation.Costs{
+		Copy: cmp.Or(c.copyTime, c.settings.CopyTime, defaultCopyTime), Delay: cmp.Or(c.switchDelay, defaultSwitchDelay),
+		Slowdown: c.settings.CopySlowdown,
+	}
+	if c.contactFailures.isRecent(now) && c.passTimer.mean < c.settings.GapObjective {
+		costs.Pause = unreachablePause
+	}
+	return costs
 }
 
 // skewGoal returns the skew at which passes take TargetPassTime, at least minSkewGoal. Without a TargetPassTime or an
@@ -61,11 +83,7 @@
 	if c.passTimer.last == 0 || c.passTimer.lastBegan.Before(c.changedAt) {
 		return
 	}
-	skew := 0.0
-	for set, layer := range c.maps {
-		skew += balance.Skew(layer, load[set], paces) / float64(len(c.maps))
-	}
-	c.evenPass.add(c.passTimer.last, skew)
+	c.evenPass.add(c.passTimer.last, relocation.MeanSkew(c.maps, load, paces))
 }
 
 // pacesOf returns the pace of each rank, at least 1.
--- a/lockstep/protocol.go
+++ b/lockstep/protocol.go
@@ -105,7 +105,7 @@
 		Slots, StagingSlots int
 	}
 
-	// Settings configures a Coordinator. Interval, HalfLife, MinGain and LeadPasses have defaults for zero.
+	// Settings configures a Coordinator. Interval, HalfLife, MinSaving and LeadPasses have defaults for zero.
 	Settings struct {
 		Group string
 		Shape Shape
@@ -113,15 +113,18 @@
 		Interval time.Duration
 		// HalfLife is the time in which a count loses half of its weight in the demand estimate.
 		HalfLife time.Duration
-		// MinGain is the minimum relative reduction of the skew for which a switch is made. Skew is the load of the
-		// busiest rank divided by the mean load.
-		MinGain float64
+		// MinSaving is the smallest saved fraction of the pass time for which a switch is made.
+		MinSaving float64
+		// CopyTime is the time in which a rank copies one expert, 0 if it is not known. CopySlowdown is the fraction by
+		// which passes take longer meanwhile.
+		CopyTime     time.Duration
+		CopySlowdown float64
 		// TargetPassTime is the pass time up to which the map counts as balanced. Experts are moved only while passes
 		// take longer. With 0 the map is balanced as far as possible.
 		TargetPassTime time.Duration
 		// GapObjective is the longest acceptable pause between two events of a response stream. While ranks are hard to
-		// reach, a switch may hold the group for longer than that. Only switches with a large gain are made then, as
-		// long as passes are shorter than the objective. 0 disables this rule.
+		// reach, a switch may hold the group for longer than that. The pause counts among its costs then, as long as
+		// passes are shorter than the objective. 0 disables this.
 		GapObjective time.Duration
 		// ExpertShare is the fraction of the pass time that is spent in experts.
 		ExpertShare float64
--- a/lockstep/remote_test.go
+++ b/lockstep/remote_test.go
@@ -114,7 +114,7 @@
 			}
 			give := func(context.Context, int, lockstep.Order) (*lockstep.State, error) { return nil, nil }
 			engine := overLoopback(b, lockstep.Engine{Read: read, Give: give}, c.shape.Ranks)
-			coordinator := lockstep.NewCoordinator(lockstep.Settings{Group: "g", Shape: c.shape, MinGain: 1}, engine, lockstep.NewTokens(1))
+			coordinator := lockstep.NewCoordinator(lockstep.Settings{Group: "g", Shape: c.shape, MinSaving: 1}, engine, lockstep.NewTokens(1))
 			b.ReportAllocs()
 			for b.Loop() {
 				require.NoError(b, coordinator.Reconcile(b.Context()))
--- a/lockstep/switch.go
+++ b/lockstep/switch.go
@@ -9,6 +9,7 @@
 	"github.com/rotisserie/eris"
 
 	"guavahitch.example/guavahitch/balance"
+	"guavahitch.example/guavahitch/relocation"
 	"guavahitch.example/guavahitch/wait"
 )
 
@@ -26,6 +27,9 @@
 	noticeInterval = 500 * time.Millisecond
 )
 
+// errOvertaken ends a switch whose map does not suit the demand any more.
+var errOvertaken = eris.New("the demand has changed meanwhile")
+
 // switchMap switches the group to the next map and waits, at most for prepareTimeout, until the group uses it.
 func (c *Coordinator) switchMap(ctx context.Context, states []State, next []balance.Placement, event Event) error {
 	// A version is taken from the fencing tokens. Versions of one leader are therefore above those of all earlier
@@ -34,10 +38,18 @@
 	c.emit(event)
 	phases := &phaseTimer{}
 	phases.start()
+	decided := time.Now()
 	if err := c.prepare(ctx, states[0].Epoch, event.Version, next); err != nil {
 		return c.abandon(event, phases, err)
 	}
 	phases.end(Prepare)
+	prepared := time.Now()
+	if copies := maxNewExperts(c.maps, next); copies > 0 {
+		c.copyTime = movingAverage(c.copyTime, prepared.Sub(decided)/time.Duration(copies))
+	}
+	if c.isOvertaken(ctx, next) {
+		return c.abandon(event, phases, errOvertaken)
+	}
 	step, err := c.hold(ctx, states[0].Epoch)
 	if err != nil {
 		return c.abandon(event, phases, err)
@@ -60,7 +72,42 @@
 	phases.end(Release)
 	event.Kind, event.Step, event.Detail = "switched", step, phases.String()
 	c.emit(event)
-	return c.awaitMap(ctx, states[0].Epoch, event.Version)
+	err = c.awaitMap(ctx, states[0].Epoch, event.Version)
+	c.switchDelay = movingAverage(c.switchDelay, time.Since(prepared))
+	return err
+}
+
+// maxNewExperts returns the number of experts that are new to the rank with the most of them, in all sets.
+func maxNewExperts(present, next []balance.Placement) int {
+	most := 0
+	for rank := range next[0] {
+		count := 0
+		for set := range next {
+			for _, expert := range next[set][rank] {
+				if !slices.Contains(present[set][rank], expert) {
+					count++
+				}
+			}
+		}
+		most = max(most, count)
+	}
+	return most
+}
+
+// isOvertaken reports whether a prepared map is no better for the demand as it is now than the map in use. A rank that
+// cannot be read does not stop the switch.
+func (c *Coordinator) isOvertaken(ctx context.Context, next []balance.Placement) bool {
+	states, err := c.readAll(ctx, true, false)
+	if err != nil {
+		return false
+	}
+	c.demand.add(states, time.Now())
+	load := c.demand.estimate(false)
+	if load == nil {
+		return false
+	}
+	paces := pacesOf(states)
+	return relocation.MeanSkew(next, load, paces) >= relocation.MeanSkew(c.maps, load, paces)
 }
 
 // abandon reports a switch that ended before its hold took effect, and returns the error that ended it.
--- a/route/configuration.go
+++ b/route/configuration.go
@@ -82,6 +82,10 @@
 		Sets, Experts, Places, Spare int
 		// ExpertShare is the fraction of a token's work that experts do.
 		ExpertShare float64
+		// CopyTime is the time in which a rank copies one expert, 0 if it is not known. CopySlowdown is the fraction by
+		// which passes take longer meanwhile.
+		CopyTime     time.Duration
+		CopySlowdown float64
 		// ReportLag is the age of the state that an engine reports to another instance, 0 if it is not known.
 		ReportLag time.Duration
 	}
--- a/routed/group_coordinators.go
+++ b/routed/group_coordinators.go
@@ -59,6 +59,8 @@
 		targetPassTime time.Duration
 		gapObjective   time.Duration
 		expertShare    float64
+		copyTime       time.Duration
+		copySlowdown   float64
 		// reportLag is the age of the state that an engine reports when its sidecar is bypassed.
 		reportLag time.Duration
 	}
@@ -122,6 +124,7 @@
 		coordinator := lockstep.NewCoordinator(lockstep.Settings{
 			Group: name, Shape: settings.shape, TargetPassTime: settings.targetPassTime,
 			GapObjective: settings.gapObjective, ExpertShare: settings.expertShare,
+			CopyTime: settings.copyTime, CopySlowdown: settings.copySlowdown,
 			OnEvent: g.logEvent, OnStates: func(states []lockstep.State) { g.updateLoads(name, states) },
 		}, g.engine(name, settings.reportLag), tokens)
 		go func() {
@@ -166,6 +169,8 @@
 		},
 		targetPassTime: time.Duration(targetPassShare * float64(gap)),
 		expertShare:    engine.ExpertShare,
+		copyTime:       engine.CopyTime,
+		copySlowdown:   engine.CopySlowdown,
 		reportLag:      cmp.Or(engine.ReportLag, defaultReportLag),
 	}, true
 }
