soak, lockstep: upstreams in trouble join the soak; a switch takes force a pass earlier

Soak: upstreams leave by their answers only, turn requests away with Retry-After and send heads without end, beside the other faults. Checked for each entry: no request later than the drain time after it heard that an upstream leaves, and at most two between half a second after a Retry-After and its end. Draws of earlier seeds stay as they were. Lead: a switch was armed two passes ahead and more, though arming takes 10 to 30 ms and a pass 130 ms after a change of the demand. It is rounded now, at least one pass.

--- a/lockstep/losses.go
+++ b/lockstep/losses.go
@@ -88,10 +88,14 @@
 	return uint64(math.Ceil(float64(d) / float64(c.passTime())))
 }
 
-// leadPasses returns how many passes ahead the next switch is armed. The lead covers the time to repeat lost orders, so
-// that the group does not stop for ranks that have not answered yet.
+// leadPasses returns how many passes ahead the next switch is armed. The lead covers the time in which earlier switches were
+// armed and the time to repeat lost orders, so that the group does not stop for ranks that have not answered yet. It is
+// rounded, because a further pass with the old map costs more than the end of a wait.
 func (c *Coordinator) leadPasses() uint64 {
 	wait := c.losses.repeats(c.settings.Shape.Ranks) * float64(engineTimeout+pollInterval)
 	wait = max(wait, armingMargin*float64(c.armingTime.longest))
-	return min(c.settings.LeadPasses+uint64(wait/float64(c.passTime())), maxLead)
+	if c.armingTime.longest == 0 {
+		return min(c.settings.LeadPasses+uint64(wait/float64(c.passTime())), maxLead)
+	}
+	return min(1+uint64(math.Round(wait/float64(c.passTime()))), maxLead)
 }
--- a/lockstep/protocol.go
+++ b/lockstep/protocol.go
@@ -128,7 +128,7 @@
 		GapObjective time.Duration
 		// ExpertShare is the fraction of the pass time that is spent in experts.
 		ExpertShare float64
-		// LeadPasses is the minimum number of passes that a switch is armed ahead.
+		// LeadPasses is the minimum number of passes that a switch is armed ahead before one was timed.
 		LeadPasses uint64
 		// OnStates, when set, is called with the states of all ranks after each read.
 		OnStates func([]State)
--- a/soak/caller_test.go
+++ b/soak/caller_test.go
@@ -67,7 +67,9 @@
 
 // sendNext sends one request. Successive requests are in turn plain, to be run at most once, and streamed.
 func (c *workload) sendNext(ctx context.Context, id string, i int) {
-	entry := c.cluster.entries[c.cluster.noise.intN(entries)]
+	number := c.cluster.noise.intN(entries)
+	entry := c.cluster.entries[number]
+	id = withEntry(id, number)
 	switch i % 3 {
 	case 0:
 		c.checkPlain(id, c.send(ctx, entry, "GET", "/balance/x", id), false)
--- a/soak/cluster_test.go
+++ b/soak/cluster_test.go
@@ -42,7 +42,9 @@
 	seed uint64
 	// random draws the steps of the run, noise everything that several goroutines draw: the order of those draws depends
 	// on timing.
-	random, noise   *lockedRandom
+	random, noise *lockedRandom
+	// trouble draws what upstreams in trouble say of themselves, apart from the other steps.
+	trouble         *lockedRandom
 	isBootstrapping bool
 	controls        []*process
 	entries         []*process
@@ -102,7 +104,7 @@
 	w := &cluster{
 		t: t, seed: seed, isBootstrapping: true,
 		random: &lockedRandom{random: rand.New(rand.NewPCG(seed, 1))},
-		noise:  &lockedRandom{random: rand.New(rand.NewPCG(seed, 2))},
+		noise:  &lockedRandom{random: rand.New(rand.NewPCG(seed, 2))}, trouble: &lockedRandom{random: rand.New(rand.NewPCG(seed, 3))},
 		ledger: newLedger(), client: &http.Client{Timeout: callTimeout}, began: time.Now(),
 	}
 	add := func(role string, n int, hasDataFolder bool) *process {
--- /dev/null
+++ b/soak/notice_test.go
@@ -0,0 +1,175 @@
+package soak_test
+
+import (
+	"fmt"
+	"io"
+	"net/http"
+	"strconv"
+	"strings"
+	"sync"
+	"time"
+)
+
+const (
+	// troublePercent is the percentage of steps in which upstreams begin to say something of themselves.
+	troublePercent = 50
+	// closedRequests is the number of requests that may reach a closed upstream from one entry, once closedNotice has
+	// passed since it said so to that entry.
+	closedRequests = 2
+	closedNotice   = 500 * time.Millisecond
+	// endlessTime is how long an upstream sends bytes without end.
+	endlessTime = 1500 * time.Millisecond
+	// entryMark separates the number of the entry from the rest of the ID of a request.
+	entryMark = "@"
+)
+
+type (
+	// notices holds what an upstream says in its answers, and when each entry has heard it.
+	notices struct {
+		mutex     sync.Mutex
+		isLeaving bool
+		// closedFor is the Retry-After of refusals in seconds, 0 for none. isEndless makes answers end never.
+		closedFor int
+		isEndless bool
+		// leavingHeard holds when an entry first got an answer that says that the upstream leaves, closures the last
+		// closure that it heard of.
+		leavingHeard map[int]time.Time
+		closures     map[int]closure
+	}
+
+	// closure is a time for which an upstream wants no requests from an entry.
+	closure struct {
+		heard, until time.Time
+		arrivals     int
+	}
+)
+
+// withEntry adds the number of the entry to the ID of a request.
+func withEntry(id string, entry int) string { return id + entryMark + strconv.Itoa(entry) }
+
+// entryOf returns the number of the entry in the ID of a request, and false if there is none.
+func entryOf(id string) (entry int, isKnown bool) {
+	_, mark, hasMark := strings.Cut(id, entryMark)
+	entry, err := strconv.Atoi(mark)
+	return entry, hasMark && err == nil
+}
+
+// clear forgets everything. An incarnation begins without it.
+func (n *notices) clear() {
+	n.mutex.Lock()
+	defer n.mutex.Unlock()
+	n.isLeaving, n.closedFor, n.isEndless = false, 0, false
+	n.leavingHeard, n.closures = map[int]time.Time{}, map[int]closure{}
+}
+
+// set changes what the upstream says.
+func (n *notices) set(change func()) {
+	n.mutex.Lock()
+	defer n.mutex.Unlock()
+	change()
+}
+
+// troubleUpstreams makes some upstreams leave by their answers only, or turn requests away, or one send bytes without end.
+func (w *cluster) troubleUpstreams() {
+	kind, count, n := w.trouble.intN(3), 1+w.trouble.intN(upstreams), w.trouble.intN(1000)
+	w.recordStep("trouble %d at %d upstreams, %d", kind, count, n)
+	for _, u := range w.upstreams[:count] {
+		u.beginTrouble(kind, n)
+		if kind != 1 {
+			return
+		}
+	}
+}
+
+func (u *fakeUpstream) beginTrouble(kind, n int) {
+	switch kind {
+	case 0:
+		u.notices.set(func() { u.notices.isLeaving = true })
+		time.AfterFunc(drainTime+time.Second, func() { u.restart(n) })
+	case 1:
+		u.notices.set(func() { u.notices.closedFor = 1 + n%3 })
+		time.AfterFunc(2*time.Second, func() { u.notices.set(func() { u.notices.closedFor = 0 }) })
+	default:
+		u.notices.set(func() { u.notices.isEndless = true })
+		time.AfterFunc(endlessTime, func() { u.notices.set(func() { u.notices.isEndless = false }) })
+	}
+}
+
+// handleNotices checks an arrival against what its entry has heard of the upstream, and says it again. It reports whether it
+// has answered the request.
+func (u *fakeUpstream) handleNotices(w http.ResponseWriter, id string) bool {
+	entry, isKnown := entryOf(id)
+	if !isKnown {
+		return false
+	}
+	u.checkArrival(id, entry)
+	n := &u.notices
+	n.mutex.Lock()
+	isEndless, closedFor, isLeaving := n.isEndless, n.closedFor, n.isLeaving
+	if isEndless {
+		// Bytes without end say nothing of the upstream.
+		closedFor, isLeaving = 0, false
+	}
+	if isLeaving && n.leavingHeard[entry].IsZero() {
+		n.leavingHeard[entry] = time.Now()
+	}
+	if closedFor > 0 {
+		now := time.Now()
+		n.closures[entry] = closure{heard: now, until: now.Add(time.Duration(closedFor) * time.Second)}
+	}
+	n.mutex.Unlock()
+	if isLeaving {
+		w.Header().Set("Server-Leaving", "1")
+	}
+	switch {
+	case isEndless:
+		writeWithoutEnd(w)
+	case closedFor > 0:
+		w.Header().Set("Guavahitch-Not-Executed", "1")
+		w.Header().Set("Retry-After", strconv.Itoa(closedFor))
+		w.WriteHeader(http.StatusServiceUnavailable)
+	}
+	return isEndless || closedFor > 0
+}
+
+// checkArrival reports a request that reaches an upstream that had told its entry that it leaves or wants none. An entry that
+// was started, stopped or paused since then is excused.
+func (u *fakeUpstream) checkArrival(id string, entry int) {
+	n := &u.notices
+	n.mutex.Lock()
+	defer n.mutex.Unlock()
+	now, disturbed := time.Now(), u.cluster.entries[entry].lastDisturbed()
+	if heard := n.leavingHeard[entry]; heard.After(disturbed) && now.Sub(heard) > drainTime {
+		u.cluster.reportViolation("request %s reached an upstream %v after its entry heard that it leaves", id, now.Sub(heard))
+	}
+	c := n.closures[entry]
+	if !c.heard.After(disturbed) || now.Sub(c.heard) < closedNotice || now.After(c.until) {
+		return
+	}
+	c.arrivals++
+	n.closures[entry] = c
+	if c.arrivals > closedRequests {
+		u.cluster.reportViolation("request %s is number %d at an upstream that wants none for %v more", id, c.arrivals, c.until.Sub(now))
+	}
+}
+
+// writeWithoutEnd sends a head without end until the connection is closed.
+func writeWithoutEnd(w http.ResponseWriter) {
+	conn, _, err := http.NewResponseController(w).Hijack()
+	if err != nil {
+		return
+	}
+	defer conn.Close()
+	filler := strings.Repeat("x", 32<<10)
+	_, err = fmt.Fprint(conn, "HTTP/1.1 200 OK\r\nX-Long: ")
+	for end := time.Now().Add(endlessTime); err == nil && time.Now().Before(end); {
+		_, err = io.WriteString(conn, filler)
+	}
+}
+
+// lastDisturbed returns when the process was last started, signalled or paused.
+func (p *process) lastDisturbed() time.Time {
+	p.mutex.Lock()
+	defer p.mutex.Unlock()
+	return p.disturbedAt
+}
--- a/soak/process_test.go
+++ b/soak/process_test.go
@@ -31,9 +31,11 @@
 	// caughtUpAt is the time until which the process counts as lost after the loss of its disk.
 	caughtUpAt time.Time
 
-	mutex   sync.Mutex
-	command *exec.Cmd
-	ended   chan struct{}
+	mutex sync.Mutex
+	// disturbedAt is when the process was last started, signalled or paused.
+	disturbedAt time.Time
+	command     *exec.Cmd
+	ended       chan struct{}
 	// isStopping is true after the current process was signalled to stop.
 	isStopping bool
 	// unexpectedExits holds a description of each unexpected exit.
@@ -56,6 +58,7 @@
 	_ = log.Close()
 	ended := make(chan struct{})
 	p.command, p.ended, p.isStopping = command, ended, false
+	p.disturbedAt = time.Now()
 	go func() {
 		err := command.Wait()
 		p.mutex.Lock()
@@ -96,16 +99,18 @@
   machines: %d
 bounds:
   graceS: 8
+  drainMs: %d
   retryBudgetRatio: 0.2
   retryBudgetSlack: 90
 `, p.ip, p.ip, p.ip, frontPort, p.ip, readyPort, p.ip, controlPort, internalPort, internalPort+1, seeds.String(),
-		p.cluster.isBootstrapping, data, toleratedLosses)
+		p.cluster.isBootstrapping, data, toleratedLosses, drainTime.Milliseconds())
 }
 
 // signal sends a signal to the process that start started last.
 func (p *process) signal(s syscall.Signal) {
 	p.mutex.Lock()
 	defer p.mutex.Unlock()
+	p.disturbedAt = time.Now()
 	p.isStopping = p.isStopping || s == syscall.SIGTERM || s == syscall.SIGKILL
 	_ = p.command.Process.Signal(s)
 }
--- a/soak/soak_test.go
+++ b/soak/soak_test.go
@@ -130,6 +130,9 @@
 	u := w.upstreams[upstream]
 	n := w.random.intN(1000)
 	kind := w.random.intN(13)
+	if w.trouble.chance(troublePercent) {
+		w.troubleUpstreams()
+	}
 	w.recordStep("step %d: control %s, entry %s, upstream %d, %d", kind, control.ip, entry.ip, upstream, n)
 	switch kind {
 	case 0:
--- a/soak/upstream_test.go
+++ b/soak/upstream_test.go
@@ -47,6 +47,7 @@
 		deadlyArrivals atomic.Int64
 		// incarnations is the number of incarnations so far.
 		incarnations int
+		notices      notices
 	}
 )
 
@@ -98,6 +99,7 @@
 	u.incarnations++
 	u.id, u.startedMs, u.sequence = fmt.Sprintf("u%d-%d", n, u.incarnations), time.Now().UnixMilli(), 0
 	u.state, u.drainAcknowledged = "ready", time.Time{}
+	u.notices.clear()
 }
 
 // sendHeartbeat sends a heartbeat to a random control process.
@@ -145,6 +147,9 @@
 	if err != nil {
 		return
 	}
+	if u.handleNotices(w, id) {
+		return
+	}
 	if isDeadly(r, string(body)) {
 		u.deadlyArrivals.Add(1)
 		u.crash()
