relocation, lockstep: what each copy takes is told from what each switch takes; a benchmark of bytes without end

Cause: the time of a switch's copies was divided by the experts of the rank with the most. Change: relocation.CopyTimes fits a line through the switches, anchored at what the configuration lets expect. The second look is taken only where copies take longer than four looks.

--- a/forward/bench_test.go
+++ b/forward/bench_test.go
@@ -2,12 +2,16 @@
 
 import (
 	"bufio"
+	"context"
 	"fmt"
 	"io"
 	"net"
 	"net/http"
+	"net/http/httptest"
 	"runtime"
 	"strings"
+	"sync"
+	"sync/atomic"
 	"testing"
 	"time"
 
@@ -202,3 +206,100 @@
 		}
 	}
 }
+
+// BenchmarkBytesWithoutEnd measures what 100 upstreams that send bytes without end, in heads, bodies or events, cost the
+// traffic of another service beside them, and the largest heap of the process meanwhile, fakes and callers included.
+func BenchmarkBytesWithoutEnd(b *testing.B) {
+	for _, name := range []string{"none", "header line", "body", "event"} {
+		b.Run(name, func(b *testing.B) {
+			for b.Loop() {
+				benchmarkBytesWithoutEnd(b, name)
+			}
+		})
+	}
+}
+
+func benchmarkBytesWithoutEnd(b *testing.B, name string) {
+	const endlessUpstreams, duration = 100, 4 * time.Second
+	written := make(chan int64, 1<<20)
+	var announced []roster.Entry
+	add := func(service string, u *fakeUpstream) {
+		announced = append(announced, roster.Entry{LastHeartbeat: time.Now().Add(time.Hour), Instance: roster.Instance{
+			ID: fmt.Sprint("u", len(announced)), Born: 1, Service: service, Address: u.listener.Addr().String(), State: roster.Ready,
+		}})
+	}
+	for range 4 {
+		add("ledger", newUpstream(b, func(conn net.Conn, request *http.Request, _ string) bool {
+			writeResponse(conn, request, 200, "done")
+			return true
+		}))
+	}
+	for range endlessUpstreams {
+		if name != "none" {
+			add("trouble", endlessUpstream(b, endless[name], written))
+		}
+	}
+	c := configuration()
+	c.Organisations = nil
+	c.Services = append(c.Services, route.Service{Name: "trouble"})
+	c.Routes = append(c.Routes, route.Route{
+		Name: "trouble", Host: "bank.test", Prefix: "/trouble/", Kind: route.Stream, Timeout: 3 * time.Second, Attempts: 2, IsResumable: true,
+		Split: []route.Share{{Service: "trouble", Weight: 1}},
+	})
+	if name == "body" {
+		c.Routes[len(c.Routes)-1].Kind = route.Safe
+	}
+	fleet := forward.NewFleet(testSettings())
+	fleet.Update(announced, nil)
+	server := forward.NewServer(testSettings(), fleet)
+	server.SetTable(route.NewTable(c))
+	front := httptest.NewServer(server)
+	defer front.Close()
+	ctx, cancel := context.WithTimeout(b.Context(), duration)
+	defer cancel()
+	var group sync.WaitGroup
+	var sent, served atomic.Int64
+	var peak uint64
+	client := &http.Client{Transport: &http.Transport{MaxIdleConnsPerHost: 200}}
+	send := func(path string) bool {
+		request, err := http.NewRequest(http.MethodPost, front.URL+path, strings.NewReader("x"))
+		require.NoError(b, err)
+		request.Host = "bank.test"
+		request.Header.Set("X-Request", "q1")
+		response, err := client.Do(request)
+		if err != nil {
+			return false
+		}
+		defer response.Body.Close()
+		_, err = io.Copy(io.Discard, response.Body)
+		return err == nil && response.StatusCode == http.StatusOK
+	}
+	for range 100 {
+		group.Go(func() {
+			for ctx.Err() == nil {
+				send("/trouble/")
+				time.Sleep(10 * time.Millisecond)
+			}
+		})
+	}
+	for range 8 {
+		group.Go(func() {
+			for ctx.Err() == nil {
+				sent.Add(1)
+				if send("/balance/") {
+					served.Add(1)
+				}
+				time.Sleep(5 * time.Millisecond)
+			}
+		})
+	}
+	for ctx.Err() == nil {
+		var stats runtime.MemStats
+		runtime.ReadMemStats(&stats)
+		peak = max(peak, stats.HeapInuse)
+		time.Sleep(20 * time.Millisecond)
+	}
+	group.Wait()
+	b.ReportMetric(float64(peak)/(1<<20), "heap-MB")
+	b.ReportMetric(float64(served.Load())/float64(sent.Load()), "others-served")
+}
--- a/lockstep/coordinator.go
+++ b/lockstep/coordinator.go
@@ -12,6 +12,7 @@
 	"github.com/rotisserie/eris"
 
 	"guavahitch.example/guavahitch/balance"
+	"guavahitch.example/guavahitch/relocation"
 	"guavahitch.example/guavahitch/wait"
 )
 
@@ -62,9 +63,10 @@
 	losses          losses
 	contactFailures contactFailures
 	armingTime      armingTime
-	// copyTime is the mean time in which a rank copied one expert, switchDelay the mean time from the decision on a switch
-	// until its map was in use, without copying. Both are 0 before a switch.
-	copyTime, switchDelay time.Duration
+	// copyTimes estimates how long copies take, switchDelay is the mean time from the end of the copies until the map was in
+	// use, 0 before a switch. lookTime is how long the last read of all ranks took.
+	copyTimes             relocation.CopyTimes
+	switchDelay, lookTime time.Duration
 	// failureReported is the time of the last "failed" event.
 	failureReported time.Time
 	// slow holds the ranks that were slow at the last read.
@@ -81,6 +83,7 @@
 	return &Coordinator{
 		settings: settings, engine: engine, tokens: tokens, demand: newDemand(settings.Shape, settings.HalfLife),
 		evenPass: evenPass{expertShare: settings.ExpertShare}, slow: map[int]bool{},
+		copyTimes: relocation.NewCopyTimes(cmp.Or(settings.CopyTime, defaultCopyTime)),
 	}
 }
 
@@ -127,11 +130,13 @@
 // Reconcile reads the ranks once. It then settles the group if needed, or else switches the map if the gain is large
 // enough. It does neither while the group is not complete.
 func (c *Coordinator) Reconcile(ctx context.Context) error {
+	began := time.Now()
 	states, err := c.readAll(ctx, true, false)
 	if err != nil {
 		return err
 	}
 	now := time.Now()
+	c.lookTime = now.Sub(began)
 	c.demand.add(states, now)
 	c.timePasses(states, now)
 	c.reportSlowRanks(states)
--- a/lockstep/plan.go
+++ b/lockstep/plan.go
@@ -16,10 +16,10 @@
 const (
 	// minSkewGoal is the lowest skew that a map is balanced to if Settings.TargetPassTime is set and a pass was measured.
 	minSkewGoal = 1.15
-	// defaultCopyTime is the assumed time in which a rank copies one expert, if neither the settings nor a switch tell.
+	// defaultCopyTime is the expected time in which a rank copies one expert, if the settings do not tell.
 	defaultCopyTime = 50 * time.Millisecond
-	// defaultSwitchDelay is the assumed time that a switch takes besides copying before one was measured.
-	defaultSwitchDelay = 200 * time.Millisecond
+	// defaultSwitchDelay is the assumed time from the end of the copies until the map is in use before one was measured.
+	defaultSwitchDelay = 100 * time.Millisecond
 )
 
 // plan returns the map to switch to, or nil when none is worth the moves. The event describes the switch.
@@ -55,7 +55,7 @@
 // costs returns what a switch takes from the group, as earlier switches showed.
 func (c *Coordinator) costs(now time.Time) relocation.Costs {
 	costs := relocation.Costs{
-		Copy: cmp.Or(c.copyTime, c.settings.CopyTime, defaultCopyTime), Delay: cmp.Or(c.switchDelay, defaultSwitchDelay),
+		Copy: c.copyTimes.PerExpert(), Delay: c.copyTimes.Overhead() + cmp.Or(c.switchDelay, defaultSwitchDelay),
 		Slowdown: c.settings.CopySlowdown,
 	}
 	if c.contactFailures.isRecent(now) && c.passTimer.mean < c.settings.GapObjective {
--- a/lockstep/switch.go
+++ b/lockstep/switch.go
@@ -22,6 +22,8 @@
 	copyPollInterval = 30 * time.Millisecond
 	// mapPollInterval is the time between two checks which map is in use.
 	mapPollInterval = 40 * time.Millisecond
+	// looksBeforeCheck is how many times the time of a look copies must take for another look at the demand to pay.
+	looksBeforeCheck = 4
 	// noticeInterval is the time after which an order without effect is reported, and the minimum time between two
 	// reports of failures.
 	noticeInterval = 500 * time.Millisecond
@@ -45,9 +47,9 @@
 	phases.end(Prepare)
 	prepared := time.Now()
 	if copies := maxNewExperts(c.maps, next); copies > 0 {
-		c.copyTime = movingAverage(c.copyTime, prepared.Sub(decided)/time.Duration(copies))
+		c.copyTimes = c.copyTimes.WithSwitch(copies, prepared.Sub(decided))
 	}
-	if c.isOvertaken(ctx, next) {
+	if prepared.Sub(decided) > looksBeforeCheck*c.lookTime && c.isOvertaken(ctx, next) {
 		return c.abandon(event, phases, errOvertaken)
 	}
 	step, err := c.hold(ctx, states[0].Epoch)
--- a/relocation/relocation_test.go
+++ b/relocation/relocation_test.go
@@ -138,3 +138,21 @@
 	}
 	return sum
 }
+
+// Copies that each take long and copies that wait long for each other must be told apart: a constant part is no reason to
+// copy fewer experts at once.
+func TestCopyTimes(t *testing.T) {
+	expected := 35 * time.Millisecond
+	overheads := relocation.NewCopyTimes(expected)
+	for range 10 {
+		overheads = overheads.WithSwitch(1, 190*time.Millisecond)
+	}
+	require.Less(t, overheads.PerExpert(), 95*time.Millisecond, "most of it is no copying")
+	require.Greater(t, overheads.Overhead(), 95*time.Millisecond)
+	slow := relocation.NewCopyTimes(expected)
+	for n := range 10 {
+		slow = slow.WithSwitch(1+n%3, time.Duration(20+400*(1+n%3))*time.Millisecond)
+	}
+	require.InDelta(t, 0.4, slow.PerExpert().Seconds(), 0.05)
+	require.Less(t, slow.Overhead(), 100*time.Millisecond)
+}
