forward: the body of a refusal is read for 0.1 s at most

Cause: the body of a refusal was read until the deadline of the attempt, so one that came a byte at a time kept its request from other upstreams. Ruled out: heads (bounded before). Change: 0.1 s, then the connection is closed and the request goes on. Names and comments of the same files. Before: TestRefusalWithABodyThatNeverEnds fails; after: passes.

--- a/availability/retry_after.go
+++ b/availability/retry_after.go
@@ -1,7 +1,6 @@
 package availability
 
 import (
-	"math"
 	"net/http"
 	"strings"
 	"time"
@@ -44,7 +43,7 @@
 		}
 	}
 	for _, digit := range whole {
-		seconds = min(seconds*10+float64(digit-'0'), math.MaxInt32*1000)
+		seconds = min(seconds*10+float64(digit-'0'), maxClosure.Seconds())
 	}
 	for _, digit := range fraction {
 		scale /= 10
--- a/forward/attempt.go
+++ b/forward/attempt.go
@@ -36,8 +36,9 @@
 	// unsafeIdleTimeout is the longest idle time of a connection that is used for a request which may run only once.
 	// The upstream may be about to close a connection that was idle for longer.
 	unsafeIdleTimeout = time.Second
-	// maxRefusalBytes bounds the body of a refusal.
+	// maxRefusalBytes bounds the body of a refusal, refusalTimeout the time to read it.
 	maxRefusalBytes = 64 << 10
+	refusalTimeout  = 100 * time.Millisecond
 	// writeGrace is how long after its deadline a caller may still receive its response.
 	writeGrace = time.Second
 )
@@ -200,6 +201,7 @@
 }
 
 func (a *attempt) handleRefusal(response *http.Response) attemptResult {
+	a.conn.SetReadDeadline(earlier(time.Now().Add(refusalTimeout), a.job.deadline))
 	if discard(response.Body) && response.Header.Get(a.job.server.settings.Headers.RequestID) != "" {
 		a.markBodyRead()
 	}
--- a/forward/endless_test.go
+++ b/forward/endless_test.go
@@ -114,6 +114,24 @@
 	require.Less(t, time.Since(start), 2500*time.Millisecond)
 }
 
+// The body of a refusal that comes a byte at a time must not keep the request from another upstream.
+func TestRefusalWithABodyThatNeverEnds(t *testing.T) {
+	slow := newUpstream(t, func(conn net.Conn, request *http.Request, _ string) bool {
+		_, err := io.WriteString(conn, endless["body of a refusal"](request))
+		for err == nil {
+			time.Sleep(20 * time.Millisecond)
+			_, err = io.WriteString(conn, "x")
+		}
+		return false
+	})
+	e := newEntry(t, slow, answerTo(t, "/match/"))
+	start := time.Now()
+	_, body, err := e.send("POST", "/match/", "x", "X-Deadline", "3000")
+	require.NoError(t, err)
+	require.Contains(t, body, "done")
+	require.Less(t, time.Since(start), time.Second)
+}
+
 // A stream that is slow but within the patience of its callers must not be cut, and one that only trickles bytes
 // of an event must end.
 func TestSlowAndStalledStreams(t *testing.T) {
--- a/forward/fleet.go
+++ b/forward/fleet.go
@@ -197,8 +197,8 @@
 	return !s.HasLeft(now, drainTime) && u.inFlight.Load() < s.Limit(now, u.Instance().Slots)
 }
 
-// markDownGroups records of all ranks whether their group is down. A group runs if any of its ranks announces it as open in the newest
-// epoch that its ranks announce.
+// markDownGroups records of all ranks whether their group is down. A group runs if any of its ranks announces it as open
+// in the newest epoch that its ranks announce.
 func markDownGroups(upstreams map[string]*Upstream) {
 	newest := map[string]roster.Group{}
 	for _, u := range upstreams {
--- a/forward/notice.go
+++ b/forward/notice.go
@@ -17,7 +17,7 @@
 		return
 	}
 	now := time.Now()
-	if isLeaving := response.Header.Get(a.job.server.settings.Headers.Leaving); isLeaving != "" && isLeaving != "0" {
+	if leaving := response.Header.Get(a.job.server.settings.Headers.Leaving); leaving != "" && leaving != "0" {
 		a.hearLeaving(now)
 	}
 	if response.StatusCode != http.StatusServiceUnavailable {
