--- a/lockstep/plan.go
+++ b/lockstep/plan.go
@@ -116,9 +116,27 @@
 			if s.MapVersion != version {
 				return eris.Errorf("rank %d reports map version %d, expected %d", rank, s.MapVersion, version)
 			}
+			if err := checkPlacement(s.Placement[set], shape.Experts); err != nil {
+				return eris.Wrapf(err, "placement of rank %d in set %d", rank, set)
+			}
 			maps[set][rank] = s.Placement[set]
 		}
 	}
 	c.maps, c.mapsEpoch, c.mapsVersion = maps, epoch, version
 	return nil
 }
+
+// checkPlacement returns an error if a rank reports an expert that does not exist, or one twice.
+func checkPlacement(experts []int, count int) error {
+	seen := make([]bool, count)
+	for _, e := range experts {
+		if e < 0 || e >= count {
+			return eris.Errorf("expert %d does not exist", e)
+		}
+		if seen[e] {
+			return eris.Errorf("expert %d is listed twice", e)
+		}
+		seen[e] = true
+	}
+	return nil
+}
--- a/routed/group_coordinators.go
+++ b/routed/group_coordinators.go
@@ -27,6 +27,8 @@
 	// defaultReportLag is the assumed age of the state that an engine reports to another instance, if the configuration
 	// gives none.
 	defaultReportLag = 300 * time.Millisecond
+	// maxMapExperts is the largest number of experts in all sets of a map that is balanced.
+	maxMapExperts = 1 << 20
 	// rankDialTimeout bounds the opening of a connection to the sidecar of a rank.
 	rankDialTimeout = 200 * time.Millisecond
 )
@@ -158,7 +160,7 @@
 // settingsOf returns the settings of a group of the service, and false if its engines have no expert map.
 func settingsOf(table *route.Table, service *route.Service, ranks int) (groupSettings, bool) {
 	engine := service.Engine
-	if engine == nil || engine.Sets == 0 || engine.Experts == 0 {
+	if engine == nil || engine.Sets <= 0 || engine.Experts <= 0 || engine.Sets > maxMapExperts/engine.Experts {
 		return groupSettings{}, false
 	}
 	gap := table.MinGapObjective(service.Name)
