--- /dev/null
+++ b/routed/stop_test.go
@@ -0,0 +1,93 @@
+package routed_test
+
+import (
+	"bufio"
+	"context"
+	"fmt"
+	"net"
+	"net/http"
+	"sync"
+	"sync/atomic"
+	"testing"
+	"time"
+
+	"github.com/stretchr/testify/require"
+
+	"guavahitch.example/guavahitch/forward"
+	"guavahitch.example/guavahitch/roster"
+	"guavahitch.example/guavahitch/routed"
+)
+
+// Guards against a planned stop that cuts off a request which the entry has just accepted. Callers open a connection for each
+// request until none is accepted any more; each of them gets an answer.
+func TestGracefulStopAnswersWhatItAccepts(t *testing.T) {
+	const stoppers, callers = 5, 24
+	end := make(chan struct{})
+	close(end)
+	address := freeAddress(t)
+	upstream := &http.Server{Addr: address, Handler: stream(end)}
+	go func() { _ = upstream.ListenAndServe() }()
+	defer upstream.Close()
+	replica := startControl(t)
+	replica.Announce(t.Context(), roster.Instance{ID: "u1", Born: 1, Service: "matching", Address: address, State: roster.Ready})
+	seeds := replica.Seeds()
+	var group sync.WaitGroup
+	var answered, cut atomic.Int64
+	for range stoppers {
+		group.Go(func() {
+			front := freeAddress(t)
+			entry := routed.NewEntry(routed.EntrySettings{
+				Listen: front, Readiness: freeAddress(t), ReadinessPath: "/ready", Parse: parse, Grace: 8 * time.Second, Log: quietLog(),
+				Seeds: func() []string { return seeds }, Forward: forward.Settings{Headers: testHeaders},
+			})
+			ctx, stop := context.WithCancel(t.Context())
+			done := make(chan error, 1)
+			go func() { done <- entry.Run(ctx) }()
+			for !entry.IsReady() {
+				time.Sleep(5 * time.Millisecond)
+			}
+			var calls sync.WaitGroup
+			for range callers {
+				calls.Go(func() {
+					for {
+						conn, err := net.Dial("tcp", front)
+						if err != nil {
+							return
+						}
+						if isAnswered(conn) {
+							answered.Add(1)
+						} else {
+							cut.Add(1)
+						}
+					}
+				})
+			}
+			time.Sleep(100 * time.Millisecond)
+			stop()
+			calls.Wait()
+			if err := <-done; err != nil {
+				t.Error(err)
+			}
+		})
+	}
+	group.Wait()
+	t.Logf("%d answered, %d cut off", answered.Load(), cut.Load())
+	require.Zero(t, cut.Load())
+	require.Positive(t, answered.Load())
+}
+
+// isAnswered sends a request over a new connection and reports whether any response arrives.
+func isAnswered(conn net.Conn) bool {
+	defer conn.Close()
+	_ = conn.SetDeadline(time.Now().Add(5 * time.Second))
+	_, err := fmt.Fprint(conn, "POST /match/x HTTP/1.1\r\nHost: bank.test\r\nX-Request: q1\r\nContent-Length: 0\r\n\r\n")
+	if err != nil {
+		return false
+	}
+	response, err := http.ReadResponse(bufio.NewReader(conn), nil)
+	if err != nil {
+		return false
+	}
+	_ = response.Body.Close()
+	return true
+}
