soak: what an upstream says counts as heard only where the answer could be passed on

The rule excuses a cut. Ruled out: a failing exclusion at the entry, which logged nothing of these upstreams before. Change: leaving counts from an answer that was written; a disturbed proxy excuses like a disturbed entry.

--- a/soak/notice_test.go
+++ b/soak/notice_test.go
@@ -110,9 +110,6 @@
 		// Bytes without end say nothing of the upstream.
 		closedFor, isLeaving = 0, false
 	}
-	if isLeaving && n.leavingHeard[entry].IsZero() {
-		n.leavingHeard[entry] = time.Now()
-	}
 	if closedFor > 0 {
 		now := time.Now()
 		n.closures[entry] = closure{heard: now, until: now.Add(time.Duration(closedFor) * time.Second)}
@@ -132,13 +129,28 @@
 	return isEndless || closedFor > 0
 }
 
+// recordAnswer records that the entry of a request got an answer that may say that the upstream leaves.
+func (u *fakeUpstream) recordAnswer(id string) {
+	entry, isKnown := entryOf(id)
+	n := &u.notices
+	n.mutex.Lock()
+	defer n.mutex.Unlock()
+	if isKnown && n.isLeaving && n.leavingHeard[entry].IsZero() {
+		n.leavingHeard[entry] = time.Now()
+	}
+}
+
 // checkArrival reports a request that reaches an upstream that had told its entry that it leaves or wants none. An entry that
-// was started, stopped or paused since then is excused.
+// was started, stopped or paused since then is excused, and so is one whose connections to the upstream were disturbed: it may
+// not have got the answer.
 func (u *fakeUpstream) checkArrival(id string, entry int) {
 	n := &u.notices
 	n.mutex.Lock()
 	defer n.mutex.Unlock()
 	now, disturbed := time.Now(), u.cluster.entries[entry].lastDisturbed()
+	if at := u.proxy.lastDisturbed(); at.After(disturbed) {
+		disturbed = at
+	}
 	if heard := n.leavingHeard[entry]; heard.After(disturbed) && now.Sub(heard) > drainTime {
 		u.cluster.reportViolation("request %s reached an upstream %v after its entry heard that it leaves", id, now.Sub(heard))
 	}
--- a/soak/proxy_test.go
+++ b/soak/proxy_test.go
@@ -29,7 +29,9 @@
 		target   string
 		mutex    sync.Mutex
 		mode     proxyMode
-		conns    map[net.Conn]bool
+		// disturbedAt is when the mode changed or connections were reset last.
+		disturbedAt time.Time
+		conns       map[net.Conn]bool
 	}
 )
 
@@ -57,7 +59,14 @@
 func (p *proxy) setMode(mode proxyMode) {
 	p.mutex.Lock()
 	defer p.mutex.Unlock()
-	p.mode = mode
+	p.mode, p.disturbedAt = mode, time.Now()
+}
+
+// lastDisturbed returns when the proxy last changed its mode or reset connections.
+func (p *proxy) lastDisturbed() time.Time {
+	p.mutex.Lock()
+	defer p.mutex.Unlock()
+	return p.disturbedAt
 }
 
 func (p *proxy) currentMode() proxyMode {
@@ -86,6 +95,7 @@
 func (p *proxy) reset() {
 	p.mutex.Lock()
 	defer p.mutex.Unlock()
+	p.disturbedAt = time.Now()
 	for conn := range p.conns {
 		_ = conn.(*net.TCPConn).SetLinger(0)
 		_ = conn.Close()
