--- a/balance/level.go
+++ b/balance/level.go
@@ -3,10 +3,7 @@
 // This file levels maps of engines that divide an expert's tokens evenly among its replicas and can prepare only a
 // few new experts on each rank at once.
 
-import (
-	"cmp"
-	"slices"
-)
+import "slices"
 
 const (
 	// minLevelGain is the smallest decrease of the summed timeCost for which a change is made. One rank at the mean
@@ -74,14 +71,36 @@
 	m.Level(maxNew, goal)
 	result := m.Result()
 	return LevelResult{
-		Placement: result.Placements[0], Before: result.Before, After: result.After, Moved: result.Moved,
+		Placement: m.Placements()[0], Before: result.Before, After: result.After, Moved: result.Moved,
 	}
 }
 
 // Skew returns the time of the busiest rank of one layer over the time of ranks among which the load is perfectly
 // even.
 func Skew(placement Placement, load, unitTimes []float64) float64 {
-	return newLeveller(placement, load, unitTimes, 0, 0).skew()
+	holders := make([]int, len(load))
+	for _, experts := range placement {
+		for _, e := range experts {
+			holders[e]++
+		}
+	}
+	busiest, speed := 0.0, 0.0
+	for r, experts := range placement {
+		unitTime := 1.0
+		if unitTimes != nil {
+			unitTime = unitTimes[r]
+		}
+		time := 0.0
+		for _, e := range experts {
+			time += load[e] / float64(holders[e]) * unitTime
+		}
+		busiest = max(busiest, time)
+		speed += 1 / unitTime
+	}
+	if mean := sum(load) / speed; mean > 0 {
+		return busiest / mean
+	}
+	return 1
 }
 
 func newLeveller(present Placement, load, unitTimes []float64, slots, maxNew int) *leveller {
@@ -132,7 +151,7 @@
 	if l.mean == 0 {
 		return change{}, 0
 	}
-	slices.SortFunc(l.order, func(a, b int) int { return cmp.Compare(l.rankTimes[a], l.rankTimes[b]) })
+	l.sortRanks()
 	hot := l.order[len(l.order)-1]
 	bestGain = minLevelGain
 	consider := func(c change) {
@@ -152,6 +171,18 @@
 	return best, bestGain
 }
 
+// sortRanks sorts the ranks, the least busy first, by insertion, which suits an order in which few have changed.
+func (l *leveller) sortRanks() {
+	for n := 1; n < len(l.order); n++ {
+		r := l.order[n]
+		m := n
+		for ; m > 0 && l.rankTimes[l.order[m-1]] > l.rankTimes[r]; m-- {
+			l.order[m] = l.order[m-1]
+		}
+		l.order[m] = r
+	}
+}
+
 // eachReceiver calls consider with the changes that bring an expert of the busiest rank, hot, to one of the least
 // busy ranks.
 func (l *leveller) eachReceiver(hot, e int, consider func(change)) {
--- a/balance/map_leveller.go
+++ b/balance/map_leveller.go
@@ -8,8 +8,8 @@
 	// MapLeveller levels the layers of one map step by step. It is not safe for concurrent use.
 	MapLeveller struct {
 		layers []*leveller
-		// before holds the skew of each layer at first.
-		before []float64
+		// before holds the skew of each layer at first, and after the present one.
+		before, after []float64
 		// changesLeft bounds the changes of each layer.
 		changesLeft []int
 		// best holds the best change of each layer, valid unless isStale is set.
@@ -26,9 +26,8 @@
 		gain   float64
 	}
 
-	// MapResult is the state of a MapLeveller.
+	// MapResult is what a MapLeveller has reached.
 	MapResult struct {
-		Placements []Placement
 		// Before and After are the time of the busiest rank over the mean, averaged over the layers.
 		Before, After float64
 		// Moved is the number of experts that are new to a rank, MaxMoved that of the rank with the most.
@@ -46,6 +45,7 @@
 		l.mayMove = m.mayMove
 		m.layers = append(m.layers, l)
 		m.before = append(m.before, l.skew())
+		m.after = append(m.after, l.skew())
 		m.changesLeft = append(m.changesLeft, maxChangesPerRank*len(placement))
 		m.best = append(m.best, scoredChange{})
 		m.isStale = append(m.isStale, true)
@@ -77,7 +77,7 @@
 func (m *MapLeveller) bestLayer(goal float64) int {
 	at := -1
 	for n, l := range m.layers {
-		if m.changesLeft[n] == 0 || l.skew() <= goal {
+		if m.changesLeft[n] == 0 || m.after[n] <= goal {
 			continue
 		}
 		if m.isStale[n] || !m.isAllowed(n) {
@@ -113,30 +113,25 @@
 	for r, count := range l.newExperts {
 		m.newExperts[r] += count
 	}
+	m.after[n] = l.skew()
 	m.changesLeft[n]--
 	m.isStale[n] = true
 }
 
-// Result returns the map as it is now. A layer that the changes have made less even is as at first: they evened out
-// other ranks but raised the busiest one, which alone determines the time of a pass.
+// Result returns what was reached so far.
 func (m *MapLeveller) Result() MapResult {
 	result := MapResult{}
 	moved := make([]int, len(m.newExperts))
 	count := float64(len(m.layers))
 	for n, l := range m.layers {
 		result.Before += m.before[n] / count
-		if l.skew() > m.before[n] {
-			result.Placements = append(result.Placements, l.present)
-			result.After += m.before[n] / count
+		result.After += min(m.after[n], m.before[n]) / count
+		if m.isWorse(n) {
 			continue
 		}
-		held := make(Placement, len(l.held))
-		for r, experts := range l.held {
-			held[r] = slices.Clone(experts)
-			moved[r] += l.newExperts[r]
+		for r, newExperts := range l.newExperts {
+			moved[r] += newExperts
 		}
-		result.Placements = append(result.Placements, held)
-		result.After += l.skew() / count
 	}
 	for _, n := range moved {
 		result.Moved += n
@@ -144,3 +139,24 @@
 	}
 	return result
 }
+
+// Placements returns the map as it is now. A layer that the changes have made less even is as at first.
+func (m *MapLeveller) Placements() []Placement {
+	var placements []Placement
+	for n, l := range m.layers {
+		if m.isWorse(n) {
+			placements = append(placements, l.present)
+			continue
+		}
+		held := make(Placement, len(l.held))
+		for r, experts := range l.held {
+			held[r] = slices.Clone(experts)
+		}
+		placements = append(placements, held)
+	}
+	return placements
+}
+
+// isWorse reports whether the changes have made a layer less even: they evened out other ranks but raised the busiest one,
+// which alone determines the time of a pass.
+func (m *MapLeveller) isWorse(n int) bool { return m.after[n] > m.before[n] }
--- a/lockstep/plan.go
+++ b/lockstep/plan.go
@@ -34,11 +34,12 @@
 	paces := pacesOf(states)
 	c.measureEvenPass(load, paces)
 	now := time.Now()
-	choice := relocation.Choose(relocation.Group{
+	choice, isWorthMaking := relocation.Choose(relocation.Group{
 		Placements: c.maps, Load: load, UnitTimes: paces, Slots: c.settings.Shape.Slots,
 		Staging: c.settings.Shape.StagingSlots, ExpertShare: c.expertShare(), Goal: c.skewGoal(paces),
+		MinSaving: c.settings.MinSaving,
 	}, c.costs(now), c.demand.outlook.Remaining(now))
-	if !choice.IsWorthMaking(c.settings.MinSaving) {
+	if !isWorthMaking {
 		return nil, Event{}, nil
 	}
 	return choice.Placements, Event{
--- a/relocation/choice.go
+++ b/relocation/choice.go
@@ -28,6 +28,8 @@
 		ExpertShare float64
 		// Goal is the skew at which the map is even enough. Skew is the time of the busiest rank over the mean.
 		Goal float64
+		// MinSaving is the smallest saved part of the pass time for which a switch is made.
+		MinSaving float64
 	}
 
 	// Costs is what a switch takes from the group, as its earlier switches showed.
@@ -45,6 +47,8 @@
 	// Choice is a map to switch to and what was expected of it.
 	Choice struct {
 		balance.MapResult
+		// Placements is the map, nil if the switch is not worth making.
+		Placements []balance.Placement
 		// Ready is the time until the map is in force, Remaining the expected time until the demand changes.
 		Ready, Remaining time.Duration
 		// Saving is the saved part of the pass time. Saved is the time that the map saves until the demand changes, Spent
@@ -71,21 +75,72 @@
 	return mean
 }
 
-// Choose returns the best switch for a demand that is expected to last for the remaining time. The number of experts that
-// each rank copies is raised one by one. A first switch delays the experts of a further one by its own delay, a larger one
-// delays what the smaller one saves by the time of the additional copies; the larger one is chosen while it loses less.
-func Choose(group Group, costs Costs, remaining time.Duration) Choice {
-	leveller := balance.NewMapLeveller(group.Placements, group.Load, group.UnitTimes, group.Slots, group.Staging)
-	best := Choice{Remaining: remaining}
-	for copies := 1; copies <= group.Staging*len(group.Placements); copies++ {
+// Choose returns the best switch for a demand that is expected to last for the remaining time, and whether it is worth
+// making: it saves at least MinSaving of the pass time, and pays back before the demand is expected to change.
+//
+// Each rank may copy one expert, or two, and so on. A larger switch delays what a smaller one saves by the time of its
+// additional copies. A smaller one leaves the rest to a further switch, which delays the rest by its own delay, or leaves it
+// for good if the rest is not worth a switch.
+func Choose(group Group, costs Costs, remaining time.Duration) (choice Choice, isWorthMaking bool) {
+	sizes := sizesOf(group, costs, remaining)
+	best := bestSize(sizes, group, costs)
+	choice = sizes[best]
+	if !choice.isWorthMaking(group.MinSaving) {
+		return choice, false
+	}
+	choice.Placements = placementsOf(group, best+1)
+	return choice, true
+}
+
+// sizesOf returns a switch for each number of experts that a rank may copy, up to the one beyond which nothing is worth
+// moving.
+func sizesOf(group Group, costs Costs, remaining time.Duration) []Choice {
+	leveller := newLeveller(group)
+	var sizes []Choice
+	for copies := 1; copies <= max(group.Staging*len(group.Placements), 1); copies++ {
 		leveller.Level(copies, group.Goal)
-		next := evaluate(leveller.Result(), group.ExpertShare, costs, remaining)
-		if best.Moved > 0 && !isWorthWaiting(best, next, costs) {
+		c := evaluate(leveller.Result(), group.ExpertShare, costs, remaining)
+		sizes = append(sizes, c)
+		if c.MaxMoved < copies {
 			break
 		}
-		best = next
-		if next.MaxMoved < copies {
-			break
+	}
+	return sizes
+}
+
+// bestSize returns the index of the best of the sizes.
+func bestSize(sizes []Choice, group Group, costs Costs) int {
+	last := len(sizes) - 1
+	for n, c := range sizes[:last] {
+		if Saving(group.ExpertShare, c.After, sizes[last].After) < group.MinSaving {
+			return n + mostProfitable(sizes[n:])
+		}
+		if !isWorthWaiting(c, sizes[n+1], costs) {
+			return n
+		}
+	}
+	return last
+}
+
+// placementsOf returns the map of a size. It is computed again because the levelling of larger sizes has gone on from it.
+func placementsOf(group Group, size int) []balance.Placement {
+	leveller := newLeveller(group)
+	for copies := 1; copies <= size; copies++ {
+		leveller.Level(copies, group.Goal)
+	}
+	return leveller.Placements()
+}
+
+func newLeveller(group Group) *balance.MapLeveller {
+	return balance.NewMapLeveller(group.Placements, group.Load, group.UnitTimes, group.Slots, group.Staging)
+}
+
+// mostProfitable returns the index of the switch that saves most beyond what it takes.
+func mostProfitable(sizes []Choice) int {
+	best := 0
+	for n, c := range sizes {
+		if c.Saved-c.Spent > sizes[best].Saved-sizes[best].Spent {
+			best = n
 		}
 	}
 	return best
@@ -106,9 +161,7 @@
 	return c
 }
 
-// IsWorthMaking reports whether the switch saves at least a part minSaving of the pass time, and pays back before the demand
-// is expected to change.
-func (c Choice) IsWorthMaking(minSaving float64) bool {
+func (c Choice) isWorthMaking(minSaving float64) bool {
 	isChange := c.After < c.Before
 	return isChange && c.Saving >= minSaving && c.Saved.Seconds() > minReturn*c.Spent.Seconds()
 }
