--- a/admission/gate.go
+++ b/admission/gate.go
@@ -26,8 +26,8 @@
 	ReasonEpoch = "epoch"
 	// ReasonDraining refuses an attempt because the upstream is draining.
 	ReasonDraining = "draining"
-	// ReasonClosed refuses an attempt because the engine wants no work for a time.
-	ReasonClosed = "closed"
+	// ReasonBackoff refuses an attempt because the engine has asked for backoff.
+	ReasonBackoff = "backoff"
 	// ReasonOverloaded refuses an attempt because the queue is full.
 	ReasonOverloaded = "overloaded"
 	// ReasonRevision refuses an attempt of an entry that uses an outdated revision of the inventory.
@@ -209,8 +209,8 @@
 		refusal.Reason = "not-listed"
 	case !request.Deadline.After(now):
 		refusal.Reason, refusal.RetryAfter = "deadline", 0
-	case g.engine.IsClosed(now):
-		refusal.Reason, refusal.RetryAfter = ReasonClosed, g.engine.OpensAt().Sub(now)
+	case g.engine.IsBackingOff(now):
+		refusal.Reason, refusal.RetryAfter = ReasonBackoff, g.engine.BackoffEnd().Sub(now)
 	case len(g.queue) >= g.limits.Queued && !g.hasRoom(now, request.Alone):
 		refusal.Reason = ReasonOverloaded
 	default:
@@ -265,17 +265,18 @@
 	return !g.runsAlone && int64(g.running) < limit
 }
 
-// TurnAway bars and returns the queued attempts if the engine wants no work, so that they go on elsewhere.
-func (g *Gate) TurnAway(now time.Time) []*Call {
-	if !g.engine.IsClosed(now) && !g.engine.IsLeaving() {
+// RefuseQueued bars and returns the queued attempts if the engine leaves or has asked for backoff, so that they
+// go on elsewhere.
+func (g *Gate) RefuseQueued(now time.Time) []*Call {
+	if !g.engine.IsBackingOff(now) && !g.engine.IsLeaving() {
 		return nil
 	}
-	turnedAway := g.queue
+	refused := g.queue
 	g.queue = nil
-	for _, call := range turnedAway {
+	for _, call := range refused {
 		g.barCall(call)
 	}
-	return turnedAway
+	return refused
 }
 
 // Next releases the next attempt to the engine. It returns nil if none is queued or the engine has no capacity for the
--- a/availability/retry_after.go
+++ b/availability/retry_after.go
@@ -6,8 +6,8 @@
 	"time"
 )
 
-// maxClosure bounds the closures that ParseRetryAfter returns, so that times computed from them do not overflow.
-const maxClosure = 100 * 365 * 24 * time.Hour
+// maxBackoff bounds the times that ParseRetryAfter returns, so that times computed from them do not overflow.
+const maxBackoff = 100 * 365 * 24 * time.Hour
 
 // ParseRetryAfter returns how long a Retry-After field asks to wait: seconds, with a fraction or without, or a date. The
 // date is compared with the Date field of the same response, or with now if that is missing, since the clocks of two
@@ -24,11 +24,11 @@
 	if sent, err := http.ParseTime(header.Get("Date")); err == nil {
 		now = sent
 	}
-	return min(max(at.Sub(now), 0), maxClosure), true
+	return min(max(at.Sub(now), 0), maxBackoff), true
 }
 
 // parseSeconds parses decimal digits with at most one point. Numbers of any length are allowed; large ones give
-// maxClosure.
+// maxBackoff.
 func parseSeconds(value string) (length time.Duration, isNumber bool) {
 	whole, fraction, hasPoint := strings.Cut(value, ".")
 	if whole == "" || hasPoint && fraction == "" {
@@ -43,14 +43,14 @@
 		}
 	}
 	for _, digit := range whole {
-		seconds = min(seconds*10+float64(digit-'0'), maxClosure.Seconds())
+		seconds = min(seconds*10+float64(digit-'0'), maxBackoff.Seconds())
 	}
 	for _, digit := range fraction {
 		scale /= 10
 		seconds += scale * float64(digit-'0')
 	}
-	if seconds >= maxClosure.Seconds() {
-		return maxClosure, true
+	if seconds >= maxBackoff.Seconds() {
+		return maxBackoff, true
 	}
 	return time.Duration(seconds * float64(time.Second)), true
 }
--- a/availability/state.go
+++ b/availability/state.go
@@ -1,5 +1,5 @@
-// Package availability holds what a process knows about whether an upstream takes requests: that it wants none for a
-// time, that it is leaving, that it fails or is slow. State is one immutable value; it does no I/O and reads no clock.
+// Package availability holds what a process knows about whether an upstream takes requests: that it has asked for backoff,
+// that it is leaving, that it fails or is slow. State is one immutable value; it does no I/O and reads no clock.
 // Package forward keeps a State for each upstream of an entry, package sidecar one for the engine next to it.
 package availability
 
@@ -9,12 +9,12 @@
 )
 
 const (
-	// RampTime is the time after a closure in which the number of requests at the upstream may grow to all its slots.
+	// RampTime is the time after a backoff in which the number of requests at the upstream may grow to all its slots.
 	RampTime = 2 * time.Second
-	// DefaultSlots is the number of slots of an upstream that announces none, for the ramp.
-	DefaultSlots = 8
-	// SlowPace is the pace above which an upstream counts as slow.
-	SlowPace = 1.25
+	// defaultSlots is the number of slots of an upstream that announces none, for the ramp.
+	defaultSlots = 8
+	// slowPace is the pace above which an upstream counts as slow.
+	slowPace = 1.25
 
 	// firstSuspension is the suspension after a first failure. It doubles with each consecutive failure up to
 	// longestSuspension.
@@ -40,9 +40,9 @@
 	// IsGroupDown is set for a rank of a group that is not running.
 	IsGroupDown bool
 
-	// closedUntil is the end of the time for which the upstream wants no requests, leavingSince when it first said that
-	// it leaves. Both are zero if it said nothing.
-	closedUntil, leavingSince time.Time
+	// backoffUntil is the end of the backoff that the upstream asked for, leavingSince when it first said that it leaves.
+	// Both are zero if it said nothing.
+	backoffUntil, leavingSince time.Time
 	// failures counts the consecutive failures, which suspend the upstream until suspendedUntil.
 	failures       int
 	suspendedUntil time.Time
@@ -68,11 +68,10 @@
 	return s
 }
 
-// WithClosure returns a copy for an upstream that wants no requests for a time from now on. It never shortens an
-// earlier closure.
-func (s State) WithClosure(now time.Time, length time.Duration) State {
-	if until := now.Add(length); length > 0 && until.After(s.closedUntil) {
-		s.closedUntil = until
+// WithBackoff returns a copy for an upstream that asks for backoff from now on. It never shortens an earlier one.
+func (s State) WithBackoff(now time.Time, length time.Duration) State {
+	if until := now.Add(length); length > 0 && until.After(s.backoffUntil) {
+		s.backoffUntil = until
 	}
 	return s
 }
@@ -86,7 +85,7 @@
 	return s
 }
 
-// WithResponse returns a copy after a response and its duration. A success ends a suspension, but no closure.
+// WithResponse returns a copy after a response and its duration. A success ends a suspension, but no backoff.
 func (s State) WithResponse(now time.Time, took time.Duration, isFailure bool) State {
 	s = s.withSample(now, isFailure)
 	if isFailure {
@@ -132,7 +131,7 @@
 func (s State) IsSuspended(now time.Time) bool { return now.Before(s.suspendedUntil) }
 
 // IsSlow reports whether the last load report calls the upstream slow.
-func (s State) IsSlow() bool { return s.Pace > SlowPace }
+func (s State) IsSlow() bool { return s.Pace > slowPace }
 
 // IsLeaving reports whether the upstream has said that it leaves.
 func (s State) IsLeaving() bool { return !s.leavingSince.IsZero() }
@@ -142,24 +141,24 @@
 	return s.IsLeaving() && now.Sub(s.leavingSince) >= drainTime
 }
 
-// IsClosed reports whether the upstream wants no requests.
-func (s State) IsClosed(now time.Time) bool { return now.Before(s.closedUntil) }
+// IsBackingOff reports whether requests to the upstream must wait.
+func (s State) IsBackingOff(now time.Time) bool { return now.Before(s.backoffUntil) }
 
-// OpensAt returns the end of the last closure, zero if there was none.
-func (s State) OpensAt() time.Time { return s.closedUntil }
+// BackoffEnd returns the end of the last backoff, zero if there was none.
+func (s State) BackoffEnd() time.Time { return s.backoffUntil }
 
-// Limit returns how many requests may be at the upstream at once: none while it is closed, a number that grows to its
+// Limit returns how many requests may be at the upstream at once: none during a backoff, a number that grows to its
 // slots during RampTime after that, and any number otherwise. The slots may be 0 for an unknown number.
 func (s State) Limit(now time.Time, slots int) int64 {
-	open := now.Sub(s.closedUntil)
+	since := now.Sub(s.backoffUntil)
 	switch {
-	case s.closedUntil.IsZero() || open >= RampTime:
+	case s.backoffUntil.IsZero() || since >= RampTime:
 		return math.MaxInt64
-	case open < 0:
+	case since < 0:
 		return 0
 	}
 	if slots <= 0 {
-		slots = DefaultSlots
+		slots = defaultSlots
 	}
-	return int64(math.Ceil(float64(slots) * max(float64(open), 1) / float64(RampTime)))
+	return int64(math.Ceil(float64(slots) * max(float64(since), 1) / float64(RampTime)))
 }
--- a/availability/state_test.go
+++ b/availability/state_test.go
@@ -19,7 +19,7 @@
 
 // An upstream that wants nothing for two seconds takes no request in that time, and its work grows after it.
 func ExampleState_Limit() {
-	s := availability.State{}.WithClosure(start, 2*time.Second)
+	s := availability.State{}.WithBackoff(start, 2*time.Second)
 	for _, after := range []time.Duration{0, 1999, 2000, 3000, 4000} {
 		limit := s.Limit(start.Add(after*time.Millisecond), 8)
 		fmt.Println(min(limit, 99))
@@ -75,18 +75,18 @@
 }
 
 // Guards against anything but time that ends a closure or a departure, whatever happens meanwhile.
-func TestNothingShortensAClosure(t *testing.T) {
+func TestNothingShortensABackoff(t *testing.T) {
 	rapid.Check(t, func(t *rapid.T) {
 		s := availability.State{}
-		now, closedUntil, isLeaving := start, time.Time{}, false
+		now, backoffUntil, isLeaving := start, time.Time{}, false
 		for range rapid.IntRange(1, 30).Draw(t, "steps") {
 			now = now.Add(time.Duration(rapid.IntRange(0, 3000).Draw(t, "pause")) * time.Millisecond)
 			switch rapid.IntRange(0, 5).Draw(t, "event") {
 			case 0:
 				length := time.Duration(rapid.IntRange(0, 20).Draw(t, "length")) * time.Second
-				s = s.WithClosure(now, length)
-				if length > 0 && now.Add(length).After(closedUntil) {
-					closedUntil = now.Add(length)
+				s = s.WithBackoff(now, length)
+				if length > 0 && now.Add(length).After(backoffUntil) {
+					backoffUntil = now.Add(length)
 				}
 			case 1:
 				s, isLeaving = s.WithLeaving(now), true
@@ -99,8 +99,8 @@
 			case 5:
 				s = s.WithResponse(now, time.Millisecond, true)
 			}
-			require.Equal(t, now.Before(closedUntil), s.IsClosed(now))
-			require.Equal(t, now.Before(closedUntil), s.Limit(now, 4) == 0)
+			require.Equal(t, now.Before(backoffUntil), s.IsBackingOff(now))
+			require.Equal(t, now.Before(backoffUntil), s.Limit(now, 4) == 0)
 			require.Equal(t, isLeaving, s.IsLeaving())
 		}
 	})
--- a/daemon/notice_test.go
+++ b/daemon/notice_test.go
@@ -14,19 +14,19 @@
 	"guavahitch.example/guavahitch/engine"
 )
 
-// moodyEngine is an engine that answers calls, turns them away, or says that it leaves.
-type moodyEngine struct {
+// noticeEngine is an engine that answers calls, asks for backoff, or says that it leaves.
+type noticeEngine struct {
 	address string
-	// retryAfter is the Retry-After with which it turns calls away, 0 to answer them.
+	// retryAfter is the Retry-After of its refusals in seconds, 0 to answer calls.
 	retryAfter atomic.Int64
 	isLeaving  atomic.Bool
 	calls      atomic.Int64
 }
 
-func (c *cluster) addMoodyEngine(name string) *moodyEngine {
+func (c *cluster) addNoticeEngine(name string) *noticeEngine {
 	listener, err := net.Listen("tcp", loopback)
 	require.NoError(c.t, err)
-	m := &moodyEngine{address: listener.Addr().String()}
+	m := &noticeEngine{address: listener.Addr().String()}
 	server := &http.Server{Handler: m}
 	go func() { _ = server.Serve(listener) }()
 	c.t.Cleanup(func() { _ = server.Close() })
@@ -35,7 +35,7 @@
 }
 
 // ServeHTTP answers a call or a request for the load.
-func (m *moodyEngine) ServeHTTP(w http.ResponseWriter, r *http.Request) {
+func (m *noticeEngine) ServeHTTP(w http.ResponseWriter, r *http.Request) {
 	if m.isLeaving.Load() {
 		w.Header().Set(engine.HeaderLeaving, "1")
 	}
@@ -63,11 +63,11 @@
 	return statuses
 }
 
-// An engine that turns calls away for a time, or says that it leaves, must get no further calls through the chat
-// interface; the calls go on to the other engine, and are refused with the time of the first opening if there is none.
-func TestEnginesThatTurnAwayOrLeave(t *testing.T) {
+// An engine that asks for backoff, or says that it leaves, must get no further calls through the chat
+// interface; the calls go on to the other engine, and are refused with the time until the first backoff ends if there is none.
+func TestEnginesThatRefuseQueuedOrLeave(t *testing.T) {
 	c := newCluster(t, 1)
-	closing, leaving := c.addMoodyEngine("up-1"), c.addMoodyEngine("up-2")
+	closing, leaving := c.addNoticeEngine("up-1"), c.addNoticeEngine("up-2")
 	entry := c.addEntry("entry-1")
 	c.awaitRoom(entry, "m", 2)
 	client := &http.Client{}
@@ -77,7 +77,7 @@
 	closing.retryAfter.Store(4)
 	require.Equal(t, map[int]int{200: 20}, c.ask(client, address, 20))
 	require.EqualValues(t, 1, closing.calls.Load())
-	turnedAway := time.Now()
+	askedAt := time.Now()
 
 	leaving.retryAfter.Store(30)
 	c.ask(client, address, 1)
@@ -86,13 +86,13 @@
 	refusal, err := refusalOf(got.body)
 	require.NoError(t, err)
 	require.Equal(t, "NotRun", refusal.Outcome)
-	require.Equal(t, "closed", refusal.Reason)
+	require.Equal(t, "backoff", refusal.Reason)
 	require.InDelta(t, 4000, refusal.RetryAfterMs, 2100)
 	require.EqualValues(t, 1, closing.calls.Load())
 
 	closing.retryAfter.Store(0)
 	require.Eventually(t, func() bool { return c.ask(client, address, 1)[200] == 1 }, waitTimeout, 50*time.Millisecond)
-	require.Greater(t, time.Since(turnedAway), 3*time.Second)
+	require.Greater(t, time.Since(askedAt), 3*time.Second)
 
 	closing.isLeaving.Store(true)
 	leaving.retryAfter.Store(0)
--- a/dispatch/job.go
+++ b/dispatch/job.go
@@ -299,8 +299,8 @@
 		choice.Attempt.Ended(now)
 	case failure.Reason == admission.ReasonDraining:
 		choice.Attempt.Draining(now)
-	case failure.Reason == admission.ReasonClosed || failure.Reason == engine.ReasonTurnedAway:
-		choice.Attempt.Closed(now, failure.RetryAfter)
+	case failure.Reason == admission.ReasonBackoff || failure.Reason == engine.ReasonBusy:
+		choice.Attempt.BackOff(now, failure.RetryAfter)
 	case failure.Outcome == outcome.NotRun && failure.Reason != "unreachable" && failure.Reason != "engine-down":
 		choice.Attempt.Refused(now)
 	default:
--- a/engine/client.go
+++ b/engine/client.go
@@ -28,8 +28,8 @@
 	ReasonFailed = "engine-failed"
 	// ReasonDied is the reason of a call whose connection broke because the engine died.
 	ReasonDied = "engine-died"
-	// ReasonTurnedAway is the reason of a repeatable call that the engine answered with 503 and a Retry-After.
-	ReasonTurnedAway = "engine-turned-away"
+	// ReasonBusy is the reason of a repeatable call for which the engine asked to back off.
+	ReasonBusy = "engine-busy"
 
 	// HeaderRank is the request header that tells a model engine which rank should hold the request.
 	HeaderRank = "Guavahitch-Rank"
@@ -60,8 +60,8 @@
 		Body      []byte
 		// Rank is the rank of the group that should hold the request; -1 leaves the choice to the engine.
 		Rank int
-		// Repeatable is set for a call that may run more than once. It may use an idle connection, and is not answered with
-		// the engine's word that it is busy.
+		// Repeatable is set for a call that may run more than once. It may use an idle connection, and is tried elsewhere
+		// if the engine asks to back off.
 		Repeatable bool
 		// ResumeText is the text that earlier attempts delivered. The engine continues the answer after it.
 		ResumeText string
@@ -169,48 +169,34 @@
 	return response, err
 }
 
-// hear records what the head of a response says of the engine. A repeatable call that the engine turned away fails, so
-// that it is tried elsewhere.
+// hear records what the head of a response says of the engine. A repeatable call for which the engine asks to back off
+// fails, so that it is tried elsewhere.
 func (c *Client) hear(response *http.Response, call Call) *outcome.Error {
 	now := time.Now()
+	notice := availability.ReadNotice(response, HeaderLeaving, now)
 	c.mutex.Lock()
 	defer c.mutex.Unlock()
-	if isLeaving(response.Header) {
-		c.state = c.state.WithLeaving(now)
-	}
-	if response.StatusCode != http.StatusServiceUnavailable {
-		return nil
-	}
-	length, isValid := availability.ParseRetryAfter(response.Header, now)
-	if !isValid || length == 0 {
-		return nil
-	}
-	c.state = c.state.WithClosure(now, length)
-	if !call.Repeatable {
+	c.state = c.state.WithNotice(now, notice)
+	if notice.Backoff == 0 || !call.Repeatable {
 		return nil
 	}
 	return &outcome.Error{
-		Step: "engine", Peer: c.address, Outcome: outcome.Unknown, Reason: ReasonTurnedAway, RetryAfter: length,
-		Detail: "the engine wants no calls for a time",
+		Step: "engine", Peer: c.address, Outcome: outcome.Unknown, Reason: ReasonBusy, RetryAfter: notice.Backoff,
+		Detail: "the engine asks for backoff",
 	}
 }
 
-func isLeaving(header http.Header) bool {
-	value := header.Get(HeaderLeaving)
-	return value != "" && value != "0"
-}
-
 // hearLoad records what the response to a load request says of the engine. An engine that was leaving and no longer says
 // so has started again.
-func (c *Client) hearLoad(header http.Header) {
+func (c *Client) hearLoad(response *http.Response) {
+	now := time.Now()
+	notice := availability.ReadNotice(response, HeaderLeaving, now)
 	c.mutex.Lock()
 	defer c.mutex.Unlock()
-	switch {
-	case isLeaving(header):
-		c.state = c.state.WithLeaving(time.Now())
-	case c.state.IsLeaving():
+	if c.state.IsLeaving() && !notice.IsLeaving {
 		c.state = availability.State{}
 	}
+	c.state = c.state.WithNotice(now, notice)
 }
 
 func (c *Client) newRequest(ctx context.Context, call Call) (*http.Request, []byte, error) {
@@ -302,7 +288,7 @@
 	if err != nil {
 		return nil, err
 	}
-	c.hearLoad(response.Header)
+	c.hearLoad(response)
 	var report loadReport
 	if response.StatusCode != http.StatusOK || json.NewDecoder(response.Body).Decode(&report) != nil || report.Capacity == 0 {
 		return nil, nil
--- a/engine/trouble_test.go
+++ b/engine/trouble_test.go
@@ -1,7 +1,6 @@
 package engine_test
 
 import (
-	"bufio"
 	"context"
 	"fmt"
 	"io"
@@ -15,38 +14,19 @@
 
 	"guavahitch.example/guavahitch/admission"
 	"guavahitch.example/guavahitch/engine"
+	"guavahitch.example/guavahitch/fake"
 	"guavahitch.example/guavahitch/outcome"
 )
 
 // rawEngine starts an engine that handles each request on the bare connection. The handler gets the number of the
 // request on its connection and reports whether to read another.
 func rawEngine(t *testing.T, handle func(conn net.Conn, request *http.Request, number int) bool) *engine.Client {
-	listener, err := net.Listen("tcp", "127.0.0.1:0")
+	raw, err := fake.StartRaw(func(conn net.Conn, request *http.Request, _ string, number int) bool {
+		return handle(conn, request, number)
+	})
 	require.NoError(t, err)
-	t.Cleanup(func() { _ = listener.Close() })
-	go func() {
-		for {
-			conn, err := listener.Accept()
-			if err != nil {
-				return
-			}
-			go func() {
-				defer conn.Close()
-				reader := bufio.NewReader(conn)
-				for number := 0; ; number++ {
-					request, err := http.ReadRequest(reader)
-					if err != nil {
-						return
-					}
-					_, _ = io.Copy(io.Discard, request.Body)
-					if !handle(conn, request, number) {
-						return
-					}
-				}
-			}()
-		}
-	}()
-	return engine.NewClient(listener.Addr().String())
+	t.Cleanup(raw.Stop)
+	return engine.NewClient(raw.Address())
 }
 
 // runCall runs a call and returns the text of its answer.
@@ -145,8 +125,8 @@
 	require.ErrorContains(t, err, "too long")
 }
 
-// An engine that says that it leaves, or that it wants no calls, must be heard; a repeatable call that it turned away must
-// go on elsewhere, and any other gets the engine's own answer.
+// An engine that says that it leaves, or asks for backoff, must be heard; a repeatable call that it refused so must go on
+// elsewhere, and any other gets the engine's own answer.
 func TestNoticesOfTheEngine(t *testing.T) {
 	client := rawEngine(t, func(conn net.Conn, request *http.Request, _ int) bool {
 		if request.Header.Get("X-Request-Id") == "last" {
@@ -158,9 +138,9 @@
 	})
 	_, failure := runCall(t, client, "r", true)
 	require.NotNil(t, failure)
-	require.Equal(t, engine.ReasonTurnedAway, failure.Reason)
+	require.Equal(t, engine.ReasonBusy, failure.Reason)
 	require.Equal(t, 20*time.Second, failure.RetryAfter)
-	require.True(t, client.State().IsClosed(time.Now().Add(19*time.Second)))
+	require.True(t, client.State().IsBackingOff(time.Now().Add(19*time.Second)))
 	text, failure := runCall(t, client, "r", false)
 	require.Nil(t, failure)
 	require.Equal(t, "busy", text)
--- a/forward/attempt.go
+++ b/forward/attempt.go
@@ -181,7 +181,7 @@
 // handleResponse classifies a response by its head, and passes it to the caller unless it is a refusal or a failure.
 func (a *attempt) handleResponse(response *http.Response) attemptResult {
 	names := a.job.server.settings.Headers
-	a.hearNotices(response)
+	a.hearNotice(response)
 	switch {
 	case a.isRefusal(response):
 		return a.handleRefusal(response)
@@ -202,8 +202,8 @@
 
 func (a *attempt) handleRefusal(response *http.Response) attemptResult {
 	a.conn.SetReadDeadline(earlier(time.Now().Add(refusalTimeout), a.job.deadline))
-	if discard(response.Body) && response.Header.Get(a.job.server.settings.Headers.RequestID) != "" {
-		a.markBodyRead()
+	if discard(response.Body) {
+		a.markBodyRead(response)
 	}
 	now := time.Now()
 	if response.StatusCode == http.StatusMisdirectedRequest {
@@ -221,9 +221,11 @@
 	return err == nil && n < maxRefusalBytes
 }
 
-// markBodyRead records that the response was read to its end, so that the connection can be reused. Without the ID of a
+// markBodyRead records that the response was read to its end, so that the connection can be reused. Without the ID of the
 // request, a second copy of the response could not be told from the next one, so the connection is closed then.
-func (a *attempt) markBodyRead() { a.isBodyRead = a.job.id != "" }
+func (a *attempt) markBodyRead(response *http.Response) {
+	a.isBodyRead = a.job.id != "" && response.Header.Get(a.job.server.settings.Headers.RequestID) == a.job.id
+}
 
 // relayBuffered reads the whole response before it sends any of it to the caller, so that a failure can still be
 // retried.
@@ -234,7 +236,7 @@
 	if err != nil {
 		return a.fail(eris.Wrap(err, "read response body"))
 	}
-	a.markBodyRead()
+	a.markBodyRead(response)
 	now := time.Now()
 	isFailure := response.StatusCode >= http.StatusInternalServerError
 	a.upstream.recordResponse(now, now.Sub(a.started), isFailure)
--- a/forward/bench_test.go
+++ b/forward/bench_test.go
@@ -17,6 +17,7 @@
 
 	"github.com/stretchr/testify/require"
 
+	"guavahitch.example/guavahitch/fake"
 	"guavahitch.example/guavahitch/forward"
 	"guavahitch.example/guavahitch/measure/process"
 	"guavahitch.example/guavahitch/roster"
@@ -34,45 +35,24 @@
 )
 
 // benchUpstream starts an upstream that answers plain requests with 800 bytes and streams with events in one chunk
-// each.
-func benchUpstream(b *testing.B) net.Listener {
-	listener, err := net.Listen("tcp", "127.0.0.1:0")
-	require.NoError(b, err)
-	b.Cleanup(func() { _ = listener.Close() })
+// each. It returns its address.
+func benchUpstream(b *testing.B) string {
 	text := strings.Repeat("x", 800)
-	go func() {
-		for {
-			conn, err := listener.Accept()
-			if err != nil {
-				return
-			}
-			go answerBench(conn, text)
-		}
-	}()
-	return listener
-}
-
-func answerBench(conn net.Conn, text string) {
-	defer conn.Close()
-	reader := bufio.NewReader(conn)
-	for {
-		request, err := http.ReadRequest(reader)
-		if err != nil {
-			return
-		}
-		if _, err := io.Copy(io.Discard, request.Body); err != nil {
-			return
-		}
+	raw, err := fake.StartRaw(func(conn net.Conn, request *http.Request, _ string, _ int) bool {
 		if request.Method == http.MethodGet {
 			writeResponse(conn, request, 200, text)
-			continue
+			return true
 		}
 		writeStream(conn, request)
 		for id := range streamEvents {
 			writeChunk(conn, fmt.Sprintf("id: %d\ndata: piece %d\n\n", id+1, id))
 		}
 		fmt.Fprint(conn, "0\r\n\r\n")
-	}
+		return true
+	})
+	require.NoError(b, err)
+	b.Cleanup(raw.Stop)
+	return raw.Address()
 }
 
 // benchSidecar starts a forwarding server without keys in front of an address and returns its own address.
@@ -152,7 +132,7 @@
 			{"entry and sidecar", func(b *testing.B, upstream string) string { return benchEntry(b, benchSidecar(b, upstream)) }},
 		} {
 			b.Run(kind.name+"/"+way.name, func(b *testing.B) {
-				address := way.open(b, benchUpstream(b).Addr().String())
+				address := way.open(b, benchUpstream(b))
 				conn, err := net.Dial("tcp", address)
 				require.NoError(b, err)
 				defer conn.Close()
@@ -189,7 +169,7 @@
 // BenchmarkConnections measures the memory of an entry per open connection of a caller, after one request on each.
 func BenchmarkConnections(b *testing.B) {
 	const connections = 4000
-	address := benchEntry(b, benchUpstream(b).Addr().String())
+	address := benchEntry(b, benchUpstream(b))
 	for b.Loop() {
 		var open []net.Conn
 		before := process.MemoryInUse()
@@ -225,7 +205,7 @@
 	var announced []roster.Entry
 	add := func(service string, u *fakeUpstream) {
 		announced = append(announced, roster.Entry{LastHeartbeat: time.Now().Add(time.Hour), Instance: roster.Instance{
-			ID: fmt.Sprint("u", len(announced)), Born: 1, Service: service, Address: u.listener.Addr().String(), State: roster.Ready,
+			ID: fmt.Sprint("u", len(announced)), Born: 1, Service: service, Address: u.address, State: roster.Ready,
 		}})
 	}
 	for range 4 {
--- a/forward/decision.go
+++ b/forward/decision.go
@@ -3,6 +3,7 @@
 import (
 	"time"
 
+	"guavahitch.example/guavahitch/availability"
 	"guavahitch.example/guavahitch/quarantine"
 	"guavahitch.example/guavahitch/wire"
 )
@@ -61,14 +62,12 @@
 	Verdicts []*wire.Quarantine
 }
 
-// Notice is what an upstream said of itself in a response.
+// Notice is what an upstream said of itself in the response to a request.
 type Notice struct {
+	availability.Notice
 	Request  string
 	Service  string
 	Upstream string
 	// Born is the start of the incarnation.
 	Born int64
-	// IsLeaving is set if it leaves. Otherwise it wants no requests for the time ClosedFor.
-	IsLeaving bool
-	ClosedFor time.Duration
 }
--- a/forward/faults_test.go
+++ b/forward/faults_test.go
@@ -85,7 +85,7 @@
 		writeResponse(conn, request, 400, "too long")
 		proceed(conn, request.Body)
 	}()
-	return &fakeUpstream{listener: listener}
+	return &fakeUpstream{address: listener.Addr().String()}
 }
 
 // An upstream that answers before it has read a long body may continue reading. It must get the rest of that body and
--- a/forward/fleet.go
+++ b/forward/fleet.go
@@ -167,18 +167,20 @@
 	return held.Born != next.Born || held.Address != next.Address || held.Service != next.Service
 }
 
-// State returns what is known of whether the upstream takes requests.
-func (u *Upstream) State() availability.State {
+// currentState returns what is known of whether the upstream takes requests.
+func (u *Upstream) currentState() availability.State {
 	u.mutex.Lock()
 	defer u.mutex.Unlock()
 	return u.state
 }
 
-// update replaces the state by a changed copy.
-func (u *Upstream) update(change func(availability.State) availability.State) {
+// update replaces the state by a changed copy and returns the one before.
+func (u *Upstream) update(change func(availability.State) availability.State) (before availability.State) {
 	u.mutex.Lock()
 	defer u.mutex.Unlock()
-	u.state = change(u.state)
+	before = u.state
+	u.state = change(before)
+	return before
 }
 
 // recordResponse records a response and its duration.
@@ -191,8 +193,8 @@
 	u.update(func(s availability.State) availability.State { return s.WithBroken(now) })
 }
 
-// takesRequests reports whether a further request may be sent to the upstream: it has not left and is not closed, and
-// while it opens again it has fewer requests of this entry than its limit.
+// takesRequests reports whether a further request may be sent to the upstream: it has not left, is not in a backoff,
+// and after one it has fewer requests of this entry than its limit.
 func (u *Upstream) takesRequests(s availability.State, now time.Time, drainTime time.Duration) bool {
 	return !s.HasLeft(now, drainTime) && u.inFlight.Load() < s.Limit(now, u.Instance().Slots)
 }
@@ -252,5 +254,5 @@
 
 // hasRunningUpstream reports whether a service has an upstream outside the groups that are down.
 func (f *Fleet) hasRunningUpstream(service string) bool {
-	return slices.ContainsFunc(f.Service(service), func(u *Upstream) bool { return !u.State().IsGroupDown })
+	return slices.ContainsFunc(f.Service(service), func(u *Upstream) bool { return !u.currentState().IsGroupDown })
 }
--- a/forward/job.go
+++ b/forward/job.go
@@ -187,12 +187,12 @@
 	}
 }
 
-// noUpstreamRefusal returns the refusal of a request that no upstream ran. If all upstreams are closed, callers return
-// spread over the time in which the first of them opens.
+// noUpstreamRefusal returns the refusal of a request that no upstream ran. If all upstreams are in a backoff, callers return
+// spread over the ramp after the first one that ends.
 func (j *job) noUpstreamRefusal() *refusal {
-	if wait, isClosed := j.server.opensIn(j.service, time.Now()); isClosed {
+	if wait, isBackingOff := j.server.backoffLeft(j.service, time.Now()); isBackingOff {
 		return &refusal{
-			status: http.StatusServiceUnavailable, reason: "upstreams closed", retryAfter: wait, spread: availability.RampTime,
+			status: http.StatusServiceUnavailable, reason: "upstreams back off", retryAfter: wait, spread: availability.RampTime,
 		}
 	}
 	return &refusal{status: http.StatusServiceUnavailable, reason: "no upstream", retryAfter: j.retryAfter()}
--- a/forward/migration.go
+++ b/forward/migration.go
@@ -71,7 +71,7 @@
 	slow := map[*Upstream]float64{}
 	upstreams := s.fleet.Service(service.Name)
 	for _, u := range upstreams {
-		if state := u.State(); state.IsSlow() {
+		if state := u.currentState(); state.IsSlow() {
 			slow[u] = state.Pace
 		}
 	}
--- a/forward/notice_test.go
+++ b/forward/notice_test.go
@@ -12,6 +12,7 @@
 
 	"github.com/stretchr/testify/require"
 
+	"guavahitch.example/guavahitch/availability"
 	"guavahitch.example/guavahitch/forward"
 	"guavahitch.example/guavahitch/roster"
 )
@@ -38,8 +39,8 @@
 	})
 }
 
-// closedUpstream starts an upstream that refuses every request with this Retry-After.
-func closedUpstream(t *testing.T, retryAfter string) *fakeUpstream {
+// busyUpstream starts an upstream that refuses every request with this Retry-After.
+func busyUpstream(t *testing.T, retryAfter string) *fakeUpstream {
 	return newUpstream(t, func(conn net.Conn, request *http.Request, _ string) bool {
 		writeWith(conn, request, 503, "X-Not-Executed: 1\r\n", "Retry-After: "+retryAfter+"\r\n")
 		return true
@@ -61,7 +62,7 @@
 // announce announces an incarnation of the first upstream.
 func (e *entry) announce(u *fakeUpstream, born int64, sequence uint64) {
 	e.fleet.Update([]roster.Entry{{LastHeartbeat: time.Now(), Instance: roster.Instance{
-		ID: "u0", Born: born, Sequence: sequence, Service: "ledger", Address: u.listener.Addr().String(), State: roster.Ready,
+		ID: "u0", Born: born, Sequence: sequence, Service: "ledger", Address: u.address, State: roster.Ready,
 	}}}, nil)
 }
 
@@ -95,22 +96,22 @@
 }
 
 // An upstream that answers 503 with Retry-After must get nothing until that time is over. A field that is 0 or malformed
-// closes nothing.
-func TestUpstreamThatWantsNothingGetsNothing(t *testing.T) {
-	for value, isClosing := range map[string]bool{
+// asks for nothing.
+func TestUpstreamThatAsksForBackoffGetsNothing(t *testing.T) {
+	for value, asks := range map[string]bool{
 		"30": true, "3600": true, strings.Repeat("9", 300): true, "2.5": true,
 		time.Now().Add(time.Minute).UTC().Format(http.TimeFormat): true,
 		"0": false, "-5": false, "soon": false, "": false,
 	} {
 		t.Run(value, func(t *testing.T) {
-			closed := closedUpstream(t, value)
-			e := newEntry(t, closed, soundUpstream(t))
+			busy := busyUpstream(t, value)
+			e := newEntry(t, busy, soundUpstream(t))
 			require.Equal(t, 30, e.sendMany(30, "/balance/"), "requests go on to the other upstream")
-			alone := closedUpstream(t, value)
+			alone := busyUpstream(t, value)
 			e = newEntry(t, alone)
 			require.Zero(t, e.sendMany(5, "/balance/"))
-			if isClosing {
-				require.Len(t, closed.received(), 1)
+			if asks {
+				require.Len(t, busy.received(), 1)
 				require.Len(t, alone.received(), 1)
 			} else {
 				require.Len(t, alone.received(), 5)
@@ -136,15 +137,15 @@
 	require.Equal(t, 5, e.sendMany(5, "/balance/"))
 }
 
-// When every upstream is closed, requests must be refused at once and truthfully, with the time until the first one
+// When every upstream asks for backoff, requests must be refused at once and truthfully, with the time until the first one
 // opens; after that its work returns by and by.
-func TestAllUpstreamsClosed(t *testing.T) {
+func TestAllUpstreamsAskForBackoff(t *testing.T) {
 	var mutex sync.Mutex
-	isClosed, running, peak := true, 0, 0
+	isBusy, running, peak := true, 0, 0
 	serve := func(conn net.Conn, request *http.Request, _ string) bool {
 		mutex.Lock()
 		defer mutex.Unlock()
-		if isClosed {
+		if isBusy {
 			writeWith(conn, request, 503, "X-Not-Executed: 1\r\n", "Retry-After: 1\r\n")
 			return true
 		}
@@ -160,7 +161,7 @@
 	upstreams := []*fakeUpstream{newUpstream(t, serve), newUpstream(t, serve)}
 	e := newEntry(t, upstreams...)
 	e.sendMany(2, "/credit/")
-	closedAt := time.Now()
+	askedAt := time.Now()
 	start := time.Now()
 	response, _, err := e.send("POST", "/credit/", "x")
 	require.NoError(t, err)
@@ -173,9 +174,9 @@
 	require.Equal(t, 2, sent)
 
 	mutex.Lock()
-	isClosed = false
+	isBusy = false
 	mutex.Unlock()
-	time.Sleep(time.Until(closedAt.Add(time.Second)))
+	time.Sleep(time.Until(askedAt.Add(time.Second)))
 	var group sync.WaitGroup
 	for range 24 {
 		group.Go(func() { e.sendMany(1, "/credit/") })
@@ -195,10 +196,10 @@
 		defer mutex.Unlock()
 		notices = append(notices, n)
 	}
-	e := newEntryWith(t, settings, closedUpstream(t, "9"), leavingUpstream(t), soundUpstream(t))
+	e := newEntryWith(t, settings, busyUpstream(t, "9"), leavingUpstream(t), soundUpstream(t))
 	e.sendMany(20, "/balance/")
 	require.ElementsMatch(t, []forward.Notice{
-		{Request: "q1", Service: "ledger", Upstream: "u0", Born: 1, ClosedFor: 9 * time.Second},
-		{Request: "q1", Service: "ledger", Upstream: "u1", Born: 1, IsLeaving: true},
+		{Notice: availability.Notice{Backoff: 9 * time.Second}, Request: "q1", Service: "ledger", Upstream: "u0", Born: 1},
+		{Notice: availability.Notice{IsLeaving: true}, Request: "q1", Service: "ledger", Upstream: "u1", Born: 1},
 	}, notices)
 }
--- a/forward/outage.go
+++ b/forward/outage.go
@@ -74,8 +74,8 @@
 	instance := u.Instance()
 	namesOther := culprit != "" && culprit != instance.Address
 	isQuiet := g.inFlight > 1 && now.Sub(g.outage.lastEvent) > groupSilenceTimeout
-	affectsGroup := namesOther || isQuiet || u.State().IsGroupDown
-	if u.State().IsGroupDown && g.server.fleet.hasRunningUpstream(instance.Service) {
+	affectsGroup := namesOther || isQuiet || u.currentState().IsGroupDown
+	if u.currentState().IsGroupDown && g.server.fleet.hasRunningUpstream(instance.Service) {
 		// Requests go to another group of the service, so the service is not down.
 		affectsGroup = false
 	}
@@ -138,7 +138,7 @@
 // allRanksHeard reports whether all ranks of a service are known and sent a heartbeat to control recently.
 func (f *Fleet) allRanksHeard(service string, now time.Time) bool {
 	for _, u := range f.Service(service) {
-		if now.Sub(u.State().LastHeartbeat) > lostRankTimeout {
+		if now.Sub(u.currentState().LastHeartbeat) > lostRankTimeout {
 			return false
 		}
 	}
--- a/forward/pick.go
+++ b/forward/pick.go
@@ -80,7 +80,7 @@
 	var latest time.Time
 	total, sampled := 0.0, 0
 	for _, u := range upstreams {
-		c := candidate{Upstream: u, state: u.State()}
+		c := candidate{Upstream: u, state: u.currentState()}
 		c.failureRate = c.state.FailureRate(now)
 		if c.state.LastHeartbeat.After(latest) {
 			latest = c.state.LastHeartbeat
@@ -127,22 +127,22 @@
 	}
 }
 
-// opensIn returns the time until the first upstream of a service opens that is closed now, and whether every upstream
-// of the service is closed or has left and at least one is closed.
-func (s *Server) opensIn(service string, now time.Time) (wait time.Duration, isClosed bool) {
+// backoffLeft returns the time until the first backoff of an upstream of the service ends, and whether every upstream of
+// the service is in a backoff or has left and at least one is in a backoff.
+func (s *Server) backoffLeft(service string, now time.Time) (wait time.Duration, isBackingOff bool) {
 	for _, u := range s.fleet.Service(service) {
-		state := u.State()
+		state := u.currentState()
 		if state.HasLeft(now, s.settings.DrainTime) {
 			continue
 		}
-		if !state.IsClosed(now) {
+		if !state.IsBackingOff(now) {
 			return 0, false
 		}
-		if left := state.OpensAt().Sub(now); !isClosed || left < wait {
-			wait, isClosed = left, true
+		if left := state.BackoffEnd().Sub(now); !isBackingOff || left < wait {
+			wait, isBackingOff = left, true
 		}
 	}
-	return wait, isClosed
+	return wait, isBackingOff
 }
 
 // cost returns an estimate of the wait at an upstream, raised by its failure rate and for another failure domain.
--- a/forward/quarantine_test.go
+++ b/forward/quarantine_test.go
@@ -19,7 +19,7 @@
 	var u *fakeUpstream
 	u = newUpstream(t, func(conn net.Conn, _ *http.Request, _ string) bool {
 		if isMortal {
-			_ = u.listener.Close()
+			u.stop()
 		}
 		_ = conn.(*net.TCPConn).SetLinger(0)
 		return false
@@ -85,7 +85,7 @@
 
 			last := mortal(t, true)
 			e.fleet.Update([]roster.Entry{{LastHeartbeat: time.Now(), Instance: roster.Instance{
-				ID: "u1", Born: 2, Service: "ledger", Address: last.listener.Addr().String(), State: roster.Ready,
+				ID: "u1", Born: 2, Service: "ledger", Address: last.address, State: roster.Ready,
 			}}}, nil)
 			_, _, err = e.send("GET", "/balance/", "x")
 			require.NoError(t, err)
--- a/forward/relay.go
+++ b/forward/relay.go
@@ -115,7 +115,7 @@
 // endStream handles the end of a complete stream, which may have had no events.
 func (a *attempt) endStream(response *http.Response) attemptResult {
 	a.job.writeHead(response)
-	a.markBodyRead()
+	a.markBodyRead(response)
 	if isFramed(response) {
 		a.recordProgress()
 	}
--- a/forward/server_test.go
+++ b/forward/server_test.go
@@ -15,6 +15,7 @@
 
 	"github.com/stretchr/testify/require"
 
+	"guavahitch.example/guavahitch/fake"
 	"guavahitch.example/guavahitch/forward"
 	"guavahitch.example/guavahitch/roster"
 	"guavahitch.example/guavahitch/route"
@@ -26,11 +27,11 @@
 }
 
 type (
-	// fakeUpstream reads requests from raw connections, records them and answers each with a function.
+	// fakeUpstream answers on bare connections and records the requests.
 	fakeUpstream struct {
-		listener net.Listener
-		// answer writes a response and reports whether to read further requests from the connection.
-		answer   func(conn net.Conn, request *http.Request, body string) bool
+		address string
+		// stop makes the upstream accept no further connections.
+		stop     func()
 		mutex    sync.Mutex
 		requests []received
 	}
@@ -49,47 +50,22 @@
 	}
 )
 
+// newUpstream starts an upstream. The function writes a response and reports whether to read further requests from the
+// connection.
 func newUpstream(t testing.TB, answer func(net.Conn, *http.Request, string) bool) *fakeUpstream {
-	listener, err := net.Listen("tcp", "127.0.0.1:0")
-	require.NoError(t, err)
-	t.Cleanup(func() { _ = listener.Close() })
-	u := &fakeUpstream{listener: listener, answer: answer}
-	go u.serve()
-	return u
-}
-
-func (u *fakeUpstream) serve() {
-	for {
-		conn, err := u.listener.Accept()
-		if err != nil {
-			return
-		}
-		go u.serveConn(conn)
-	}
-}
-
-func (u *fakeUpstream) serveConn(conn net.Conn) {
-	defer conn.Close()
-	reader := bufio.NewReader(conn)
-	for {
-		request, err := http.ReadRequest(reader)
-		if err != nil {
-			return
-		}
-		body, err := io.ReadAll(request.Body)
-		if err != nil {
-			return
-		}
+	u := &fakeUpstream{}
+	raw, err := fake.StartRaw(func(conn net.Conn, request *http.Request, body string, _ int) bool {
 		u.mutex.Lock()
 		u.requests = append(u.requests, received{
-			method: request.Method, target: request.RequestURI, host: request.Host, body: string(body),
-			header: request.Header,
+			method: request.Method, target: request.RequestURI, host: request.Host, body: body, header: request.Header,
 		})
 		u.mutex.Unlock()
-		if !u.answer(conn, request, string(body)) {
-			return
-		}
-	}
+		return answer(conn, request, body)
+	})
+	require.NoError(t, err)
+	t.Cleanup(raw.Stop)
+	u.address, u.stop = raw.Address(), raw.Stop
+	return u
 }
 
 func (u *fakeUpstream) received() []received {
@@ -148,7 +124,7 @@
 	var announced []roster.Entry
 	for i, u := range upstreams {
 		announced = append(announced, roster.Entry{LastHeartbeat: time.Now(), Instance: roster.Instance{
-			ID: fmt.Sprintf("u%d", i), Born: 1, Service: "ledger", Address: u.listener.Addr().String(), State: roster.Ready,
+			ID: fmt.Sprintf("u%d", i), Born: 1, Service: "ledger", Address: u.address, State: roster.Ready,
 		}})
 	}
 	fleet.Update(announced, nil)
@@ -488,7 +464,7 @@
 	e := newEntry(t, u)
 	at := func(state roster.State, sequence uint64) roster.Entry {
 		return roster.Entry{LastHeartbeat: time.Now(), Instance: roster.Instance{
-			ID: "u0", Born: 1, Sequence: sequence, Service: "ledger", Address: u.listener.Addr().String(), State: state,
+			ID: "u0", Born: 1, Sequence: sequence, Service: "ledger", Address: u.address, State: state,
 		}}
 	}
 	e.fleet.Update([]roster.Entry{at(roster.Draining, 5)}, nil)
--- a/forward/settings.go
+++ b/forward/settings.go
@@ -100,7 +100,7 @@
 		Memory *quarantine.Memory
 		// OnCrash is called when an upstream has ended while it ran requests of this entry, unless it is nil.
 		OnCrash func(Crash)
-		// OnNotice is called when an upstream says that it leaves or wants no requests for a time, unless it is nil.
+		// OnNotice is called when an upstream says that it leaves or asks for backoff, unless it is nil.
 		OnNotice func(Notice)
 		// OnOutage is called when the group of a service goes down and when it serves again, unless it is nil.
 		OnOutage func(Outage)
--- a/forward/warmup_test.go
+++ b/forward/warmup_test.go
@@ -50,7 +50,7 @@
 	var entries []roster.Entry
 	for i, u := range upstreams {
 		entries = append(entries, roster.Entry{LastHeartbeat: time.Now(), Instance: roster.Instance{
-			ID: fmt.Sprintf("u%d", i), Born: 1, Service: "ledger", Address: u.listener.Addr().String(), State: roster.Ready,
+			ID: fmt.Sprintf("u%d", i), Born: 1, Service: "ledger", Address: u.address, State: roster.Ready,
 		}})
 	}
 	return entries
--- a/routed/entry_test.go
+++ b/routed/entry_test.go
@@ -81,6 +81,15 @@
 	return replica
 }
 
+// newEntry returns an entry that follows the replica.
+func newEntry(t testing.TB, listen string, replica *registry.Replica, settings forward.Settings) *routed.Entry {
+	seeds := replica.Seeds()
+	return routed.NewEntry(routed.EntrySettings{
+		Listen: listen, Readiness: freeAddress(t), ReadinessPath: "/ready", Parse: parse, Grace: 8 * time.Second, Log: quietLog(),
+		Seeds: func() []string { return seeds }, Forward: settings,
+	})
+}
+
 // Guards against a graceful stop that cuts off streams. The entry stops while a stream is under way, and the stream
 // must still reach its last event.
 func TestGracefulStopFinishesStreams(t *testing.T) {
@@ -92,12 +101,8 @@
 	replica := startControl(t)
 	replica.Announce(t.Context(), roster.Instance{ID: "u1", Born: 1, Service: "matching", Address: address, State: roster.Ready})
 
-	front, ready := freeAddress(t), freeAddress(t)
-	seeds := replica.Seeds()
-	entry := routed.NewEntry(routed.EntrySettings{
-		Listen: front, Readiness: ready, ReadinessPath: "/ready", Parse: parse, Grace: 8 * time.Second, Log: quietLog(),
-		Seeds: func() []string { return seeds }, Forward: forward.Settings{Headers: testHeaders, StreamIdleTimeout: 9 * time.Second},
-	})
+	front := freeAddress(t)
+	entry := newEntry(t, front, replica, forward.Settings{Headers: testHeaders, StreamIdleTimeout: 9 * time.Second})
 	ctx, stop := context.WithCancel(t.Context())
 	done := make(chan error, 1)
 	go func() { done <- entry.Run(ctx) }()
--- a/routed/request_log.go
+++ b/routed/request_log.go
@@ -109,7 +109,7 @@
 
 // logNotice counts and logs what an upstream said of itself, unless the limit of lines is reached.
 func (d *requestLog) logNotice(n forward.Notice) {
-	reason := "upstream is closed"
+	reason := "upstream asks for backoff"
 	if n.IsLeaving {
 		reason = "upstream is leaving"
 	}
@@ -119,8 +119,8 @@
 		return
 	}
 	fields := logrus.Fields{"request": n.Request, "service": n.Service, "upstream": n.Upstream, "born": n.Born}
-	if n.ClosedFor > 0 {
-		fields["closed_ms"] = milliseconds(n.ClosedFor)
+	if n.Backoff > 0 {
+		fields["backoff_ms"] = milliseconds(n.Backoff)
 	}
 	if skipped > 0 {
 		fields["lines_skipped"] = skipped
--- a/routed/stop_test.go
+++ b/routed/stop_test.go
@@ -15,13 +15,12 @@
 
 	"guavahitch.example/guavahitch/forward"
 	"guavahitch.example/guavahitch/roster"
-	"guavahitch.example/guavahitch/routed"
 )
 
 // Guards against a planned stop that cuts off a request which the entry has just accepted. Callers open a connection for each
 // request until none is accepted any more; each of them gets an answer.
 func TestGracefulStopAnswersWhatItAccepts(t *testing.T) {
-	const stoppers, callers = 5, 24
+	const entries, callers = 5, 24
 	end := make(chan struct{})
 	close(end)
 	address := freeAddress(t)
@@ -30,16 +29,12 @@
 	defer upstream.Close()
 	replica := startControl(t)
 	replica.Announce(t.Context(), roster.Instance{ID: "u1", Born: 1, Service: "matching", Address: address, State: roster.Ready})
-	seeds := replica.Seeds()
 	var group sync.WaitGroup
 	var answered, cut atomic.Int64
-	for range stoppers {
+	for range entries {
 		group.Go(func() {
 			front := freeAddress(t)
-			entry := routed.NewEntry(routed.EntrySettings{
-				Listen: front, Readiness: freeAddress(t), ReadinessPath: "/ready", Parse: parse, Grace: 8 * time.Second, Log: quietLog(),
-				Seeds: func() []string { return seeds }, Forward: forward.Settings{Headers: testHeaders},
-			})
+			entry := newEntry(t, front, replica, forward.Settings{Headers: testHeaders})
 			ctx, stop := context.WithCancel(t.Context())
 			done := make(chan error, 1)
 			go func() { done <- entry.Run(ctx) }()
--- a/routing/attempt.go
+++ b/routing/attempt.go
@@ -115,10 +115,10 @@
 	a.Refused(now)
 }
 
-// Closed records that the upstream refused the attempt because it wants no work for a time.
-func (a *Attempt) Closed(now time.Time, length time.Duration) {
-	if until := now.Add(length); until.After(a.state.closedUntil.get()) {
-		a.state.closedUntil.set(until)
+// BackOff records that the upstream refused the attempt because it has asked for backoff.
+func (a *Attempt) BackOff(now time.Time, length time.Duration) {
+	if until := now.Add(length); until.After(a.state.backoffUntil.get()) {
+		a.state.backoffUntil.set(until)
 	}
 	if a.markEnded(now) {
 		a.onEnd()
--- a/routing/index.go
+++ b/routing/index.go
@@ -119,30 +119,30 @@
 
 // isServing reports whether the upstream accepts work, according to control and to the upstream itself.
 func (c *candidate) isServing(now time.Time) bool {
-	return c.isStaying(now) && !now.Before(c.state.closedUntil.get())
+	return c.isStaying(now) && !now.Before(c.state.backoffUntil.get())
 }
 
-// isStaying reports whether the upstream accepts work or will do so once it is no longer closed.
+// isStaying reports whether the upstream accepts work or will do so after a backoff.
 func (c *candidate) isStaying(now time.Time) bool {
 	return c.upstream.AcceptsWork(now) && !c.state.draining.Load()
 }
 
-// opensIn returns the time until the first upstream of the service opens, if all that stay are closed.
-func (l *pool) opensIn(now time.Time) (wait time.Duration, isClosed bool) {
+// backoffLeft returns the time until the first backoff of an upstream of the service ends, if all that stay are in one.
+func (l *pool) backoffLeft(now time.Time) (wait time.Duration, isBackingOff bool) {
 	for _, point := range l.ring {
 		c := point.candidate
 		if !c.isStaying(now) {
 			continue
 		}
-		left := c.state.closedUntil.get().Sub(now)
+		left := c.state.backoffUntil.get().Sub(now)
 		if left <= 0 {
 			return 0, false
 		}
-		if !isClosed || left < wait {
-			wait, isClosed = left, true
+		if !isBackingOff || left < wait {
+			wait, isBackingOff = left, true
 		}
 	}
-	return wait, isClosed
+	return wait, isBackingOff
 }
 
 // isAvailable reports whether the upstream is serving and not excluded because of failures.
--- a/routing/picker.go
+++ b/routing/picker.go
@@ -155,10 +155,9 @@
 }
 
 // Pick chooses the upstream and rank of one attempt and counts the attempt there at once. The Outcome of an error is
-// always NotRun. Its Reason is "no-lease" when the lease on the table has expired, "closed" when all upstreams of the
-// service want no work for a time, "no-upstream" when no upstream of
-// the service is available, "no-room" when all are full or the entry's share of them is used up, and "too-late" when
-// the first token would come after the deadline.
+// always NotRun. Its Reason is "no-lease" when the lease on the table has expired, "backoff" when all upstreams of the
+// service have asked for it, "no-upstream" when no upstream of the service is available, "no-room" when all are full or the
+// entry's share of them is used up, and "too-late" when the first token would come after the deadline.
 func (p *Picker) Pick(now time.Time, r Request) (Choice, *outcome.Error) {
 	current := p.index.Load()
 	if until := current.table.leaseUntil; !until.IsZero() && !now.Before(until) {
@@ -176,13 +175,12 @@
 		chosen = l.firstToRecover(now, r, p.settings)
 	}
 	best, e := chosen.candidate, chosen.estimate
-	wait, isClosed := time.Duration(0), false
 	if best == nil {
-		wait, isClosed = l.opensIn(now)
+		if wait, isBackingOff := l.backoffLeft(now); isBackingOff {
+			return Choice{}, p.backoffRefusal(r.Service, wait)
+		}
 	}
 	switch {
-	case isClosed:
-		return Choice{}, p.closedRefusal(r.Service, wait)
 	case best == nil && open:
 		return Choice{}, refusal("no-room", "all upstreams are full", fullRetryAfter)
 	case best == nil:
@@ -193,12 +191,12 @@
 	return p.dispatch(now, l, best, e, r), nil
 }
 
-// closedRefusal returns the refusal of a request whose upstreams are all closed. Callers return spread over the time in
-// which the work at the first of them grows again.
-func (p *Picker) closedRefusal(service string, wait time.Duration) *outcome.Error {
+// backoffRefusal returns the refusal of a request whose upstreams are all in a backoff. Callers return spread over the ramp
+// after the first one that ends.
+func (p *Picker) backoffRefusal(service string, wait time.Duration) *outcome.Error {
 	spread := unitInterval(mix(p.settings.Seed ^ p.sequence.Add(1)))
 	wait += time.Duration(spread * float64(availability.RampTime))
-	return refusal("closed", "all upstreams of "+service+" want no work for a time", wait)
+	return refusal("backoff", "all upstreams of "+service+" have asked for backoff", wait)
 }
 
 // firstToRecover returns the upstream whose exclusion by failures ends first, or the zero value when there is none.
--- a/routing/picker_test.go
+++ b/routing/picker_test.go
@@ -97,9 +97,9 @@
 	require.InDelta(t, 3*time.Second, choice.Total, float64(time.Second), "uses the mean length, not the maximum")
 }
 
-// An upstream that wants no work for a time must get none until then, whatever else happens, and if all are closed the
-// refusal says when the first one opens.
-func TestClosedUpstreams(t *testing.T) {
+// An upstream that has asked for backoff must get no work until then, whatever else happens, and if all have, the refusal
+// says when the first backoff ends.
+func TestUpstreamsThatAskForBackoff(t *testing.T) {
 	picker := routing.NewPicker(routing.Settings{Entry: "entry-1"})
 	picker.Use(routing.Table{}.With(upstream("a"), upstream("b")))
 	pick := func(at time.Duration) (string, *outcome.Error) {
@@ -110,16 +110,16 @@
 		return choice.Upstream.Name, refused
 	}
 	first, _ := picker.Pick(start, routing.Request{Service: "match"})
-	first.Attempt.Closed(start, 20*time.Second)
+	first.Attempt.BackOff(start, 20*time.Second)
 	for range 10 {
 		name, refused := pick(time.Second)
 		require.Nil(t, refused)
 		require.NotEqual(t, first.Upstream.Name, name)
 	}
 	second, _ := picker.Pick(start.Add(time.Second), routing.Request{Service: "match"})
-	second.Attempt.Closed(start.Add(time.Second), 5*time.Second)
+	second.Attempt.BackOff(start.Add(time.Second), 5*time.Second)
 	_, refused := pick(2 * time.Second)
-	require.Equal(t, "closed", refused.Reason)
+	require.Equal(t, "backoff", refused.Reason)
 	require.Equal(t, outcome.NotRun, refused.Outcome)
 	require.InDelta(t, 5, refused.RetryAfter.Seconds(), 1.01)
 	name, refused := pick(6 * time.Second)
--- a/routing/upstream_state.go
+++ b/routing/upstream_state.go
@@ -46,7 +46,7 @@
 		silentSince  atomicTime   // last first token, or the time since which requests wait for one
 		lastOutput   atomicTime   // last token or end of an answer
 		trippedUntil atomicTime   // end of the time for which repeated failures exclude the upstream
-		closedUntil  atomicTime   // end of the time for which the upstream wants no work
+		backoffUntil atomicTime   // end of the backoff that the upstream asked for
 		draining     atomic.Bool  // the upstream has refused work because it drains
 		ranks        atomic.Pointer[rankView]
 		rankTokens   []atomic.Int64 // own tokens in flight on each rank
--- a/sidecar/server.go
+++ b/sidecar/server.go
@@ -103,7 +103,7 @@
 		}
 	}
 	start := admissionRequest(now, request)
-	s.gate.SetEngine(s.settings.Engine.State())
+	s.updateEngine(now)
 	if start.Alone && s.crashed.has(now, start.Fingerprint) {
 		return nil, &outcome.Error{
 			Step: "admit", Peer: s.settings.Name, Outcome: outcome.NotRun, Reason: "died-here", RetryAfter: time.Second,
@@ -147,10 +147,8 @@
 	return admission.AttemptID{Request: id.GetRequest(), Attempt: id.GetAttempt()}
 }
 
-// dispatch starts queued attempts on the engine while it has free capacity. If the engine wants no work, the queued
-// attempts end as not run. The caller holds the mutex.
+// dispatch starts queued attempts on the engine while it has free capacity. The caller holds the mutex.
 func (s *Server) dispatch(now time.Time) {
-	s.turnAway(now)
 	for {
 		call, expired := s.gate.Next(now)
 		for _, late := range expired {
@@ -169,29 +167,30 @@
 	}
 }
 
-// turnAway ends the queued attempts as not run if the engine wants no work. The caller holds the mutex.
-func (s *Server) turnAway(now time.Time) {
+// updateEngine tells the gate whether the engine takes work. If it does not, the queued attempts end as not run. The caller
+// holds the mutex.
+func (s *Server) updateEngine(now time.Time) {
 	engineState := s.settings.Engine.State()
 	s.gate.SetEngine(engineState)
 	refusal := &outcome.Error{Step: "queue", Peer: s.settings.Name, Outcome: outcome.NotRun, Reason: admission.ReasonDraining}
 	if !engineState.IsLeaving() {
-		refusal.Reason, refusal.RetryAfter = admission.ReasonClosed, max(engineState.OpensAt().Sub(now), 0)
+		refusal.Reason, refusal.RetryAfter = admission.ReasonBackoff, max(engineState.BackoffEnd().Sub(now), 0)
 	}
-	for _, call := range s.gate.TurnAway(now) {
+	for _, call := range s.gate.RefuseQueued(now) {
 		delete(s.requests, call.Request.ID)
 		call.Answer.Finish(refusal)
 	}
 	s.recordNotice(engineState, now)
 }
 
-// recordNotice adds an event when the engine begins or ends to want no work. The caller holds the mutex.
+// recordNotice adds an event when what the engine says of itself has changed. The caller holds the mutex.
 func (s *Server) recordNotice(engineState availability.State, now time.Time) {
 	notice := noticeOpen
 	switch {
 	case engineState.IsLeaving():
 		notice = noticeLeaving
-	case engineState.IsClosed(now):
-		notice = "closed until " + engineState.OpensAt().UTC().Format(time.RFC3339)
+	case engineState.IsBackingOff(now):
+		notice = "backoff until " + engineState.BackoffEnd().UTC().Format(time.RFC3339)
 	}
 	if notice == s.notice {
 		return
@@ -220,6 +219,7 @@
 	delete(s.cancels, call.Request.ID)
 	delete(s.requests, call.Request.ID)
 	call.Answer.Finish(failure)
+	s.updateEngine(time.Now())
 	s.dispatch(time.Now())
 }
 
--- a/sidecar/watch.go
+++ b/sidecar/watch.go
@@ -34,10 +34,11 @@
 	}
 }
 
-// dispatchQueued starts queued attempts for which an engine that opens again has room.
+// dispatchQueued starts queued attempts for which the engine has room after a backoff.
 func (s *Server) dispatchQueued() {
 	s.mutex.Lock()
 	defer s.mutex.Unlock()
+	s.updateEngine(time.Now())
 	s.dispatch(time.Now())
 }
 
--- a/soak/notice_test.go
+++ b/soak/notice_test.go
@@ -13,10 +13,10 @@
 const (
 	// troublePercent is the percentage of steps in which upstreams begin to say something of themselves.
 	troublePercent = 50
-	// closedRequests is the number of requests that may reach a closed upstream from one entry, once closedNotice has
+	// backoffRequests is the number of requests that may reach an upstream in a backoff from one entry, once backoffNotice has
 	// passed since it said so to that entry.
-	closedRequests = 2
-	closedNotice   = 500 * time.Millisecond
+	backoffRequests = 2
+	backoffNotice   = 500 * time.Millisecond
 	// endlessTime is how long an upstream sends bytes without end.
 	endlessTime = 1500 * time.Millisecond
 	// entryMark separates the number of the entry from the rest of the ID of a request.
@@ -28,17 +28,17 @@
 	notices struct {
 		mutex     sync.Mutex
 		isLeaving bool
-		// closedFor is the Retry-After of refusals in seconds, 0 for none. isEndless makes answers end never.
-		closedFor int
-		isEndless bool
-		// leavingHeard holds when an entry first got an answer that says that the upstream leaves, closures the last
-		// closure that it heard of.
+		// retryAfter is the Retry-After of refusals in seconds, 0 for none. isEndless makes answers end never.
+		retryAfter int
+		isEndless  bool
+		// leavingHeard holds when an entry first got an answer that says that the upstream leaves, backoffs the last
+		// backoff that it heard of.
 		leavingHeard map[int]time.Time
-		closures     map[int]closure
+		backoffs     map[int]backoff
 	}
 
-	// closure is a time for which an upstream wants no requests from an entry.
-	closure struct {
+	// backoff is the time for which an upstream has asked an entry to send nothing.
+	backoff struct {
 		heard, until time.Time
 		arrivals     int
 	}
@@ -58,8 +58,8 @@
 func (n *notices) clear() {
 	n.mutex.Lock()
 	defer n.mutex.Unlock()
-	n.isLeaving, n.closedFor, n.isEndless = false, 0, false
-	n.leavingHeard, n.closures = map[int]time.Time{}, map[int]closure{}
+	n.isLeaving, n.retryAfter, n.isEndless = false, 0, false
+	n.leavingHeard, n.backoffs = map[int]time.Time{}, map[int]backoff{}
 }
 
 // set changes what the upstream says.
@@ -69,7 +69,7 @@
 	change()
 }
 
-// troubleUpstreams makes some upstreams leave by their answers only, or turn requests away, or one send bytes without end.
+// troubleUpstreams makes some upstreams leave by their answers only, or ask for backoff, or one send bytes without end.
 func (w *cluster) troubleUpstreams() {
 	kind, count, n := w.trouble.intN(3), 1+w.trouble.intN(upstreams), w.trouble.intN(1000)
 	w.recordStep("trouble %d at %d upstreams, %d", kind, count, n)
@@ -87,8 +87,8 @@
 		u.notices.set(func() { u.notices.isLeaving = true })
 		time.AfterFunc(drainTime+time.Second, func() { u.restart(n) })
 	case 1:
-		u.notices.set(func() { u.notices.closedFor = 1 + n%3 })
-		time.AfterFunc(2*time.Second, func() { u.notices.set(func() { u.notices.closedFor = 0 }) })
+		u.notices.set(func() { u.notices.retryAfter = 1 + n%3 })
+		time.AfterFunc(2*time.Second, func() { u.notices.set(func() { u.notices.retryAfter = 0 }) })
 	default:
 		u.notices.set(func() { u.notices.isEndless = true })
 		time.AfterFunc(endlessTime, func() { u.notices.set(func() { u.notices.isEndless = false }) })
@@ -105,14 +105,14 @@
 	u.checkArrival(id, entry)
 	n := &u.notices
 	n.mutex.Lock()
-	isEndless, closedFor, isLeaving := n.isEndless, n.closedFor, n.isLeaving
+	isEndless, retryAfter, isLeaving := n.isEndless, n.retryAfter, n.isLeaving
 	if isEndless {
 		// Bytes without end say nothing of the upstream.
-		closedFor, isLeaving = 0, false
+		retryAfter, isLeaving = 0, false
 	}
-	if closedFor > 0 {
+	if retryAfter > 0 {
 		now := time.Now()
-		n.closures[entry] = closure{heard: now, until: now.Add(time.Duration(closedFor) * time.Second)}
+		n.backoffs[entry] = backoff{heard: now, until: now.Add(time.Duration(retryAfter) * time.Second)}
 	}
 	n.mutex.Unlock()
 	if isLeaving {
@@ -121,12 +121,12 @@
 	switch {
 	case isEndless:
 		writeWithoutEnd(w)
-	case closedFor > 0:
+	case retryAfter > 0:
 		w.Header().Set("Guavahitch-Not-Executed", "1")
-		w.Header().Set("Retry-After", strconv.Itoa(closedFor))
+		w.Header().Set("Retry-After", strconv.Itoa(retryAfter))
 		w.WriteHeader(http.StatusServiceUnavailable)
 	}
-	return isEndless || closedFor > 0
+	return isEndless || retryAfter > 0
 }
 
 // recordAnswer records that the entry of a request got an answer that may say that the upstream leaves.
@@ -140,7 +140,7 @@
 	}
 }
 
-// checkArrival reports a request that reaches an upstream that had told its entry that it leaves or wants none. An entry that
+// checkArrival reports a request that reaches an upstream that had told its entry that it leaves or asked for backoff. An entry that
 // was started, stopped or paused since then is excused, and so is one whose connections to the upstream were disturbed: it may
 // not have got the answer.
 func (u *fakeUpstream) checkArrival(id string, entry int) {
@@ -154,14 +154,14 @@
 	if heard := n.leavingHeard[entry]; heard.After(disturbed) && now.Sub(heard) > drainTime {
 		u.cluster.reportViolation("request %s reached an upstream %v after its entry heard that it leaves", id, now.Sub(heard))
 	}
-	c := n.closures[entry]
-	if !c.heard.After(disturbed) || now.Sub(c.heard) < closedNotice || now.After(c.until) {
+	c := n.backoffs[entry]
+	if !c.heard.After(disturbed) || now.Sub(c.heard) < backoffNotice || now.After(c.until) {
 		return
 	}
 	c.arrivals++
-	n.closures[entry] = c
-	if c.arrivals > closedRequests {
-		u.cluster.reportViolation("request %s is number %d at an upstream that wants none for %v more", id, c.arrivals, c.until.Sub(now))
+	n.backoffs[entry] = c
+	if c.arrivals > backoffRequests {
+		u.cluster.reportViolation("request %s is number %d at an upstream that has asked for backoff for %v more", id, c.arrivals, c.until.Sub(now))
 	}
 }
 
