lockstep, relocation: the size of a switch is passed on, not counted again

Read as a newcomer: the new experts of a rank were counted once more after the choice had counted them, a sum was taken before what it sums was there, and a comment spoke of investments. Change: Event.MaxMoved, which the line of a switch says too. A switch without copies now counts for the part that each switch takes; nothing else behaves otherwise.

--- a/lockstep/demand.go
+++ b/lockstep/demand.go
@@ -59,13 +59,13 @@
 	}
 	d.updated = now
 	recent := d.takeCounts(states)
-	isEnough := relocation.Total(d.shortTerm)+relocation.Total(recent) >= minChoices*float64(len(states))
 	earlier := clone(d.load)
 	addTo(d.load, recent)
 	addTo(d.shortTerm, recent)
 	if relocation.Total(d.load) > 0 {
 		d.outlook = d.outlook.WithStart(now)
 	}
+	isEnough := relocation.Total(d.shortTerm) >= minChoices*float64(len(states))
 	if isEnough && distance(d.load, d.shortTerm) > shiftDistance {
 		d.replace(relocation.WithoutEarlier(recent, earlier), now)
 	}
--- a/lockstep/plan.go
+++ b/lockstep/plan.go
@@ -43,9 +43,9 @@
 		return nil, Event{}, nil
 	}
 	return choice.Placements, Event{
-		Kind: "switch", Epoch: states[0].Epoch, Before: choice.Before, After: choice.After, Moved: choice.Moved,
-		Detail: fmt.Sprintf("at most %d new experts on a rank, ready in %v, demand expected for %v; saves %v, takes %v",
-			choice.MaxMoved, choice.Ready.Round(time.Millisecond), choice.Remaining.Round(time.Millisecond),
+		Kind: "switch", Epoch: states[0].Epoch, Before: choice.Before, After: choice.After, Moved: choice.Moved, MaxMoved: choice.MaxMoved,
+		Detail: fmt.Sprintf("ready in %v, demand expected for %v; saves %v, takes %v",
+			choice.Ready.Round(time.Millisecond), choice.Remaining.Round(time.Millisecond),
 			choice.Saved.Round(time.Millisecond), choice.Spent.Round(time.Millisecond)),
 	}, nil
 }
--- a/lockstep/protocol.go
+++ b/lockstep/protocol.go
@@ -159,9 +159,9 @@
 		// Before and After are the skew of the map before and after the switch: the load of the busiest rank divided
 		// by the mean load, averaged over the sets.
 		Before, After float64
-		// Moved is the number of experts that change ranks.
-		Moved  int
-		Detail string
+		// Moved is the number of experts that are new to a rank, MaxMoved that of the rank with the most.
+		Moved, MaxMoved int
+		Detail          string
 	}
 )
 
--- a/lockstep/switch.go
+++ b/lockstep/switch.go
@@ -46,9 +46,7 @@
 	}
 	phases.end(Prepare)
 	prepared := time.Now()
-	if copies := maxNewExperts(c.maps, next); copies > 0 {
-		c.copyTimes = c.copyTimes.WithSwitch(copies, prepared.Sub(decided))
-	}
+	c.copyTimes = c.copyTimes.WithSwitch(event.MaxMoved, prepared.Sub(decided))
 	if prepared.Sub(decided) > looksBeforeCheck*c.lookTime && c.isOvertaken(ctx, next) {
 		return c.abandon(event, phases, errOvertaken)
 	}
@@ -79,23 +77,6 @@
 	return err
 }
 
-// maxNewExperts returns the number of experts that are new to the rank with the most of them, in all sets.
-func maxNewExperts(present, next []balance.Placement) int {
-	most := 0
-	for rank := range next[0] {
-		count := 0
-		for set := range next {
-			for _, expert := range next[set][rank] {
-				if !slices.Contains(present[set][rank], expert) {
-					count++
-				}
-			}
-		}
-		most = max(most, count)
-	}
-	return most
-}
-
 // isOvertaken reports whether a prepared map is no better for the demand as it is now than the map in use. A rank that
 // cannot be read does not stop the switch.
 func (c *Coordinator) isOvertaken(ctx context.Context, next []balance.Placement) bool {
--- a/relocation/choice.go
+++ b/relocation/choice.go
@@ -1,6 +1,6 @@
-// Package relocation decides which moves of experts between the ranks of a group are worth making. A move is an
-// investment: copying an expert takes time in which passes are slower, and the more even map pays only from the time at
-// which it is in force until the demand changes again. The package does no I/O and reads no clock. Package lockstep
+// Package relocation decides which moves of experts between the ranks of a group are worth making. While an
+// expert is copied passes are slower, and the more even map saves time only from when it is in use until the demand changes
+// again. The package does no I/O and reads no clock. Package lockstep
 // carries its choices out.
 package relocation
 
--- a/routed/group_coordinators.go
+++ b/routed/group_coordinators.go
@@ -251,6 +251,6 @@
 	g.scope.Tagged(map[string]string{"group": e.Group, "event": e.Kind}).Counter("expert_map_events").Inc(1)
 	g.log.WithFields(logrus.Fields{
 		"group": e.Group, "event": e.Kind, "version": e.Version, "step": e.Step, "epoch": e.Epoch,
-		"before": e.Before, "after": e.After, "moved": e.Moved, "detail": e.Detail,
+		"before": e.Before, "after": e.After, "moved": e.Moved, "max_moved": e.MaxMoved, "detail": e.Detail,
 	}).Info("expert map")
 }
