availability, forward, engine: limits that upstreams name are read and logged

The lines of the entries could not tell whether nobody hears a limit or each entry keeps to it alone: they name the upstream of failed attempts only. Change: availability.Fields and ParseRateLimit; State knows the limit that was named last; entries log each change of it, and the line of a request names the upstream that answered and its limit. Nothing obeys a limit yet. Ruled out: that a limit ends when an answer comes late: an answer to a request from before the limit does not end it, nor does one that cannot be matched to its request, or whose field is malformed.

--- a/availability/notice.go
+++ b/availability/notice.go
@@ -5,30 +5,56 @@
 	"time"
 )
 
-// Notice is what the head of a response says of the upstream that sent it.
-type Notice struct {
-	// IsLeaving is set if the upstream is about to leave.
-	IsLeaving bool
-	// Backoff is for how long it asks for no further requests, 0 for none.
-	Backoff time.Duration
-}
+type (
+	// Fields holds the names of the header fields in which upstreams say something of themselves.
+	Fields struct {
+		// Leaving marks every response of an upstream that is about to leave.
+		Leaving string
+		// RateLimit holds the requests a second that the upstream takes from all entries together.
+		RateLimit string
+	}
+
+	// Notice is what the head of a response says of the upstream that sent it.
+	Notice struct {
+		// IsLeaving is set if the upstream is about to leave.
+		IsLeaving bool
+		// Backoff is for how long it asks for no further requests, 0 for none.
+		Backoff time.Duration
+		// RateLimit is the limit that it names.
+		RateLimit RateLimit
+		// IsRateLimitUnknown is set if the response does not tell whether the upstream names a limit.
+		IsRateLimitUnknown bool
+	}
+)
 
-// ReadNotice reads the notice in a response. The leavingField is the name of the header field by which an upstream says
-// that it leaves. A backoff counts only in a response with status 503.
-func ReadNotice(response *http.Response, leavingField string, now time.Time) Notice {
-	leaving := response.Header.Get(leavingField)
+// ReadNotice reads the notice in a response. A backoff counts only in a response with status 503.
+func ReadNotice(response *http.Response, fields Fields, now time.Time) Notice {
+	leaving := response.Header.Get(fields.Leaving)
 	n := Notice{IsLeaving: leaving != "" && leaving != "0"}
 	if response.StatusCode == http.StatusServiceUnavailable {
 		// A malformed field asks for nothing.
 		n.Backoff, _ = ParseRetryAfter(response.Header, now)
 	}
+	values := response.Header.Values(fields.RateLimit)
+	n.RateLimit = ParseRateLimit(values)
+	n.IsRateLimitUnknown = len(values) > 0 && !n.RateLimit.IsNamed
 	return n
 }
 
-// WithNotice returns a copy for an upstream that sent a notice.
-func (s State) WithNotice(now time.Time, n Notice) State {
+// WithNotice returns a copy for an upstream that sent a notice in the response to a request that was sent at the given
+// time.
+func (s State) WithNotice(sent, now time.Time, n Notice) State {
 	if n.IsLeaving {
 		s = s.WithLeaving(now)
 	}
-	return s.WithBackoff(now, n.Backoff)
+	s = s.WithBackoff(now, n.Backoff)
+	switch {
+	case n.RateLimit.IsNamed:
+		return s.WithRateLimit(now, n.RateLimit)
+	case n.IsRateLimitUnknown || !s.rateLimit.IsNamed || !sent.After(s.rateLimitHeard):
+		// The answer to a request from before the limit may be older than the limit.
+		return s
+	default:
+		return s.WithRateLimit(now, RateLimit{})
+	}
 }
--- a/availability/retry_after.go
+++ b/availability/retry_after.go
@@ -27,14 +27,23 @@
 	return min(max(at.Sub(now), 0), maxBackoff), true
 }
 
-// parseSeconds parses decimal digits with at most one point. Numbers of any length are allowed; large ones give
-// maxBackoff.
+// parseSeconds parses a number of seconds. Large ones give maxBackoff.
 func parseSeconds(value string) (length time.Duration, isNumber bool) {
-	whole, fraction, hasPoint := strings.Cut(value, ".")
+	seconds, isNumber := parseDecimal(value, maxBackoff.Seconds())
+	if seconds >= maxBackoff.Seconds() {
+		return maxBackoff, isNumber
+	}
+	return time.Duration(seconds * float64(time.Second)), isNumber
+}
+
+// parseDecimal parses decimal digits with at most one point, and spaces around them. Numbers of any length are allowed;
+// those above the largest give that one.
+func parseDecimal(value string, largest float64) (number float64, isNumber bool) {
+	whole, fraction, hasPoint := strings.Cut(strings.TrimSpace(value), ".")
 	if whole == "" || hasPoint && fraction == "" {
 		return 0, false
 	}
-	seconds, scale := 0.0, 1.0
+	scale := 1.0
 	for _, digits := range []string{whole, fraction} {
 		for _, digit := range digits {
 			if digit < '0' || digit > '9' {
@@ -43,14 +52,11 @@
 		}
 	}
 	for _, digit := range whole {
-		seconds = min(seconds*10+float64(digit-'0'), maxBackoff.Seconds())
+		number = min(number*10+float64(digit-'0'), largest)
 	}
 	for _, digit := range fraction {
 		scale /= 10
-		seconds += scale * float64(digit-'0')
-	}
-	if seconds >= maxBackoff.Seconds() {
-		return maxBackoff, true
+		number += scale * float64(digit-'0')
 	}
-	return time.Duration(seconds * float64(time.Second)), true
+	return min(number, largest), true
 }
--- a/availability/state.go
+++ b/availability/state.go
@@ -43,6 +43,9 @@
 	// backoffUntil is the end of the backoff that the upstream asked for, leavingSince when it first said that it leaves.
 	// Both are zero if it said nothing.
 	backoffUntil, leavingSince time.Time
+	// rateLimit is the limit that the upstream named last, rateLimitHeard when it last named one or stopped to.
+	rateLimit      RateLimit
+	rateLimitHeard time.Time
 	// failures counts the consecutive failures, which suspend the upstream until suspendedUntil.
 	failures       int
 	suspendedUntil time.Time
--- a/engine/client.go
+++ b/engine/client.go
@@ -35,6 +35,8 @@
 	HeaderRank = "Guavahitch-Rank"
 	// HeaderLeaving is the response header by which an engine says that it is about to leave.
 	HeaderLeaving = "Server-Leaving"
+	// HeaderRateLimit is the response header with the requests a second that an engine takes.
+	HeaderRateLimit = "Server-Limit"
 	// headerRequestID is the request header with the ID of the request. An engine that repeats it in its responses keeps
 	// its connections.
 	headerRequestID = "X-Request-Id"
@@ -47,6 +49,9 @@
 	readSize = 32 << 10
 )
 
+// noticeFields are the response headers in which an engine says something of itself.
+var noticeFields = availability.Fields{Leaving: HeaderLeaving, RateLimit: HeaderRateLimit}
+
 // errUnmatched is the error of a response without an ID on a connection in use again: it may belong to an earlier call.
 var errUnmatched = eris.New("the response cannot be matched to its request")
 
@@ -122,6 +127,7 @@
 		return c.callError(err)
 	}
 	stop := context.AfterFunc(ctx, conn.Abort)
+	sent := time.Now()
 	isReusable := false
 	defer func() {
 		if stop() && isReusable {
@@ -134,7 +140,7 @@
 	if err != nil {
 		return c.callError(err)
 	}
-	if failure := c.hear(response, call); failure != nil {
+	if failure := c.hear(response, call, sent); failure != nil {
 		return failure
 	}
 	answer.SetHead(headOf(response))
@@ -169,14 +175,14 @@
 	return response, err
 }
 
-// hear records what the head of a response says of the engine. A repeatable call for which the engine asks to back off
-// fails, so that it is tried elsewhere.
-func (c *Client) hear(response *http.Response, call Call) *outcome.Error {
+// hear records what the head of the response to a call that was sent at the given time says of the engine. A repeatable
+// call for which the engine asks to back off fails, so that it is tried elsewhere.
+func (c *Client) hear(response *http.Response, call Call, sent time.Time) *outcome.Error {
 	now := time.Now()
-	notice := availability.ReadNotice(response, HeaderLeaving, now)
+	notice := availability.ReadNotice(response, noticeFields, now)
 	c.mutex.Lock()
 	defer c.mutex.Unlock()
-	c.state = c.state.WithNotice(now, notice)
+	c.state = c.state.WithNotice(sent, now, notice)
 	if notice.Backoff == 0 || !call.Repeatable {
 		return nil
 	}
@@ -186,17 +192,17 @@
 	}
 }
 
-// hearLoad records what the response to a load request says of the engine. An engine that was leaving and no longer says
-// so has started again.
-func (c *Client) hearLoad(response *http.Response) {
+// hearLoad records what the response to a load request that was sent at the given time says of the engine. An engine that
+// was leaving and no longer says so has started again.
+func (c *Client) hearLoad(response *http.Response, sent time.Time) {
 	now := time.Now()
-	notice := availability.ReadNotice(response, HeaderLeaving, now)
+	notice := availability.ReadNotice(response, noticeFields, now)
 	c.mutex.Lock()
 	defer c.mutex.Unlock()
 	if c.state.IsLeaving() && !notice.IsLeaving {
 		c.state = availability.State{}
 	}
-	c.state = c.state.WithNotice(now, notice)
+	c.state = c.state.WithNotice(sent, now, notice)
 }
 
 func (c *Client) newRequest(ctx context.Context, call Call) (*http.Request, []byte, error) {
@@ -284,11 +290,12 @@
 	if err != nil {
 		return nil, err
 	}
+	sent := time.Now()
 	response, err := c.calls.Do(request)
 	if err != nil {
 		return nil, err
 	}
-	c.hearLoad(response)
+	c.hearLoad(response, sent)
 	var report loadReport
 	if response.StatusCode != http.StatusOK || json.NewDecoder(response.Body).Decode(&report) != nil || report.Capacity == 0 {
 		return nil, nil
--- a/forward/attempt.go
+++ b/forward/attempt.go
@@ -194,8 +194,10 @@
 		a.upstream.recordResponse(now, now.Sub(a.started), true)
 		return broken
 	case a.job.route.Kind == route.Stream && response.StatusCode < http.StatusMultipleChoices:
+		a.job.answering = a.upstream
 		return a.relay(response)
 	default:
+		a.job.answering = a.upstream
 		return a.relayBuffered(response)
 	}
 }
--- a/forward/decision.go
+++ b/forward/decision.go
@@ -18,8 +18,10 @@
 	Service string
 	// Version is the version of the configuration that the request was routed by.
 	Version uint64
-	// Upstream is the ID of the upstream of the last failed attempt, empty if no attempt failed.
-	Upstream string
+	// Upstream is the ID of the upstream of the last failed attempt, empty if no attempt failed. AnsweredBy is that of the
+	// upstream whose response the caller got, RateLimit the limit that this upstream had named.
+	Upstream, AnsweredBy string
+	RateLimit            availability.RateLimit
 	// Attempts counts the attempts that opened a connection without answering the caller. Unsent counts those that
 	// could not connect.
 	Attempts, Unsent int
@@ -65,9 +67,11 @@
 // Notice is what an upstream said of itself in the response to a request.
 type Notice struct {
 	availability.Notice
-	Request  string
-	Service  string
-	Upstream string
+	// EarlierLimit is the limit that the upstream had named before.
+	EarlierLimit availability.RateLimit
+	Request      string
+	Service      string
+	Upstream     string
 	// Born is the start of the incarnation.
 	Born int64
 }
--- a/forward/fleet.go
+++ b/forward/fleet.go
@@ -174,13 +174,13 @@
 	return u.state
 }
 
-// update replaces the state by a changed copy and returns the one before.
-func (u *Upstream) update(change func(availability.State) availability.State) (before availability.State) {
+// update replaces the state by a changed copy and returns both.
+func (u *Upstream) update(change func(availability.State) availability.State) (before, after availability.State) {
 	u.mutex.Lock()
 	defer u.mutex.Unlock()
 	before = u.state
 	u.state = change(before)
-	return before
+	return before, u.state
 }
 
 // recordResponse records a response and its duration.
--- a/forward/job.go
+++ b/forward/job.go
@@ -55,6 +55,8 @@
 	sent, unsent int
 	// migrated counts the attempts that were aborted to continue at another upstream.
 	migrated int
+	// answering is the upstream whose response goes to the caller, nil while there is none.
+	answering *Upstream
 	// mayHaveRun is set when an upstream may have run the request.
 	mayHaveRun bool
 	// deadly is the refusal of the memory, set if it did not let the next attempt start.
@@ -126,6 +128,7 @@
 
 func (j *job) recordAttempt(a *attempt, v attemptResult) {
 	j.tried = append(j.tried, a.upstream)
+	j.answering = nil
 	if v == unsent {
 		j.unsent++
 		return
@@ -257,5 +260,9 @@
 	if n := len(j.tried); n > 0 {
 		d.Upstream = j.tried[n-1].Instance().ID
 	}
+	if j.answering != nil {
+		d.AnsweredBy = j.answering.Instance().ID
+		d.RateLimit = j.answering.currentState().RateLimit()
+	}
 	log(d)
 }
--- a/forward/notice.go
+++ b/forward/notice.go
@@ -16,24 +16,30 @@
 		return
 	}
 	now := time.Now()
-	heard := availability.ReadNotice(response, a.job.server.settings.Headers.Leaving, now)
-	if heard == (availability.Notice{}) {
-		return
+	names := a.job.server.settings.Headers
+	heard := availability.ReadNotice(response, names.Notice, now)
+	if a.job.id == "" || response.Header.Get(names.RequestID) != a.job.id {
+		// The response may be an earlier one, so a limit that it does not name may be named still.
+		heard.IsRateLimitUnknown = !heard.RateLimit.IsNamed
 	}
-	before := a.upstream.update(func(s availability.State) availability.State { return s.WithNotice(now, heard) })
-	if heard.IsLeaving && !before.IsLeaving() || heard.Backoff > 0 && !before.IsBackingOff(now) {
-		a.reportNotice(heard)
+	before, after := a.upstream.update(func(s availability.State) availability.State {
+		return s.WithNotice(a.started, now, heard)
+	})
+	isNews := heard.IsLeaving && !before.IsLeaving() || heard.Backoff > 0 && !before.IsBackingOff(now)
+	if isNews || before.RateLimit() != after.RateLimit() {
+		a.reportNotice(heard, before.RateLimit())
 	}
 }
 
 // reportNotice calls Settings.OnNotice.
-func (a *attempt) reportNotice(heard availability.Notice) {
+func (a *attempt) reportNotice(heard availability.Notice, earlierLimit availability.RateLimit) {
 	report := a.job.server.settings.OnNotice
 	if report == nil {
 		return
 	}
 	instance := a.upstream.Instance()
 	report(Notice{
-		Notice: heard, Request: a.job.id, Service: a.job.service, Upstream: instance.ID, Born: instance.Born,
+		Notice: heard, EarlierLimit: earlierLimit, Request: a.job.id, Service: a.job.service, Upstream: instance.ID,
+		Born: instance.Born,
 	})
 }
--- a/forward/server_test.go
+++ b/forward/server_test.go
@@ -15,6 +15,7 @@
 
 	"github.com/stretchr/testify/require"
 
+	"guavahitch.example/guavahitch/availability"
 	"guavahitch.example/guavahitch/fake"
 	"guavahitch.example/guavahitch/forward"
 	"guavahitch.example/guavahitch/roster"
@@ -23,7 +24,7 @@
 
 var testHeaders = forward.Headers{
 	RequestID: "X-Request", Deadline: "X-Deadline", Seal: "X-Seal", NotExecuted: "X-Not-Executed",
-	ExpectInstance: "X-Expect", Organisation: "X-Organisation", LastEvent: "Last-Event-Id", Leaving: "X-Leaving",
+	ExpectInstance: "X-Expect", Organisation: "X-Organisation", LastEvent: "Last-Event-Id", Notice: availability.Fields{Leaving: "X-Leaving", RateLimit: "X-Limit"},
 }
 
 type (
--- a/forward/settings.go
+++ b/forward/settings.go
@@ -9,6 +9,7 @@
 	"net/http"
 	"time"
 
+	"guavahitch.example/guavahitch/availability"
 	"guavahitch.example/guavahitch/quarantine"
 	"guavahitch.example/guavahitch/upstream"
 )
@@ -47,8 +48,8 @@
 		LastEvent string
 		// Culprit holds the address of the upstream at fault, in a refusal by another upstream.
 		Culprit string
-		// Leaving marks every response of an upstream that is about to leave.
-		Leaving string
+		// Notice holds the fields in which an upstream says something of itself.
+		Notice availability.Fields
 	}
 
 	// Outage reports that the group of a service is down or, if IsDown is false, that it serves again.
--- a/routed/request_log.go
+++ b/routed/request_log.go
@@ -64,7 +64,10 @@
 		"request": decision.Request, "status": decision.Status, "route": decision.Route, "service": decision.Service,
 		"version": decision.Version, "upstream": decision.Upstream, "attempts": decision.Attempts,
 		"unsent": decision.Unsent, "migrated": decision.Migrated, "took_ms": milliseconds(decision.Took),
-		"in_flight": decision.InFlight, "limit": decision.Limit,
+		"in_flight": decision.InFlight, "limit": decision.Limit, "answered_by": decision.AnsweredBy,
+	}
+	if decision.RateLimit.IsNamed {
+		fields["rate_limit"] = decision.RateLimit.PerSecond
 	}
 	if decision.TimeToFirstEvent > 0 {
 		fields["first_ms"] = milliseconds(decision.TimeToFirstEvent)
@@ -109,10 +112,7 @@
 
 // logNotice counts and logs what an upstream said of itself, unless the limit of lines is reached.
 func (d *requestLog) logNotice(n forward.Notice) {
-	reason := "upstream asks for backoff"
-	if n.IsLeaving {
-		reason = "upstream is leaving"
-	}
+	reason := noticeText(n)
 	d.scope.Tagged(map[string]string{"service": n.Service, "notice": reason}).Counter("upstream_notices").Inc(1)
 	skipped, isAllowed := d.allowLine()
 	if !isAllowed {
@@ -122,12 +122,31 @@
 	if n.Backoff > 0 {
 		fields["backoff_ms"] = milliseconds(n.Backoff)
 	}
+	if n.RateLimit.IsNamed {
+		fields["rate_limit"] = n.RateLimit.PerSecond
+	}
+	if n.EarlierLimit.IsNamed {
+		fields["earlier_rate_limit"] = n.EarlierLimit.PerSecond
+	}
 	if skipped > 0 {
 		fields["lines_skipped"] = skipped
 	}
 	d.log.WithFields(fields).Info(reason)
 }
 
+func noticeText(n forward.Notice) string {
+	switch {
+	case n.IsLeaving:
+		return "upstream is leaving"
+	case n.Backoff > 0:
+		return "upstream asks for backoff"
+	case n.RateLimit.IsNamed:
+		return "upstream names a rate limit"
+	default:
+		return "upstream names no rate limit any more"
+	}
+}
+
 // logCrash counts and logs the end of an upstream that ran requests of this entry.
 func (d *requestLog) logCrash(c forward.Crash) {
 	d.scope.Counter("upstream_crashes").Inc(1)
