quota, forward, registry: entries keep together to the limits that upstreams name

What callers' back ends saw: an upstream that names the requests a second that it takes from all entries together got what it got before. Cause: nothing obeyed the field. The class: a limit that holds for all senders together, and no place where all of them draw on it. Change: an entry obeys a limit at once and tells the leader; the leader passes it on and grants whole requests by demand (package quota, Registry.Allot), a new leader waits for the grants of the old; without a leader an equal share of 0.7. All attempts draw in one place (Server.pick). What finds no quota is refused at once with a Retry-After; those that come back go first. A limit ends with an answer without it to a request sent after it was heard, at every entry; a limit of 0 is tried once in 4 s. Why this works: grants of all entries come out of one bucket an upstream, live a second, and nothing is saved up beyond half a second.

--- a/availability/notice.go
+++ b/availability/notice.go
@@ -50,11 +50,11 @@
 	s = s.WithBackoff(now, n.Backoff)
 	switch {
 	case n.RateLimit.IsNamed:
-		return s.WithRateLimit(now, n.RateLimit)
+		return s.WithRateLimit(now, now, n.RateLimit)
 	case n.IsRateLimitUnknown || !s.rateLimit.IsNamed || !sent.After(s.rateLimitHeard):
 		// The answer to a request from before the limit may be older than the limit.
 		return s
 	default:
-		return s.WithRateLimit(now, RateLimit{})
+		return s.WithRateLimit(now, now, RateLimit{})
 	}
 }
--- a/availability/state.go
+++ b/availability/state.go
@@ -46,6 +46,11 @@
 	// rateLimit is the limit that the upstream named last, rateLimitHeard when it last named one or stopped to.
 	rateLimit      RateLimit
 	rateLimitHeard time.Time
+	// share is the part of the limit that this process may use by itself, bucket what it has of that. grants are what
+	// it may send besides.
+	share  float64
+	bucket Bucket
+	grants []grant
 	// failures counts the consecutive failures, which suspend the upstream until suspendedUntil.
 	failures       int
 	suspendedUntil time.Time
--- a/forward/admission.go
+++ b/forward/admission.go
@@ -73,7 +73,7 @@
 // other entry has as many as this one.
 func (g *admission) runningStreams(upstreams []*Upstream, now time.Time) float64 {
 	if !g.server.fleet.hasFreshLoads(now) {
-		return float64(g.inFlight) * float64(max(g.server.entries.Load(), 1))
+		return float64(g.inFlight) * float64(max(g.server.fleet.entries.Load(), 1))
 	}
 	work := int64(0)
 	for _, u := range upstreams {
--- a/forward/decision.go
+++ b/forward/decision.go
@@ -69,9 +69,11 @@
 	availability.Notice
 	// EarlierLimit is the limit that the upstream had named before.
 	EarlierLimit availability.RateLimit
-	Request      string
-	Service      string
-	Upstream     string
+	// IsFromControl is set for a limit that another entry has heard. It has no request.
+	IsFromControl bool
+	Request       string
+	Service       string
+	Upstream      string
 	// Born is the start of the incarnation.
 	Born int64
 }
--- a/forward/fleet.go
+++ b/forward/fleet.go
@@ -42,6 +42,9 @@
 		view     atomic.Pointer[view]
 		// loadsReported is the time of the last load report.
 		loadsReported atomic.Pointer[time.Time]
+		// entries is the number of entries that share the limits of services and upstreams.
+		entries atomic.Int64
+		quotas  *quotas
 		// changes notifies waiting requests of new upstreams, new configurations and ended outages.
 		changes broadcast
 	}
@@ -56,7 +59,7 @@
 
 // NewFleet returns a fleet without upstreams.
 func NewFleet(settings Settings) *Fleet {
-	f := &Fleet{settings: settings.withDefaults(), roster: roster.New(), byID: map[string]*Upstream{}}
+	f := &Fleet{settings: settings.withDefaults(), roster: roster.New(), byID: map[string]*Upstream{}, quotas: newQuotas()}
 	f.view.Store(&view{services: map[string][]*Upstream{}})
 	f.loadsReported.Store(&time.Time{})
 	return f
@@ -116,7 +119,11 @@
 				state: availability.State{}.WithHeartbeat(entry.LastHeartbeat),
 			}
 		}
+		isNew := u.Instance() == nil
 		u.instance.Store(&instance)
+		if isNew {
+			f.restoreLimit(time.Now(), u)
+		}
 		kept[instance.ID] = u
 		next.services[instance.Service] = append(next.services[instance.Service], u)
 	}
--- a/forward/job.go
+++ b/forward/job.go
@@ -112,11 +112,6 @@
 	}
 }
 
-// nextUpstream returns the upstream of the next attempt, or nil if there is none.
-func (j *job) nextUpstream() *Upstream {
-	return j.server.pick(j.service, j.tried, time.Now())
-}
-
 // promptParts returns the IDs of the shared parts of the prompt.
 func (j *job) promptParts() []string {
 	read := j.server.settings.PromptParts
@@ -198,6 +193,9 @@
 			status: http.StatusServiceUnavailable, reason: "upstreams back off", retryAfter: wait, spread: availability.RampTime,
 		}
 	}
+	if refused := j.quotaRefusal(time.Now()); refused != nil {
+		return refused
+	}
 	return &refusal{status: http.StatusServiceUnavailable, reason: "no upstream", retryAfter: j.retryAfter()}
 }
 
--- a/forward/notice.go
+++ b/forward/notice.go
@@ -26,7 +26,11 @@
 		return s.WithNotice(a.started, now, heard)
 	})
 	isNews := heard.IsLeaving && !before.IsLeaving() || heard.Backoff > 0 && !before.IsBackingOff(now)
-	if isNews || before.RateLimit() != after.RateLimit() {
+	isLimitChange := before.RateLimit() != after.RateLimit()
+	if isLimitChange {
+		a.job.server.fleet.quotas.setUnreported(a.upstream.Instance().ID)
+	}
+	if isNews || isLimitChange {
 		a.reportNotice(heard, before.RateLimit())
 	}
 }
--- a/forward/notice_test.go
+++ b/forward/notice_test.go
@@ -7,6 +7,7 @@
 	"strconv"
 	"strings"
 	"sync"
+	"sync/atomic"
 	"testing"
 	"time"
 
@@ -203,3 +204,100 @@
 		{Notice: availability.Notice{IsLeaving: true}, Request: "q1", Service: "ledger", Upstream: "u1", Born: 1},
 	}, notices)
 }
+
+// limitedUpstream starts an upstream that names a limit in each answer.
+func limitedUpstream(t *testing.T, limit *atomic.Value) *fakeUpstream {
+	return newUpstream(t, func(conn net.Conn, request *http.Request, _ string) bool {
+		lines := []string{}
+		if value := limit.Load().(string); value != "" {
+			lines = append(lines, "X-Limit: "+value+"\r\n")
+		}
+		writeWith(conn, request, 200, lines...)
+		return true
+	})
+}
+
+// An entry that nobody grants quota must keep to its share of a limit, and refuse the rest at once with a time to come back. A
+// field that is malformed names no limit.
+func TestEntryWithoutControlKeepsToItsShare(t *testing.T) {
+	for _, c := range []struct {
+		limit   string
+		entries int
+		most    int
+	}{
+		{"8", 1, 8 + 5},
+		{"8", 4, 2},
+		{"0", 1, 1},
+		{"0.1", 2, 1},
+		{"8\r\nX-Limit: 900", 1, 8 + 5},
+		{"NaN", 1, 100},
+		{"-1", 1, 100},
+		{"1e300", 1, 100},
+		{"many", 1, 100},
+		{strings.Repeat("9", 400), 1, 100},
+	} {
+		t.Run(c.limit, func(t *testing.T) {
+			var limit atomic.Value
+			limit.Store(c.limit)
+			u := limitedUpstream(t, &limit)
+			e := newEntry(t, u)
+			e.server.SetEntries(c.entries)
+			require.Equal(t, 1, e.sendMany(1, "/balance/"))
+			sent := 1
+			for start := time.Now(); time.Since(start) < time.Second && sent < 100; sent++ {
+				response, _, err := e.send("POST", "/balance/", "x")
+				require.NoError(t, err)
+				if response.StatusCode == http.StatusOK {
+					continue
+				}
+				require.Equal(t, http.StatusServiceUnavailable, response.StatusCode)
+				wait, err := strconv.ParseFloat(response.Header.Get("Retry-After"), 64)
+				require.NoError(t, err)
+				require.Positive(t, wait)
+				time.Sleep(10 * time.Millisecond)
+			}
+			require.LessOrEqual(t, len(u.received()), 1+c.most)
+			if c.most == 100 {
+				require.Len(t, u.received(), sent)
+			}
+		})
+	}
+}
+
+// A limit must end with the first answer that does not name it, but not with the late answer to a request from before it, or
+// with a field that is malformed.
+func TestLimitEndsWithAnAnswerWithoutIt(t *testing.T) {
+	var limit atomic.Value
+	limit.Store("1")
+	release := make(chan struct{})
+	u := newUpstream(t, func(conn net.Conn, request *http.Request, _ string) bool {
+		value := limit.Load().(string)
+		if request.URL.Path == "/balance/slow" {
+			<-release
+			value = ""
+		}
+		if value == "" {
+			writeWith(conn, request, 200)
+		} else {
+			writeWith(conn, request, 200, "X-Limit: "+value+"\r\n")
+		}
+		return true
+	})
+	settings := testSettings()
+	settings.Random = func() float64 { return 0 }
+	e := newEntryWith(t, settings, u)
+	slow := make(chan int, 1)
+	go func() { slow <- e.sendMany(1, "/balance/slow") }()
+	require.Eventually(t, func() bool { return len(u.received()) == 1 }, time.Second, time.Millisecond)
+	require.Equal(t, 1, e.sendMany(1, "/balance/"))
+	close(release)
+	require.Equal(t, 1, <-slow)
+	require.Zero(t, e.sendMany(1, "/balance/"), "an older answer")
+	limit.Store("four")
+	time.Sleep(1100 * time.Millisecond)
+	require.Equal(t, 1, e.sendMany(1, "/balance/"))
+	require.Zero(t, e.sendMany(1, "/balance/"), "a malformed field")
+	limit.Store("")
+	time.Sleep(1100 * time.Millisecond)
+	require.Equal(t, 20, e.sendMany(20, "/balance/"))
+}
--- a/forward/pick.go
+++ b/forward/pick.go
@@ -28,11 +28,22 @@
 	tier int
 }
 
-// pick returns the upstream for the next attempt, or nil if there is none. It skips the upstreams in tried and those
-// that take no requests. Upstreams that are leaving, silent, suspended, slow or of a group that is down are used only
-// when there is no other.
-func (s *Server) pick(service string, tried []*Upstream, now time.Time) *Upstream {
-	candidates, meanLatency := s.candidates(service, tried, now)
+// pick returns the upstream for the next attempt, or nil if there is none, and takes the request from the quota of an
+// upstream with a rate limit, unless it may use none. Every request that is sent to an upstream is picked here.
+func (s *Server) pick(service string, tried []*Upstream, now time.Time, mayUseLimited bool) *Upstream {
+	for {
+		u := s.choose(service, tried, now, mayUseLimited)
+		if u == nil || u.takeQuota(now) {
+			return u
+		}
+	}
+}
+
+// choose returns the best upstream for the next attempt, or nil if there is none. It skips the upstreams in tried and
+// those that take no requests. Upstreams that are leaving, silent, suspended, slow or of a group that is down are used
+// only when there is no other.
+func (s *Server) choose(service string, tried []*Upstream, now time.Time, mayUseLimited bool) *Upstream {
+	candidates, meanLatency := s.candidates(service, tried, now, mayUseLimited)
 	if len(candidates) == 0 {
 		return nil
 	}
@@ -74,11 +85,12 @@
 
 // candidates returns the upstreams of a service in the best tier that were not tried yet, and the mean latency of all
 // upstreams of the service in seconds.
-func (s *Server) candidates(service string, tried []*Upstream, now time.Time) ([]candidate, float64) {
+func (s *Server) candidates(service string, tried []*Upstream, now time.Time, mayUseLimited bool) ([]candidate, float64) {
 	upstreams := s.fleet.Service(service)
 	all := make([]candidate, 0, len(upstreams))
 	var latest time.Time
 	total, sampled := 0.0, 0
+	lacksQuota := false
 	for _, u := range upstreams {
 		c := candidate{Upstream: u, state: u.currentState()}
 		c.failureRate = c.state.FailureRate(now)
@@ -89,9 +101,17 @@
 			total += c.state.Latency
 			sampled++
 		}
-		if !slices.Contains(tried, u) && u.takesRequests(c.state, now, s.settings.DrainTime) {
-			all = append(all, c)
+		if slices.Contains(tried, u) || !u.takesRequests(c.state, now, s.settings.DrainTime) {
+			continue
+		}
+		if c.state.RateLimit().IsNamed && !(mayUseLimited && u.hasQuota(now, s.fleet)) {
+			lacksQuota = true
+			continue
 		}
+		all = append(all, c)
+	}
+	if lacksQuota && len(all) == 0 {
+		s.fleet.quotas.lacking.notify()
 	}
 	meanLatency := 1.0
 	if sampled > 0 {
--- a/forward/server.go
+++ b/forward/server.go
@@ -3,7 +3,6 @@
 import (
 	"errors"
 	"io"
-	"math/rand/v2"
 	"net/http"
 	"strconv"
 	"strings"
@@ -26,8 +25,6 @@
 		settings Settings
 		fleet    *Fleet
 		table    atomic.Pointer[route.Table]
-		// entries is the number of entries that share the retry and stream limits of a service.
-		entries atomic.Int64
 		// isClosing is set when every response closes its connection.
 		isClosing atomic.Bool
 		// isRefusing is set when new requests are refused.
@@ -87,7 +84,7 @@
 // SetEntries sets the number of entries that share the limits of a service. A number below 1 is ignored.
 func (s *Server) SetEntries(entries int) {
 	if entries > 0 {
-		s.entries.Store(int64(entries))
+		s.fleet.entries.Store(int64(entries))
 	}
 }
 
@@ -224,7 +221,7 @@
 func (s *Server) budget(service string) *retry.Budget {
 	s.mutex.Lock()
 	defer s.mutex.Unlock()
-	entries := max(s.entries.Load(), 1)
+	entries := max(s.fleet.entries.Load(), 1)
 	b, isKnown := s.budgets[service]
 	if !isKnown || entries > b.entries {
 		part := s.settings.Retry.Slack / float64(entries) * budgetMargin
@@ -234,9 +231,4 @@
 	return b.Budget
 }
 
-func (s *Server) random() float64 {
-	if s.settings.Random != nil {
-		return s.settings.Random()
-	}
-	return rand.Float64()
-}
+func (s *Server) random() float64 { return s.settings.draw() }
--- a/forward/settings.go
+++ b/forward/settings.go
@@ -6,6 +6,7 @@
 
 import (
 	"cmp"
+	"math/rand/v2"
 	"net/http"
 	"time"
 
@@ -110,6 +111,14 @@
 	}
 )
 
+// draw returns a random number in [0, 1).
+func (s Settings) draw() float64 {
+	if s.Random != nil {
+		return s.Random()
+	}
+	return rand.Float64()
+}
+
 func (s Settings) withDefaults() Settings {
 	s.ConnectTimeout = cmp.Or(s.ConnectTimeout, DefaultConnectTimeout)
 	s.StreamIdleTimeout = cmp.Or(s.StreamIdleTimeout, DefaultStreamIdleTimeout)
--- /dev/null
+++ b/registry/allotment.go
@@ -0,0 +1,163 @@
+package registry
+
+import (
+	"context"
+	"math/rand/v2"
+	"strconv"
+	"time"
+
+	"guavahitch.example/guavahitch/quota"
+	"guavahitch.example/guavahitch/wire"
+)
+
+// This file divides the rate limits of upstreams among the entries. Each entry reports to the leader what it has heard and
+// how many requests it has, and is granted some; the leader passes the limits on to all entries.
+
+const (
+	// allotInterval is the time between two requests of an entry for quota while upstreams name limits. urgentInterval is
+	// the time if its callers lack quota.
+	allotInterval  = 200 * time.Millisecond
+	urgentInterval = 60 * time.Millisecond
+	// allotSpacing is added to both for each entry, which bounds the requests that the leader gets.
+	allotSpacing = 3 * time.Millisecond
+	// allotTimeout bounds one request for quota.
+	allotTimeout = 400 * time.Millisecond
+)
+
+// QuotaClient is the part of an entry that sends requests to upstreams with rate limits. Its functions are called from
+// several goroutines.
+type QuotaClient struct {
+	// Next returns the limits to report and the requests to ask for. All limits are reported to a new leader. If both are
+	// empty, the leader is not called.
+	Next func(now time.Time, isNewLeader bool) ([]quota.Limit, []quota.Demand)
+	// OnGrants receives what the leader grants.
+	OnGrants func(now time.Time, grants []quota.Grant)
+	// OnLimits receives limits that other entries have heard.
+	OnLimits func(now time.Time, limits []quota.Limit)
+	// Lacking returns a channel that is closed when a caller next lacks quota.
+	Lacking func() <-chan struct{}
+}
+
+// Allot grants an entry requests. A replica that does not lead returns ErrNoQuorum.
+func (i replicaService) Allot(_ context.Context, request *wire.AllotRequest) (*wire.AllotReply, error) {
+	term, leads := i.replica.Leading()
+	if !leads {
+		return nil, ErrNoQuorum
+	}
+	now := time.Now()
+	allocator := i.replica.allocator
+	allocator.Lead(now, term)
+	allocator.Hear(now, decodeLimits(request.Limits, now))
+	reply := &wire.AllotReply{}
+	for _, d := range request.Demands {
+		for _, g := range allocator.Grant(now, request.Entry, d.Service, int(max(d.Requests, 0))) {
+			reply.Grants = append(reply.Grants, &wire.QuotaGrant{Id: g.Upstream, Born: g.Born, Requests: int32(g.Requests)})
+		}
+	}
+	return reply, nil
+}
+
+// addLimits adds the rate limits that have changed to a frame if the replica leads, and returns a channel that is closed at the
+// next change.
+func (w *watchStream) addLimits(frame *wire.WatchFrame, now time.Time) (changed <-chan struct{}) {
+	allocator := w.replica.allocator
+	term, leads := w.replica.Leading()
+	if !leads {
+		return nil
+	}
+	allocator.Lead(now, term)
+	var limits []quota.Limit
+	limits, w.limitsRevision, changed = allocator.Limits(w.limitsRevision)
+	frame.LeadingTerm, frame.Limits = term, encodeLimits(limits, now)
+	return changed
+}
+
+// askForQuota asks the leader for quota until the context ends.
+func (f *Follower) askForQuota(ctx context.Context) {
+	asker := &quotaAsker{follower: f, entry: strconv.FormatUint(rand.Uint64(), 36)}
+	for ctx.Err() == nil {
+		lacking := f.settings.Quota.Lacking()
+		asker.ask(ctx)
+		spacing := allotSpacing * time.Duration(f.entryCount())
+		timer := time.NewTimer(allotInterval + spacing)
+		select {
+		case <-ctx.Done():
+		case <-timer.C:
+		case <-lacking:
+			timer.Reset(urgentInterval + spacing)
+			select {
+			case <-ctx.Done():
+			case <-timer.C:
+			}
+		}
+		timer.Stop()
+	}
+}
+
+// quotaAsker asks the leader for the quota of one entry.
+type quotaAsker struct {
+	follower *Follower
+	// entry identifies the process among the entries.
+	entry string
+	// term is that of the leader that has answered last, 0 if it did not answer the last request.
+	term uint64
+}
+
+// ask asks the leader once, if there is one and something to ask.
+func (a *quotaAsker) ask(ctx context.Context) {
+	f := a.follower
+	address, term := f.leader()
+	if term == 0 {
+		a.term = 0
+		return
+	}
+	limits, demands := f.settings.Quota.Next(time.Now(), term != a.term)
+	if len(limits) == 0 && len(demands) == 0 {
+		return
+	}
+	reply, err := f.allot(ctx, address, a.newRequest(limits, demands))
+	if err != nil {
+		f.settings.Log.WithError(err).WithField("replica", address).Warn("no quota from the leader")
+		a.term = 0
+		return
+	}
+	if term != a.term {
+		f.settings.Log.WithField("replica", address).WithField("term", term).WithField("limits", len(limits)).
+			Info("quota comes from the leader")
+	}
+	a.term = term
+	f.settings.Quota.OnGrants(time.Now(), decodeGrants(reply.Grants))
+}
+
+func (a *quotaAsker) newRequest(limits []quota.Limit, demands []quota.Demand) *wire.AllotRequest {
+	request := &wire.AllotRequest{Entry: a.entry, Limits: encodeLimits(limits, time.Now())}
+	for _, d := range demands {
+		request.Demands = append(request.Demands, &wire.QuotaDemand{Service: d.Service, Requests: int32(d.Requests)})
+	}
+	return request
+}
+
+func (f *Follower) allot(ctx context.Context, address string, request *wire.AllotRequest) (*wire.AllotReply, error) {
+	ctx, cancel := context.WithTimeout(ctx, allotTimeout)
+	defer cancel()
+	return wire.NewRegistryProtobufClient("http://"+address, f.quotaClient).Allot(ctx, request)
+}
+
+// leader returns the connected replica that leads the highest term, and the term, 0 if none leads.
+func (f *Follower) leader() (address string, term uint64) {
+	f.mutex.Lock()
+	defer f.mutex.Unlock()
+	for name, r := range f.replicas {
+		if r.connected && r.leadingTerm > term {
+			address, term = name, r.leadingTerm
+		}
+	}
+	return address, term
+}
+
+// entryCount returns the largest number of entries that a connected replica counts.
+func (f *Follower) entryCount() int {
+	f.mutex.Lock()
+	defer f.mutex.Unlock()
+	return f.countEntries()
+}
--- a/registry/encoding.go
+++ b/registry/encoding.go
@@ -1,8 +1,11 @@
 package registry
 
 import (
+	"math"
 	"time"
 
+	"guavahitch.example/guavahitch/availability"
+	"guavahitch.example/guavahitch/quota"
 	"guavahitch.example/guavahitch/roster"
 	"guavahitch.example/guavahitch/wire"
 )
@@ -50,3 +53,38 @@
 func heartbeatTime(silenceMs int64, now time.Time) time.Time {
 	return now.Add(-time.Duration(max(silenceMs, 0)) * time.Millisecond)
 }
+
+// encodeLimits returns the messages for rate limits, with the age of what was heard in place of its time.
+func encodeLimits(limits []quota.Limit, now time.Time) []*wire.UpstreamLimit {
+	messages := make([]*wire.UpstreamLimit, 0, len(limits))
+	for _, l := range limits {
+		messages = append(messages, &wire.UpstreamLimit{
+			Id: l.Upstream, Born: l.Born, Service: l.Service, Named: l.IsNamed, PerSecond: l.PerSecond,
+			AgeMs: now.Sub(l.Heard).Milliseconds(),
+		})
+	}
+	return messages
+}
+
+// decodeLimits returns the rate limits of messages. Those that no upstream can have named are left out.
+func decodeLimits(messages []*wire.UpstreamLimit, now time.Time) []quota.Limit {
+	limits := make([]quota.Limit, 0, len(messages))
+	for _, m := range messages {
+		if !(m.PerSecond >= 0) || math.IsInf(m.PerSecond, 1) {
+			continue
+		}
+		limits = append(limits, quota.Limit{
+			Upstream: m.Id, Born: m.Born, Service: m.Service, Heard: heartbeatTime(m.AgeMs, now),
+			RateLimit: availability.RateLimit{IsNamed: m.Named, PerSecond: m.PerSecond},
+		})
+	}
+	return limits
+}
+
+func decodeGrants(messages []*wire.QuotaGrant) []quota.Grant {
+	grants := make([]quota.Grant, 0, len(messages))
+	for _, m := range messages {
+		grants = append(grants, quota.Grant{Upstream: m.Id, Born: m.Born, Requests: int(m.Requests)})
+	}
+	return grants
+}
--- a/registry/follower.go
+++ b/registry/follower.go
@@ -28,6 +28,8 @@
 	// unlistedReplicaTimeout is how long a replica is still followed after it was last a seed or listed by a connected
 	// replica.
 	unlistedReplicaTimeout = 20 * time.Second
+	// quotaIdleTimeout is how long an unused connection for quota is kept.
+	quotaIdleTimeout = 10 * time.Second
 	// maxFrameBytes bounds one frame or configuration.
 	maxFrameBytes = 16 << 20
 )
@@ -54,6 +56,8 @@
 		Memory *quarantine.Memory
 		// OnVerdicts receives the verdicts that evidence of other processes changed. It may be nil.
 		OnVerdicts func([]*wire.Quarantine)
+		// Quota is served with quota by the leader. Its functions are nil in a replica.
+		Quota QuotaClient
 		// OnEntries receives the number of entries, which is the largest that a connected replica counts.
 		OnEntries func(int)
 		Log       *logrus.Entry
@@ -63,6 +67,8 @@
 	Follower struct {
 		settings FollowerSettings
 		client   *http.Client
+		// quotaClient keeps its connection between two requests for quota.
+		quotaClient *http.Client
 		// runContext is the context of Run. All replicas are followed under it, so that following one does not depend
 		// on the stream of the replica that listed it.
 		runContext context.Context
@@ -83,7 +89,9 @@
 		// listedReplicas are the replicas that it listed last.
 		listedReplicas []string
 		entries        int
-		connected      bool
+		// leadingTerm is the term that it leads, 0 if it does not lead.
+		leadingTerm uint64
+		connected   bool
 	}
 )
 
@@ -98,12 +106,18 @@
 		client: &http.Client{Transport: &http.Transport{
 			DialContext: dialer.DialContext, DisableCompression: true, DisableKeepAlives: true,
 		}},
+		quotaClient: &http.Client{Transport: &http.Transport{
+			DialContext: dialer.DialContext, DisableCompression: true, IdleConnTimeout: quotaIdleTimeout,
+		}},
 	}
 }
 
 // Run follows the replicas until the context ends.
 func (f *Follower) Run(ctx context.Context) error {
 	f.runContext = ctx
+	if f.settings.Quota.Next != nil {
+		f.done.Go(func() { f.askForQuota(ctx) })
+	}
 	ticker := time.NewTicker(time.Second)
 	defer ticker.Stop()
 	for {
@@ -220,6 +234,9 @@
 	if len(frame.Loads) > 0 && f.settings.OnLoads != nil {
 		f.settings.OnLoads(decodeLoads(frame.Loads))
 	}
+	if len(frame.Limits) > 0 && f.settings.Quota.OnLimits != nil {
+		f.settings.Quota.OnLimits(now, decodeLimits(frame.Limits, now))
+	}
 	f.mergeEvidence(frame.Evidence, now)
 	f.recordFrame(address, frame, now)
 }
@@ -295,22 +312,27 @@
 		r.connected = true
 		f.settings.Log.WithField("replica", address).Info("stream to replica opened")
 	}
-	r.entries = int(frame.Entries)
+	r.entries, r.leadingTerm = int(frame.Entries), frame.LeadingTerm
 	if len(frame.Replicas) > 0 {
 		r.listedReplicas = frame.Replicas
 		for _, name := range frame.Replicas {
 			f.startFollowing(name, now)
 		}
 	}
+	if f.settings.OnEntries != nil {
+		f.settings.OnEntries(f.countEntries())
+	}
+}
+
+// countEntries returns the largest number of entries that a connected replica counts. The caller holds the mutex.
+func (f *Follower) countEntries() int {
 	entries := 0
-	for _, other := range f.replicas {
-		if other.connected {
-			entries = max(entries, other.entries)
+	for _, r := range f.replicas {
+		if r.connected {
+			entries = max(entries, r.entries)
 		}
 	}
-	if f.settings.OnEntries != nil {
-		f.settings.OnEntries(entries)
-	}
+	return entries
 }
 
 // markDisconnected records that a stream ended, and reports whether it had received a frame.
--- a/registry/replica.go
+++ b/registry/replica.go
@@ -18,6 +18,7 @@
 	"guavahitch.example/guavahitch/consensus"
 	"guavahitch.example/guavahitch/peer"
 	"guavahitch.example/guavahitch/quarantine"
+	"guavahitch.example/guavahitch/quota"
 	"guavahitch.example/guavahitch/roster"
 	"guavahitch.example/guavahitch/route"
 	"guavahitch.example/guavahitch/wait"
@@ -73,6 +74,8 @@
 		leadingSince atomic.Pointer[time.Time]
 		// memory holds what entries know of requests that end upstreams.
 		memory *quarantine.Memory
+		// allocator grants requests at upstreams that name rate limits, while this replica leads.
+		allocator *quota.Allocator
 		// table is the lookup table of the configuration in force.
 		table atomic.Pointer[route.Table]
 
@@ -111,7 +114,7 @@
 func Open(settings Settings) (*Replica, error) {
 	r := &Replica{
 		settings: settings, roster: roster.New(), changed: make(chan struct{}), loads: map[string][]Load{},
-		memory: quarantine.NewMemory(),
+		memory: quarantine.NewMemory(), allocator: quota.NewAllocator(),
 	}
 	r.ctx, r.cancel = context.WithCancel(context.Background())
 	if r.settings.Scope == nil {
--- a/registry/watch.go
+++ b/registry/watch.go
@@ -38,6 +38,8 @@
 	loadsRevision uint64
 	// evidenceRevision is the revision of the evidence that was sent last.
 	evidenceRevision uint64
+	// limitsRevision is that of the rate limits that were sent last.
+	limitsRevision uint64
 }
 
 // serveWatch streams frames until the follower disconnects or the replica closes.
@@ -55,6 +57,7 @@
 		frame, changed := stream.nextFrame(now)
 		var learned <-chan struct{}
 		frame.Evidence, stream.evidenceRevision, learned = r.memory.Evidence(now, stream.evidenceRevision)
+		limited := stream.addLimits(frame, now)
 		_ = control.SetWriteDeadline(time.Now().Add(frameWriteTimeout))
 		if _, err := protodelim.MarshalTo(w, frame); err != nil {
 			return
@@ -71,6 +74,8 @@
 		case <-timer.C:
 		case <-learned:
 			wait.For(r.ctx, batchDelay)
+		case <-limited:
+			wait.For(r.ctx, batchDelay)
 		case <-changed:
 			wait.For(r.ctx, batchDelay)
 		}
--- a/routed/entry.go
+++ b/routed/entry.go
@@ -18,6 +18,7 @@
 
 	"guavahitch.example/guavahitch/forward"
 	"guavahitch.example/guavahitch/quarantine"
+	"guavahitch.example/guavahitch/quota"
 	"guavahitch.example/guavahitch/registry"
 	"guavahitch.example/guavahitch/roster"
 	"guavahitch.example/guavahitch/route"
@@ -101,8 +102,16 @@
 		OnUpstreams: func(announced, renewals []roster.Entry) { e.fleet.Update(announced, renewals) },
 		OnLoads:     e.server.UpdateLoads,
 		OnEntries:   e.server.SetEntries,
-		Memory:      settings.Forward.Memory,
-		OnVerdicts:  requests.logVerdicts,
+		Quota: registry.QuotaClient{
+			Next: e.fleet.NextQuotaRequest, OnGrants: e.fleet.ApplyGrants, Lacking: e.fleet.LackingQuota,
+			OnLimits: func(now time.Time, limits []quota.Limit) {
+				for _, n := range e.fleet.ApplyLimits(now, limits) {
+					requests.logNotice(n)
+				}
+			},
+		},
+		Memory:     settings.Forward.Memory,
+		OnVerdicts: requests.logVerdicts,
 	})
 	e.front = &http.Server{
 		Handler: e.server, ReadHeaderTimeout: headerTimeout, IdleTimeout: idleTimeout,
--- a/routed/rate_limit_test.go
+++ b/routed/rate_limit_test.go
@@ -212,3 +212,49 @@
 	require.GreaterOrEqual(t, float64(counts.served.Load()), 0.99*float64(counts.sent.Load()))
 	c.requireLimits(limited, 2)
 }
+
+// Guards against a share of the limits that nobody uses: every upstream names a limit, and most requests come to one entry. What
+// does not fit is refused at once, with a time to come back.
+func TestLimitsAreUsedWhereTheRequestsAre(t *testing.T) {
+	const perSecond = 2.0
+	c := newLimitedCluster(t, 12, 60, 2, 2, 2)
+	for _, u := range c.upstreams {
+		u.setLimit("2")
+	}
+	ctx, stop := context.WithTimeout(t.Context(), limitContact+limitWindow+2*time.Second)
+	defer stop()
+	began := time.Now()
+	counts := c.load(ctx)
+	allowed := perSecond * float64(len(c.upstreams)) * time.Since(began).Seconds()
+	t.Logf("%d of %d served, the limits allow %.0f; %d refused, %d of them late, %d without Retry-After", counts.served.Load(),
+		counts.sent.Load(), allowed, counts.refused.Load(), counts.slowRefusals.Load(), counts.withoutAdvice.Load())
+	c.requireLimits(c.upstreams, perSecond)
+	require.GreaterOrEqual(t, float64(counts.served.Load()), 0.85*allowed)
+	require.Zero(t, counts.slowRefusals.Load())
+	require.Zero(t, counts.withoutAdvice.Load())
+	require.Zero(t, counts.other.Load())
+}
+
+// Guards against a limit that is obeyed after the upstream has stopped to name it, and one that entries learn of only from
+// their own requests.
+func TestLimitEndsAtEveryEntryWhenOneHearsSo(t *testing.T) {
+	c := newLimitedCluster(t, 2, 20, 20)
+	for _, u := range c.upstreams {
+		u.setLimit("0")
+	}
+	run := func(length time.Duration) *callCounts {
+		ctx, stop := context.WithTimeout(t.Context(), length)
+		defer stop()
+		return c.load(ctx)
+	}
+	limited := run(limitContact + limitWindow)
+	c.requireLimits(c.upstreams, 0)
+	for _, u := range c.upstreams {
+		u.setLimit("")
+	}
+	// A limit of 0 is tried once in 4 s.
+	run(5 * time.Second)
+	open := run(2 * time.Second)
+	t.Logf("%d of %d served under limits of 0, %d of %d without", limited.served.Load(), limited.sent.Load(), open.served.Load(), open.sent.Load())
+	require.Equal(t, open.sent.Load(), open.served.Load())
+}
--- a/routed/request_log.go
+++ b/routed/request_log.go
@@ -119,6 +119,9 @@
 		return
 	}
 	fields := logrus.Fields{"request": n.Request, "service": n.Service, "upstream": n.Upstream, "born": n.Born}
+	if n.IsFromControl {
+		fields["from_control"] = true
+	}
 	if n.Backoff > 0 {
 		fields["backoff_ms"] = milliseconds(n.Backoff)
 	}
