admission, sidecar, engine: the chat interface keeps to the limits that engines name

Cause: as on routed traffic, nothing obeyed Server-Limit. All calls of an engine pass through the gate of its sidecar, so the gate takes the whole of the limit: it releases no call and refuses (not run, with the time until the next) what exceeds it, and what is queued then goes on elsewhere. Ruled out: a share for each entry, which one gate makes needless.

--- a/admission/gate.go
+++ b/admission/gate.go
@@ -26,7 +26,7 @@
 	ReasonEpoch = "epoch"
 	// ReasonDraining refuses an attempt because the upstream is draining.
 	ReasonDraining = "draining"
-	// ReasonBackoff refuses an attempt because the engine has asked for backoff.
+	// ReasonBackoff refuses an attempt because the engine has asked for backoff, or its rate limit is used up.
 	ReasonBackoff = "backoff"
 	// ReasonOverloaded refuses an attempt because the queue is full.
 	ReasonOverloaded = "overloaded"
@@ -209,8 +209,8 @@
 		refusal.Reason = "not-listed"
 	case !request.Deadline.After(now):
 		refusal.Reason, refusal.RetryAfter = "deadline", 0
-	case g.engine.IsBackingOff(now):
-		refusal.Reason, refusal.RetryAfter = ReasonBackoff, g.engine.BackoffEnd().Sub(now)
+	case g.engine.Wait(now) > 0:
+		refusal.Reason, refusal.RetryAfter = ReasonBackoff, g.engine.Wait(now)
 	case len(g.queue) >= g.limits.Queued && !g.hasRoom(now, request.Alone):
 		refusal.Reason = ReasonOverloaded
 	default:
@@ -265,10 +265,10 @@
 	return !g.runsAlone && int64(g.running) < limit
 }
 
-// RefuseQueued bars and returns the queued attempts if the engine leaves or has asked for backoff, so that they
-// go on elsewhere.
+// RefuseQueued bars and returns the queued attempts if the engine leaves, has asked for backoff or its rate limit is used
+// up, so that they go on elsewhere.
 func (g *Gate) RefuseQueued(now time.Time) []*Call {
-	if !g.engine.IsBackingOff(now) && !g.engine.IsLeaving() {
+	if g.engine.Wait(now) <= 0 && !g.engine.IsLeaving() {
 		return nil
 	}
 	refused := g.queue
@@ -279,7 +279,7 @@
 	return refused
 }
 
-// Next releases the next attempt to the engine. It returns nil if none is queued or the engine has no capacity for the
+// Next releases the next attempt to the engine, and counts it against the engine's rate limit. It returns nil if none is queued or the engine has no capacity for the
 // first one. Queued attempts ahead of it whose deadline has passed are barred and returned in expired.
 func (g *Gate) Next(now time.Time) (next *Call, expired []*Call) {
 	for len(g.queue) > 0 {
@@ -290,9 +290,10 @@
 			expired = append(expired, call)
 			continue
 		}
-		if !g.hasRoom(now, call.Request.Alone) {
+		if !g.hasRoom(now, call.Request.Alone) || !g.engine.HasQuota(now) {
 			return nil, expired
 		}
+		g.engine = g.engine.WithRequest(now)
 		g.queue = g.queue[1:]
 		call.State = Running
 		call.Began = now
--- a/availability/rate_limit.go
+++ b/availability/rate_limit.go
@@ -123,6 +123,11 @@
 	return s.withRefill(now).bucket.Wait(s.rateLimit.Rate() * s.share)
 }
 
+// Wait returns the time until the upstream takes a request of this process: the end of a backoff and the next quota.
+func (s State) Wait(now time.Time) time.Duration {
+	return max(s.backoffUntil.Sub(now), s.QuotaWait(now))
+}
+
 // WithRequest returns a copy that has one request less to send.
 func (s State) WithRequest(now time.Time) State {
 	if !s.rateLimit.IsNamed {
--- a/engine/client.go
+++ b/engine/client.go
@@ -98,7 +98,20 @@
 
 // NewClient returns a client for the engine at an IP address and port.
 func NewClient(address string) *Client {
-	return &Client{address: address, pool: upstream.NewPool(address, dialTimeout), calls: upstream.NewClient(dialTimeout)}
+	return &Client{
+		address: address, pool: upstream.NewPool(address, dialTimeout), calls: upstream.NewClient(dialTimeout), state: newState(),
+	}
+}
+
+// newState returns the state of an engine that has said nothing. All its calls pass through this client, so the client uses
+// the whole of a rate limit.
+func newState() availability.State { return availability.State{}.WithShare(time.Now(), 1, 0) }
+
+// CountRequest counts a call against the rate limit of the engine.
+func (c *Client) CountRequest(now time.Time) {
+	c.mutex.Lock()
+	defer c.mutex.Unlock()
+	c.state = c.state.WithRequest(now)
 }
 
 // State returns whether the engine takes calls, according to its responses.
@@ -112,7 +125,7 @@
 func (c *Client) Forget() {
 	c.mutex.Lock()
 	defer c.mutex.Unlock()
-	c.state = availability.State{}
+	c.state = newState()
 }
 
 // Run sends the call and copies the response to the answer until its end. In an error, the Outcome is NotRun when the
@@ -200,7 +213,7 @@
 	c.mutex.Lock()
 	defer c.mutex.Unlock()
 	if c.state.IsLeaving() && !notice.IsLeaving {
-		c.state = availability.State{}
+		c.state = newState()
 	}
 	c.state = c.state.WithNotice(sent, now, notice)
 }
--- a/sidecar/server.go
+++ b/sidecar/server.go
@@ -6,6 +6,7 @@
 
 import (
 	"context"
+	"fmt"
 	"sync"
 	"time"
 
@@ -160,6 +161,7 @@
 		if call == nil {
 			return
 		}
+		s.settings.Engine.CountRequest(now)
 		ctx, cancel := context.WithDeadline(s.baseContext, call.Request.Deadline.Add(maxOverrun))
 		s.cancels[call.Request.ID] = cancel
 		s.runs.Add(1)
@@ -174,7 +176,7 @@
 	s.gate.SetEngine(engineState)
 	refusal := &outcome.Error{Step: "queue", Peer: s.settings.Name, Outcome: outcome.NotRun, Reason: admission.ReasonDraining}
 	if !engineState.IsLeaving() {
-		refusal.Reason, refusal.RetryAfter = admission.ReasonBackoff, max(engineState.BackoffEnd().Sub(now), 0)
+		refusal.Reason, refusal.RetryAfter = admission.ReasonBackoff, max(engineState.Wait(now), 0)
 	}
 	for _, call := range s.gate.RefuseQueued(now) {
 		delete(s.requests, call.Request.ID)
@@ -191,6 +193,8 @@
 		notice = noticeLeaving
 	case engineState.IsBackingOff(now):
 		notice = "backoff until " + engineState.BackoffEnd().UTC().Format(time.RFC3339)
+	case engineState.RateLimit().IsNamed:
+		notice = fmt.Sprintf("rate limit %g a second", engineState.RateLimit().PerSecond)
 	}
 	if notice == s.notice {
 		return
