--- a/soak/notice_test.go
+++ b/soak/notice_test.go
@@ -35,6 +35,7 @@
 		// backoff that it heard of.
 		leavingHeard map[int]time.Time
 		backoffs     map[int]backoff
+		rateLimit    rateLimit
 	}
 
 	// backoff is the time for which an upstream has asked an entry to send nothing.
@@ -60,6 +61,7 @@
 	defer n.mutex.Unlock()
 	n.isLeaving, n.retryAfter, n.isEndless = false, 0, false
 	n.leavingHeard, n.backoffs = map[int]time.Time{}, map[int]backoff{}
+	n.rateLimit = rateLimit{heard: map[int]time.Time{}}
 }
 
 // set changes what the upstream says.
@@ -103,6 +105,7 @@
 		return false
 	}
 	u.checkArrival(id, entry)
+	u.checkRateLimit(id, entry)
 	n := &u.notices
 	n.mutex.Lock()
 	isEndless, retryAfter, isLeaving := n.isEndless, n.retryAfter, n.isLeaving
@@ -114,6 +117,9 @@
 		now := time.Now()
 		n.backoffs[entry] = backoff{heard: now, until: now.Add(time.Duration(retryAfter) * time.Second)}
 	}
+	if n.rateLimit.perSecond > 0 && !isEndless {
+		w.Header().Set("Server-Limit", strconv.FormatFloat(n.rateLimit.perSecond, 'f', -1, 64))
+	}
 	n.mutex.Unlock()
 	if isLeaving {
 		w.Header().Set("Server-Leaving", "1")
@@ -138,6 +144,9 @@
 	if isKnown && n.isLeaving && n.leavingHeard[entry].IsZero() {
 		n.leavingHeard[entry] = time.Now()
 	}
+	if isKnown && n.rateLimit.perSecond > 0 && n.rateLimit.heard[entry].IsZero() {
+		n.rateLimit.heard[entry] = time.Now()
+	}
 }
 
 // checkArrival reports a request that reaches an upstream that had told its entry that it leaves or asked for backoff. An entry that
--- a/soak/soak_test.go
+++ b/soak/soak_test.go
@@ -133,6 +133,9 @@
 	if w.trouble.chance(troublePercent) {
 		w.troubleUpstreams()
 	}
+	if w.limits.chance(limitPercent) {
+		w.limitUpstreams()
+	}
 	w.recordStep("step %d: control %s, entry %s, upstream %d, %d", kind, control.ip, entry.ip, upstream, n)
 	switch kind {
 	case 0:
