fake: addresses of tests lie where no outgoing connection takes them

What was seen: TestNewRequestsWithADeadlyPartAreKnownAtEveryEntry failed once beside other packages, listen tcp 127.0.0.1:44541: bind: address already in use, with 4 arrivals and 401 of 401 others whole. Cause, traced: an upstream of the test listens again at its address 0.4 s after it ended; the address came from port 0, so from the range of outgoing connections, and a connection of anyone on the machine can have its port meanwhile. A program of a few lines shows it: a dial from the port of a closed listener succeeds, and the listen then fails with these words, also after that connection was closed. Ruled out: a second incarnation that listens while the first does (end closes it). Change: one FreeAddress in package fake for the four copies, from ports below those of outgoing connections.

--- a/command/processes_test.go
+++ b/command/processes_test.go
@@ -4,7 +4,6 @@
 	"encoding/json"
 	"fmt"
 	"io"
-	"net"
 	"net/http"
 	"os"
 	"os/exec"
@@ -62,10 +61,10 @@
 }
 
 func freeAddress(t *testing.T) string {
-	listener, err := net.Listen("tcp", "127.0.0.1:0")
+	t.Helper()
+	address, err := fake.FreeAddress()
 	require.NoError(t, err)
-	defer func() { _ = listener.Close() }()
-	return listener.Addr().String()
+	return address
 }
 
 func newProcessSystem(t *testing.T) *processSystem {
--- a/daemon/cluster_test.go
+++ b/daemon/cluster_test.go
@@ -4,7 +4,6 @@
 	"context"
 	"fmt"
 	"io"
-	"net"
 	"net/http"
 	"strings"
 	"testing"
@@ -62,10 +61,10 @@
 )
 
 func freeAddress(t testing.TB) string {
-	listener, err := net.Listen("tcp", loopback)
+	t.Helper()
+	address, err := fake.FreeAddress()
 	require.NoError(t, err)
-	defer func() { _ = listener.Close() }()
-	return listener.Addr().String()
+	return address
 }
 
 func newCluster(t testing.TB, replicas int) *cluster {
--- a/dev/dev.go
+++ b/dev/dev.go
@@ -10,7 +10,6 @@
 	"encoding/json"
 	"fmt"
 	"io"
-	"net"
 	"os"
 	"path/filepath"
 	"time"
@@ -162,7 +161,7 @@
 	if err := d.writeToken(); err != nil {
 		return err
 	}
-	address, err := freeAddress()
+	address, err := fake.FreeAddress()
 	if err != nil {
 		return err
 	}
@@ -349,12 +348,3 @@
     -d '{"model":"%s","messages":[{"role":"user","content":"Who can mend a roof?"}],"max_tokens":8,"stream":true}'
 `, d.entry.CallerAddress(), d.parsedInventory.Organisations[0].Name, d.parsedInventory.Models[0].Name)
 }
-
-func freeAddress() (string, error) {
-	listener, err := net.Listen("tcp", loopback)
-	if err != nil {
-		return "", eris.Wrap(err, "find a free port")
-	}
-	defer func() { _ = listener.Close() }()
-	return listener.Addr().String(), nil
-}
--- a/routed/entry_test.go
+++ b/routed/entry_test.go
@@ -5,7 +5,6 @@
 	"context"
 	"fmt"
 	"io"
-	"net"
 	"net/http"
 	"testing"
 	"time"
@@ -13,6 +12,7 @@
 	"github.com/sirupsen/logrus"
 	"github.com/stretchr/testify/require"
 
+	"guavahitch.example/guavahitch/fake"
 	"guavahitch.example/guavahitch/forward"
 	"guavahitch.example/guavahitch/registry"
 	"guavahitch.example/guavahitch/roster"
@@ -28,10 +28,9 @@
 
 func freeAddress(t testing.TB) string {
 	t.Helper()
-	listener, err := net.Listen("tcp", "127.0.0.1:0")
+	address, err := fake.FreeAddress()
 	require.NoError(t, err)
-	defer listener.Close()
-	return listener.Addr().String()
+	return address
 }
 
 func quietLog() *logrus.Entry {
