forward, availability: a request that is sent in a backoff is logged

The lines told that a backoff was heard, but not that a request went out after that, so a backoff that is heard and not kept, one that is forgotten with the state of its upstream, and an answer that is never read could not be told apart. Change: State knows when a backoff was first heard; a 503 with Retry-After to a request that was sent after that is a line of its own.

--- a/availability/state.go
+++ b/availability/state.go
@@ -40,9 +40,9 @@
 	// IsGroupDown is set for a rank of a group that is not running.
 	IsGroupDown bool
 
-	// backoffUntil is the end of the backoff that the upstream asked for, leavingSince when it first said that it leaves.
-	// Both are zero if it said nothing.
-	backoffUntil, leavingSince time.Time
+	// backoffUntil is the end of the backoff that the upstream asked for, backoffHeard when it was first heard, leavingSince
+	// when the upstream first said that it leaves. All are zero if it said nothing.
+	backoffUntil, backoffHeard, leavingSince time.Time
 	// rateLimit is the limit that the upstream named last, rateLimitHeard when it last named one or stopped to.
 	rateLimit      RateLimit
 	rateLimitHeard time.Time
@@ -78,9 +78,14 @@
 
 // WithBackoff returns a copy for an upstream that asks for backoff from now on. It never shortens an earlier one.
 func (s State) WithBackoff(now time.Time, length time.Duration) State {
-	if until := now.Add(length); length > 0 && until.After(s.backoffUntil) {
-		s.backoffUntil = until
+	until := now.Add(length)
+	if length <= 0 || !until.After(s.backoffUntil) {
+		return s
+	}
+	if !s.IsBackingOff(now) {
+		s.backoffHeard = now
 	}
+	s.backoffUntil = until
 	return s
 }
 
@@ -152,6 +157,9 @@
 // IsBackingOff reports whether requests to the upstream must wait.
 func (s State) IsBackingOff(now time.Time) bool { return now.Before(s.backoffUntil) }
 
+// IsInBackoff reports whether a request that was sent at the given time was sent in the backoff that still lasts now.
+func (s State) IsInBackoff(sent, now time.Time) bool { return s.IsBackingOff(now) && sent.After(s.backoffHeard) }
+
 // BackoffEnd returns the end of the last backoff, zero if there was none.
 func (s State) BackoffEnd() time.Time { return s.backoffUntil }
 
--- a/forward/decision.go
+++ b/forward/decision.go
@@ -69,6 +69,8 @@
 	availability.Notice
 	// EarlierLimit is the limit that the upstream had named before.
 	EarlierLimit availability.RateLimit
+	// IsBreach is set if the request was sent after the upstream had asked for backoff.
+	IsBreach bool
 	// IsFromControl is set for a limit that another entry has heard. It has no request.
 	IsFromControl bool
 	Request       string
--- a/forward/notice.go
+++ b/forward/notice.go
@@ -25,18 +25,19 @@
 	before, after := a.upstream.update(func(s availability.State) availability.State {
 		return s.WithNotice(a.started, now, heard)
 	})
+	isBreach := before.IsInBackoff(a.started, now)
 	isNews := heard.IsLeaving && !before.IsLeaving() || heard.Backoff > 0 && !before.IsBackingOff(now)
 	isLimitChange := before.RateLimit() != after.RateLimit()
 	if isLimitChange {
 		a.job.server.fleet.quotas.setUnreported(a.upstream.Instance().ID)
 	}
-	if isNews || isLimitChange {
-		a.reportNotice(heard, before.RateLimit())
+	if isNews || isLimitChange || isBreach {
+		a.reportNotice(heard, before.RateLimit(), isBreach)
 	}
 }
 
 // reportNotice calls Settings.OnNotice.
-func (a *attempt) reportNotice(heard availability.Notice, earlierLimit availability.RateLimit) {
+func (a *attempt) reportNotice(heard availability.Notice, earlierLimit availability.RateLimit, isBreach bool) {
 	report := a.job.server.settings.OnNotice
 	if report == nil {
 		return
@@ -44,6 +45,6 @@
 	instance := a.upstream.Instance()
 	report(Notice{
 		Notice: heard, EarlierLimit: earlierLimit, Request: a.job.id, Service: a.job.service, Upstream: instance.ID,
-		Born: instance.Born,
+		Born: instance.Born, IsBreach: isBreach,
 	})
 }
--- a/routed/request_log.go
+++ b/routed/request_log.go
@@ -139,6 +139,8 @@
 
 func noticeText(n forward.Notice) string {
 	switch {
+	case n.IsBreach:
+		return "request was sent in a backoff"
 	case n.IsLeaving:
 		return "upstream is leaving"
 	case n.Backoff > 0:
