--- a/availability/state.go
+++ b/availability/state.go
@@ -158,7 +158,9 @@
 func (s State) IsBackingOff(now time.Time) bool { return now.Before(s.backoffUntil) }
 
 // IsInBackoff reports whether a request that was sent at the given time was sent in the backoff that still lasts now.
-func (s State) IsInBackoff(sent, now time.Time) bool { return s.IsBackingOff(now) && sent.After(s.backoffHeard) }
+func (s State) IsInBackoff(sent, now time.Time) bool {
+	return s.IsBackingOff(now) && sent.After(s.backoffHeard)
+}
 
 // BackoffEnd returns the end of the last backoff, zero if there was none.
 func (s State) BackoffEnd() time.Time { return s.backoffUntil }
--- a/forward/notice_test.go
+++ b/forward/notice_test.go
@@ -1,6 +1,7 @@
 package forward_test
 
 import (
+	"bufio"
 	"fmt"
 	"net"
 	"net/http"
@@ -301,3 +302,83 @@
 	time.Sleep(1100 * time.Millisecond)
 	require.Equal(t, 20, e.sendMany(20, "/balance/"))
 }
+
+// Guards against what an upstream said of itself being forgotten with its place in the roster: it falls silent, is removed, and
+// the same incarnation announces itself again.
+func TestReturningUpstreamIsRemembered(t *testing.T) {
+	for name, head := range map[string]string{
+		"backoff": "HTTP/1.1 503 Busy\r\nX-Not-Executed: 1\r\nRetry-After: 3600\r\n",
+		"leaving": "HTTP/1.1 200 OK\r\nX-Leaving: 1\r\n",
+		"limit":   "HTTP/1.1 200 OK\r\nX-Limit: 0\r\n",
+	} {
+		t.Run(name, func(t *testing.T) {
+			settings := testSettings()
+			settings.DrainTime = time.Millisecond
+			u := newUpstream(t, func(conn net.Conn, request *http.Request, _ string) bool {
+				fmt.Fprintf(conn, "%sX-Request: %s\r\nX-Seal: s1\r\nContent-Length: 0\r\n\r\n", head, request.Header.Get("X-Request"))
+				return true
+			})
+			e := newEntryWith(t, settings, u)
+			e.sendMany(1, "/credit/")
+			time.Sleep(10 * time.Millisecond)
+			e.fleet.Expire(time.Now().Add(time.Minute), 30*time.Second)
+			response, _, err := e.send("POST", "/credit/", "x")
+			require.NoError(t, err)
+			require.Equal(t, http.StatusServiceUnavailable, response.StatusCode)
+			e.announce(u, 1, 9)
+			e.sendMany(5, "/credit/")
+			require.Len(t, u.received(), 1, "the incarnation of before")
+			e.announce(u, 2, 1)
+			e.sendMany(1, "/credit/")
+			require.Len(t, u.received(), 2, "a new incarnation")
+		})
+	}
+}
+
+// Guards against a refusal that is never read because the upstream stops to read the request: it asks for backoff as soon as it has the
+// head of a long request, and closes its connection or leaves the rest unread.
+func TestRefusalOfAHalfReadRequestIsHeard(t *testing.T) {
+	body := strings.Repeat("x", 40<<20)
+	for name, isClosing := range map[string]bool{"closes": true, "keeps open": false} {
+		t.Run(name, func(t *testing.T) {
+			listener, err := net.Listen("tcp", "127.0.0.1:0")
+			require.NoError(t, err)
+			defer listener.Close()
+			var arrivals atomic.Int64
+			go refuseHalfRead(listener, isClosing, &arrivals)
+			e := newEntry(t)
+			e.allowBodies()
+			e.fleet.Update([]roster.Entry{{LastHeartbeat: time.Now(), Instance: roster.Instance{
+				ID: "u0", Born: 1, Sequence: 1, Service: "ledger", Address: listener.Addr().String(), State: roster.Ready,
+			}}}, nil)
+			for n := range 4 {
+				start := time.Now()
+				response, _, err := e.send("POST", "/credit/", body)
+				require.NoError(t, err)
+				require.Equal(t, http.StatusServiceUnavailable, response.StatusCode, "request %d", n)
+				require.Less(t, time.Since(start), 700*time.Millisecond)
+			}
+			require.EqualValues(t, 1, arrivals.Load())
+		})
+	}
+}
+
+// refuseHalfRead refuses each request once it has read its head.
+func refuseHalfRead(listener net.Listener, isClosing bool, arrivals *atomic.Int64) {
+	for {
+		conn, err := listener.Accept()
+		if err != nil {
+			return
+		}
+		request, err := http.ReadRequest(bufio.NewReader(conn))
+		if err != nil {
+			_ = conn.Close()
+			continue
+		}
+		arrivals.Add(1)
+		writeWith(conn, request, 503, "X-Not-Executed: 1\r\n", "Retry-After: 60\r\n")
+		if isClosing {
+			_ = conn.Close()
+		}
+	}
+}
