forward: what an upstream has said outlives its place in the roster

What an upstream saw: it asked for backoff, said that it leaves or named a limit, sent no announcement for 30 s, announced itself again, and got requests as if it had said nothing. Cause: the state of an upstream was dropped with its entry in the roster and made anew for the same incarnation. The class: what is believed of an incarnation must last as long as the incarnation. Ruled out: announcements and configurations without removal, which keep the state. Change: what a removed incarnation has said is kept for an hour; failures and latencies still begin anew.

--- a/availability/notice.go
+++ b/availability/notice.go
@@ -41,6 +41,19 @@
 	return n
 }
 
+// Said returns only what the upstream has said of itself, without what was seen of its answers.
+func (s State) Said() State {
+	return State{
+		backoffUntil: s.backoffUntil, backoffHeard: s.backoffHeard, leavingSince: s.leavingSince, rateLimit: s.rateLimit,
+		rateLimitHeard: s.rateLimitHeard,
+	}
+}
+
+// HasSaid reports whether the upstream has said anything of itself.
+func (s State) HasSaid() bool {
+	return !s.backoffUntil.IsZero() || !s.leavingSince.IsZero() || !s.rateLimitHeard.IsZero()
+}
+
 // WithNotice returns a copy for an upstream that sent a notice in the response to a request that was sent at the given
 // time.
 func (s State) WithNotice(sent, now time.Time, n Notice) State {
--- a/forward/fleet.go
+++ b/forward/fleet.go
@@ -1,6 +1,7 @@
 package forward
 
 import (
+	"maps"
 	"slices"
 	"sync"
 	"sync/atomic"
@@ -12,8 +13,12 @@
 	"guavahitch.example/guavahitch/upstream"
 )
 
-// maxReportAge is the age from which a load report is not used to pick upstreams by load or to count streams.
-const maxReportAge = time.Second
+const (
+	// maxReportAge is the age from which a load report is not used to pick upstreams by load or to count streams.
+	maxReportAge = time.Second
+	// removedRetention is how long the state of a removed upstream is kept.
+	removedRetention = time.Hour
+)
 
 type (
 	// Upstream is the state that an entry keeps of one instance: its last announcement, its connection pool and
@@ -39,7 +44,9 @@
 		mutex    sync.Mutex
 		roster   *roster.Roster
 		byID     map[string]*Upstream
-		view     atomic.Pointer[view]
+		// removed holds what upstreams that were removed have said, by ID.
+		removed map[string]removedUpstream
+		view    atomic.Pointer[view]
 		// loadsReported is the time of the last load report.
 		loadsReported atomic.Pointer[time.Time]
 		// entries is the number of entries that share the limits of services and upstreams.
@@ -49,6 +56,13 @@
 		changes broadcast
 	}
 
+	// removedUpstream is the state of an incarnation that was removed. It may announce itself again.
+	removedUpstream struct {
+		born  int64
+		state availability.State
+		at    time.Time
+	}
+
 	// view is an immutable index of the ready upstreams by service.
 	view struct {
 		services map[string][]*Upstream
@@ -59,7 +73,7 @@
 
 // NewFleet returns a fleet without upstreams.
 func NewFleet(settings Settings) *Fleet {
-	f := &Fleet{settings: settings.withDefaults(), roster: roster.New(), byID: map[string]*Upstream{}, quotas: newQuotas()}
+	f := &Fleet{settings: settings.withDefaults(), roster: roster.New(), byID: map[string]*Upstream{}, removed: map[string]removedUpstream{}, quotas: newQuotas()}
 	f.view.Store(&view{services: map[string][]*Upstream{}})
 	f.loadsReported.Store(&time.Time{})
 	return f
@@ -105,7 +119,7 @@
 // rebuild replaces the view by one of the current roster. It closes the pools of upstreams that are no longer ready or
 // that were replaced by a new incarnation.
 func (f *Fleet) rebuild() {
-	next := &view{services: map[string][]*Upstream{}}
+	now, next := time.Now(), &view{services: map[string][]*Upstream{}}
 	kept := map[string]*Upstream{}
 	for _, entry := range f.roster.Entries() {
 		instance := entry.Instance
@@ -116,13 +130,13 @@
 		if u == nil || u.isReplacedBy(instance) {
 			u = &Upstream{
 				pool:  upstream.NewPool(instance.Address, f.settings.ConnectTimeout),
-				state: availability.State{}.WithHeartbeat(entry.LastHeartbeat),
+				state: f.rememberedState(instance).WithHeartbeat(entry.LastHeartbeat),
 			}
 		}
 		isNew := u.Instance() == nil
 		u.instance.Store(&instance)
 		if isNew {
-			f.restoreLimit(time.Now(), u)
+			f.restoreLimit(now, u)
 		}
 		kept[instance.ID] = u
 		next.services[instance.Service] = append(next.services[instance.Service], u)
@@ -130,15 +144,37 @@
 	for id, u := range f.byID {
 		if kept[id] != u {
 			u.pool.Close()
+			f.rememberState(u, now)
 		}
 	}
+	f.forgetRemoved(now)
 	markDownGroups(kept)
-	next.incompleteSince = incompleteServices(next.services, f.view.Load().incompleteSince, time.Now())
+	next.incompleteSince = incompleteServices(next.services, f.view.Load().incompleteSince, now)
 	f.byID = kept
 	f.view.Store(next)
 	f.changes.notify()
 }
 
+// rememberState keeps what a removed upstream has said of itself, in case the same incarnation returns.
+func (f *Fleet) rememberState(u *Upstream, now time.Time) {
+	if state := u.currentState().Said(); state.HasSaid() {
+		f.removed[u.Instance().ID] = removedUpstream{born: u.Instance().Born, state: state, at: now}
+	}
+}
+
+// rememberedState returns the state to begin with for an instance that was not known.
+func (f *Fleet) rememberedState(instance roster.Instance) availability.State {
+	if r, isKnown := f.removed[instance.ID]; isKnown && r.born == instance.Born {
+		return r.state
+	}
+	return availability.State{}
+}
+
+// forgetRemoved drops the states of upstreams that were removed long ago.
+func (f *Fleet) forgetRemoved(now time.Time) {
+	maps.DeleteFunc(f.removed, func(_ string, r removedUpstream) bool { return now.Sub(r.at) > removedRetention })
+}
+
 // UpdateLoads applies a load report. Requests at an upstream beyond those of this entry are attributed to other
 // entries.
 func (f *Fleet) UpdateLoads(loads []registry.Load) {
