upstream: an answer that comes before the request is read is read

What callers saw: 502, or 504 at their deadline, where an upstream had refused a long request with 503 as soon as it had its head; the upstream had asked for backoff and got requests on. Cause: a request was written to its end before anything was read, and a write that fails ended the exchange. The class: a notice in an answer that nobody reads. Ruled out: small bodies, which fit into the buffers; lost answers (the bytes are in the receive buffer after the reset). Change: Connection.Send ends when the response begins; the rest of a body over 16 KB is written beside it, and a connection whose request was not read to its end is not used again. After a write that failed the response is awaited for 0.1 s. Why this is safe: the response must still match the request by its ID, and only a marked refusal counts as not run.

--- a/upstream/connection.go
+++ b/upstream/connection.go
@@ -27,6 +27,12 @@
 	maxStaleResponses = 2
 	// maxStaleBytes bounds the body that is read to skip a response to an earlier request.
 	maxStaleBytes = 256 << 10
+	// longBodyBytes is the size in bytes above which a body may fill the buffers of a connection.
+	longBodyBytes = 16 << 10
+	// earlyResponseTime is how long a response is awaited after a request could not be written, lateWriteTime how long the end
+	// of a request is awaited after its response has ended.
+	earlyResponseTime = 100 * time.Millisecond
+	lateWriteTime     = 10 * time.Millisecond
 	// maxHeadBytes bounds the head of one response, and headTimeout the time from its first byte to its end.
 	maxHeadBytes = 64 << 10
 	headTimeout  = 2 * time.Second
@@ -48,6 +54,8 @@
 	// idleTimeout is the keep-alive timeout that the upstream announced, less keepAliveMargin. It is 0, and does not
 	// apply, if the upstream announced nothing or a timeout of 0.
 	idleTimeout time.Duration
+	// written receives the result of writing a long body whose response came first, nil if there is none.
+	written chan error
 	// mustClose is set when the connection must not carry another request.
 	mustClose bool
 }
@@ -104,7 +112,8 @@
 // Buffered reports whether the read buffer holds unread bytes.
 func (c *Connection) Buffered() bool { return c.reader.Buffered() > 0 }
 
-// Send writes a request with the given header and body. It sets Host and Content-Length itself.
+// Send writes a request with the given header and body. It sets Host and Content-Length itself. An upstream may answer before
+// it has read all of the request, and read no further: then Send ends without an error, so that Receive reads the response.
 func (c *Connection) Send(method, target, host string, header http.Header, body []byte) error {
 	w := c.writer
 	_, _ = w.WriteString(method)
@@ -127,8 +136,56 @@
 		_, _ = w.WriteString("\r\n")
 	}
 	_, _ = w.WriteString("\r\n")
+	if len(body) > longBodyBytes {
+		return c.sendLong(body)
+	}
 	_, _ = w.Write(body)
-	return eris.Wrap(w.Flush(), "write request")
+	err := w.Flush()
+	if err != nil && c.hasEarlyResponse() {
+		return nil
+	}
+	return eris.Wrap(err, "write request")
+}
+
+// hasEarlyResponse reports whether a response came before the request was written, after which the connection carries no other
+// request.
+func (c *Connection) hasEarlyResponse() bool {
+	c.mustClose = true
+	_ = c.conn.SetReadDeadline(time.Now().Add(earlyResponseTime))
+	_, err := c.reader.Peek(1)
+	_ = c.conn.SetReadDeadline(c.readDeadline)
+	return err == nil
+}
+
+// sendLong writes a body while it waits for the response, which may come before the upstream has read all of the body. The
+// rest of the body is still written while the response is read.
+func (c *Connection) sendLong(body []byte) error {
+	written := make(chan error, 1)
+	go func() {
+		_, _ = c.writer.Write(body)
+		written <- c.writer.Flush()
+	}()
+	if _, err := c.reader.Peek(1); err != nil {
+		return eris.Wrap(<-written, "write request")
+	}
+	c.written = written
+	return nil
+}
+
+// isWritten reports whether the whole request was written.
+func (c *Connection) isWritten() bool {
+	if c.written == nil {
+		return true
+	}
+	timer := time.NewTimer(lateWriteTime)
+	defer timer.Stop()
+	select {
+	case err := <-c.written:
+		c.written = nil
+		return err == nil
+	case <-timer.C:
+		return false
+	}
 }
 
 // Receive reads the head of the response to a request. It skips responses for which isExpected returns false, which
@@ -188,9 +245,9 @@
 }
 
 // MarkIdle records that a response was read to its end, and reports whether the connection can carry another request.
-// It cannot if bytes follow the response.
+// It cannot if bytes follow the response, or the request was not read to its end.
 func (c *Connection) MarkIdle(now time.Time) bool {
-	if c.mustClose || c.reader.Buffered() > 0 {
+	if c.mustClose || c.reader.Buffered() > 0 || !c.isWritten() {
 		return false
 	}
 	c.idleSince = now
