lockstep: the lead of a switch weighs standing still against passes on the old map

Cause: the lead was rounded to passes, from the longest recent arming times 1.2. Arming 129 ranks takes 50 to 300 ms there, a pass 90 ms, and a group that stands for a part of that exceeds the gap objective, which makes all running streams late. Change: Lead takes the number of passes that costs the least time: passes more times what the next map saves in each, the expected time of standing still by the last eight arming times, and streams made late if passes are within the objective.

--- a/lockstep/coordinator.go
+++ b/lockstep/coordinator.go
@@ -62,7 +62,7 @@
 	isSettled       bool
 	losses          losses
 	contactFailures contactFailures
-	armingTime      armingTime
+	armingTimes     armingTimes
 	// copyTimes estimates how long copies take, switchDelay is the mean time from the end of the copies until the map was in
 	// use, 0 before a switch. lookTime is how long the last read of all ranks took.
 	copyTimes             relocation.CopyTimes
--- a/lockstep/losses.go
+++ b/lockstep/losses.go
@@ -13,12 +13,6 @@
 	// missProbability is the accepted probability that some rank has not received its order when the group reaches
 	// the pass.
 	missProbability = 0.05
-	// armingMargin is the time allowed for arming, divided by the longest recent arming time. With each switch that
-	// longest time is multiplied by armingDecay.
-	armingMargin = 1.2
-	armingDecay  = 0.8
-	// maxLead is the maximum number of passes that a switch is armed ahead.
-	maxLead = 30
 	// unreachableTime is how long the ranks count as hard to reach after a read failed or an order was not answered.
 	unreachableTime = 1500 * time.Millisecond
 	// unreachablePause is how long a switch is expected to hold the group while ranks are hard to reach.
@@ -72,14 +66,6 @@
 	return now.Sub(t.last) < unreachableTime
 }
 
-// armingTime measures how long it takes to arm all ranks. It keeps the longest recent time, which decays with each
-// switch.
-type armingTime struct{ longest time.Duration }
-
-func (a *armingTime) add(took time.Duration) {
-	a.longest = max(took, time.Duration(armingDecay*float64(a.longest)))
-}
-
 // passTime returns the measured pass time, or defaultPassTime before there is one.
 func (c *Coordinator) passTime() time.Duration { return cmp.Or(c.passTimer.mean, defaultPassTime) }
 
@@ -87,15 +73,3 @@
 func (c *Coordinator) passesIn(d time.Duration) uint64 {
 	return uint64(math.Ceil(float64(d) / float64(c.passTime())))
 }
-
-// leadPasses returns how many passes ahead the next switch is armed. The lead covers the time in which earlier switches were
-// armed and the time to repeat lost orders, so that the group does not stop for ranks that have not answered yet. It is
-// rounded, because a further pass with the old map costs more than the end of a wait.
-func (c *Coordinator) leadPasses() uint64 {
-	wait := c.losses.repeats(c.settings.Shape.Ranks) * float64(engineTimeout+pollInterval)
-	wait = max(wait, armingMargin*float64(c.armingTime.longest))
-	if c.armingTime.longest == 0 {
-		return min(c.settings.LeadPasses+uint64(wait/float64(c.passTime())), maxLead)
-	}
-	return min(1+uint64(math.Round(wait/float64(c.passTime()))), maxLead)
-}
--- a/lockstep/switch.go
+++ b/lockstep/switch.go
@@ -50,7 +50,7 @@
 	if prepared.Sub(decided) > looksBeforeCheck*c.lookTime && c.isOvertaken(ctx, next) {
 		return c.abandon(event, phases, errOvertaken)
 	}
-	step, err := c.hold(ctx, states[0].Epoch)
+	step, err := c.hold(ctx, states[0].Epoch, c.leadPasses(event))
 	if err != nil {
 		return c.abandon(event, phases, err)
 	}
@@ -62,7 +62,7 @@
 		c.isSettled = false
 		return err
 	}
-	c.armingTime.add(time.Since(began))
+	c.armingTimes.add(time.Since(began))
 	phases.end(Arm)
 	if err := c.release(ctx, holdRank, states[0].Epoch, step); err != nil {
 		c.isSettled = false
@@ -108,15 +108,15 @@
 	return c.orderAll(ctx, epoch, order, copyPollInterval, func(s State) bool { return s.PreparedVersion == version })
 }
 
-// hold prevents the group from beginning a coming pass, and returns the number of that pass. If the pass has begun by the
+// hold prevents the group from beginning the pass that is a number of passes ahead, and returns the number of that pass. If the pass has begun by the
 // time the order arrives, a later one is held.
-func (c *Coordinator) hold(ctx context.Context, epoch uint64) (uint64, error) {
+func (c *Coordinator) hold(ctx context.Context, epoch, lead uint64) (uint64, error) {
 	for attempt := uint64(1); ; attempt++ {
 		state, err := c.read(ctx, holdRank, false, false)
 		if err != nil {
 			return 0, err
 		}
-		step := state.Step + attempt*c.passesIn(state.MaxAge) + c.leadPasses()
+		step := state.Step + attempt*c.passesIn(state.MaxAge) + lead
 		if c.settings.Disabled.Hold {
 			return step, nil
 		}
