lockstep: a state of an earlier pass is not from after the last switch

What an engine reports to others can be older than its stated lag. The class: a bound on an age that nobody guarantees. Change: a state counts as from after a change only if its pass does, too; all ranks begin a pass together. Ruled out: times of the leader (taken before the call goes out). Before: TestStateOfAnEarlierPassIsNoUnfinishedSwitch settles 3 times in place of 1; after: once. Open: settling itself still relies on the stated lag where sidecars are silent.

--- a/lockstep/coordinator.go
+++ b/lockstep/coordinator.go
@@ -56,9 +56,11 @@
 	maps        []balance.Placement
 	mapsVersion uint64
 	mapsEpoch   uint64
-	// changedAt is the time at which the last switch was in use or the group was settled. Earlier states of a rank say
-	// nothing about the orders in effect.
+	// changedAt is the time at which the last switch was in use or the group was settled, changedStep the pass that had begun by
+	// then in changedEpoch. Earlier states of a rank say nothing about the orders in effect.
 	changedAt       time.Time
+	changedStep     uint64
+	changedEpoch    uint64
 	isSettled       bool
 	losses          losses
 	contactFailures contactFailures
@@ -114,7 +116,7 @@
 	case !c.isSettled:
 		return "orders of a failed switch or of an earlier leader may be in effect"
 	default:
-		return unfinishedSwitch(statesSince(states, c.changedAt))
+		return unfinishedSwitch(c.statesSinceChange(states))
 	}
 }
 
@@ -148,7 +150,7 @@
 		c.emit(Event{Kind: "settling", Epoch: states[0].Epoch, Version: states[0].MapVersion, Detail: reason})
 		return c.settle(ctx, states[0].Epoch)
 	}
-	current := statesSince(states, c.changedAt)
+	current := c.statesSinceChange(states)
 	if len(current) == 0 {
 		return nil
 	}
@@ -159,9 +161,17 @@
 	return c.switchMap(ctx, states, next, event)
 }
 
-// statesSince returns the states that are not from before a time.
-func statesSince(states []State, since time.Time) []State {
-	return slices.DeleteFunc(slices.Clone(states), func(s State) bool { return s.asOf.Before(since) })
+// statesSinceChange returns the states that are not from before the last change, by their time and by their pass: a state may
+// be older than it says, and all ranks begin a pass together.
+func (c *Coordinator) statesSinceChange(states []State) []State {
+	return slices.DeleteFunc(slices.Clone(states), func(s State) bool {
+		return s.asOf.Before(c.changedAt) || s.Epoch == c.changedEpoch && s.Step < c.changedStep
+	})
+}
+
+// recordChange records that a switch is in use or the group is settled, as a state shows.
+func (c *Coordinator) recordChange(s State) {
+	c.changedAt, c.changedStep, c.changedEpoch = time.Now(), s.Step, s.Epoch
 }
 
 // timePasses measures the pass time from a rank whose state is not delayed. All ranks begin a pass together, so any one
--- a/lockstep/delayed_state_test.go
+++ b/lockstep/delayed_state_test.go
@@ -15,7 +15,13 @@
 // runDelayed runs a group with a coordinator while the sidecars of the given ranks are unreachable and the demand
 // shifts. It returns the group and the events of the coordinator.
 func runDelayed(t *testing.T, ranks ...int) (*fakeGroup, []lockstep.Event) {
+	return runDelayedFurther(t, 0, ranks...)
+}
+
+// runDelayedFurther is runDelayed with ranks that report states which are older than they say.
+func runDelayedFurther(t *testing.T, furtherLag time.Duration, ranks ...int) (*fakeGroup, []lockstep.Event) {
 	g := newFakeGroup(1, smallShape)
+	g.furtherLag = furtherLag
 	for _, rank := range ranks {
 		g.delayed[rank] = true
 	}
@@ -75,6 +81,18 @@
 	}
 }
 
+// Guards against groups that are settled, and held for it, because a rank reports a state that is older than it says, from
+// before the last switch. Its pass shows that.
+func TestStateOfAnEarlierPassIsNoUnfinishedSwitch(t *testing.T) {
+	for _, furtherLag := range []time.Duration{reportLag / 4, reportLag / 2, reportLag} {
+		synctest.Test(t, func(t *testing.T) {
+			_, events := runDelayedFurther(t, furtherLag, 2)
+			require.Len(t, eventsOf(events, "settling"), 1)
+			require.Greater(t, len(eventsOf(events, "switched")), 5)
+		})
+	}
+}
+
 // Guards against a new leader that releases a group of which it has not seen that a rank is armed. The earlier leader
 // armed that rank just before; its state is older than the fencing tokens that the new leader has raised.
 func TestSettlingWaitsForStatesAfterItsFences(t *testing.T) {
--- a/lockstep/fake_group_test.go
+++ b/lockstep/fake_group_test.go
@@ -61,6 +61,8 @@
 		// delayed holds the ranks without a sidecar. A read returns the state that such a rank had before reportLag,
 		// without counts, and an order is answered without a state.
 		delayed map[int]bool
+		// furtherLag is how much older than reportLag the state of a delayed rank is.
+		furtherLag time.Duration
 		// past holds the states of all ranks after each change, the oldest first.
 		past []pastStates
 		// demand is how often each expert is chosen in a pass, by set and expert.
@@ -130,7 +132,7 @@
 		now.states = append(now.states, g.stateOf(r))
 	}
 	g.past = append(g.past, now)
-	for len(g.past) > 1 && time.Since(g.past[1].since) >= reportLag {
+	for len(g.past) > 1 && time.Since(g.past[1].since) >= reportLag+g.furtherLag {
 		g.past = g.past[1:]
 	}
 }
--- a/lockstep/settle.go
+++ b/lockstep/settle.go
@@ -39,7 +39,8 @@
 			return err
 		}
 	}
-	c.isSettled, c.changedAt = true, time.Now()
+	c.isSettled = true
+	c.recordChange(states[0])
 	c.maps = nil
 	c.emit(Event{Kind: "settled", Epoch: epoch, Version: states[0].MapVersion})
 	return nil
--- a/lockstep/switch.go
+++ b/lockstep/switch.go
@@ -170,7 +170,7 @@
 		// All ranks begin a pass together, so one rank is enough to see which map is in use.
 		state, err := c.read(ctx, holdRank, false, false)
 		if err == nil && (state.Epoch != epoch || state.MapVersion == version) {
-			c.changedAt = time.Now()
+			c.recordChange(state)
 			return nil
 		}
 		wait.For(ctx, mapPollInterval)
