listener, routed, daemon: a planned stop answers what the kernel has accepted for it

Cause: a listener that closes resets the connections that the kernel has established and the entry has not accepted; under callers that connect anew there are some at each moment. Change: before the listener closes, a socket filter drops the packets that begin new connections, for 0.2 s those whose handshake has begun are established and accepted, and then none is left. Entries of both interfaces use it; where a system refuses the filter, a line says so. The price: a caller that connects in the last 0.2 s hears nothing until it tries again, where it was refused at once before.

--- a/daemon/entry.go
+++ b/daemon/entry.go
@@ -8,6 +8,7 @@
 
 	"guavahitch.example/guavahitch/caller"
 	"guavahitch.example/guavahitch/dispatch"
+	"guavahitch.example/guavahitch/listener"
 	"guavahitch.example/guavahitch/outcome"
 	"guavahitch.example/guavahitch/wire"
 )
@@ -22,11 +23,11 @@
 
 func (p *Process) addEntry() error {
 	e := p.settings.Entry
-	listener, err := net.Listen("tcp", e.Listen)
+	front, err := listener.Listen(context.Background(), e.Listen)
 	if err != nil {
 		return outcome.Error{Step: "listen", Peer: e.Listen, Outcome: outcome.NotRun, Reason: "address"}.WithCause(err)
 	}
-	r := &entryRole{process: p, listener: listener}
+	r := &entryRole{process: p, listener: front}
 	r.dispatcher = dispatch.NewDispatcher(dispatch.Settings{
 		Entry: p.settings.Name, Incarnation: p.incarnation, FailureDomain: p.settings.FailureDomain,
 		Subset: e.Subset, Leader: p.leader, Transport: p.transport, Events: p.events,
@@ -38,7 +39,7 @@
 	p.entry = r
 	p.add(r.dispatcher.WatchControl)
 	p.add(func(ctx context.Context) error { return p.announce(ctx, r.announcement, r.onAnnounced) })
-	p.group.Add(func() error { return r.server.Serve(listener) }, func(error) { _ = r.server.Close() })
+	p.group.Add(func() error { return r.server.Serve(front) }, func(error) { _ = r.server.Close() })
 	return nil
 }
 
@@ -77,6 +78,9 @@
 	if err := r.dispatcher.Drain(ctx); err != nil {
 		r.process.log.WithError(err).Error("drain")
 	}
+	if err := listener.AcceptLast(ctx, r.listener); err != nil {
+		r.process.log.WithError(err).Warn("connections that are not accepted yet will be cut off")
+	}
 	_ = r.server.Shutdown(ctx)
 	r.process.leave(ctx, r.member())
 }
--- /dev/null
+++ b/listener/refuse_other.go
@@ -0,0 +1,12 @@
+//go:build !linux
+
+package listener
+
+import (
+	"net"
+
+	"github.com/rotisserie/eris"
+)
+
+// refuseHandshakes is not supported on this system.
+func refuseHandshakes(net.Listener) error { return eris.New("not supported on this system") }
--- a/routed/entry.go
+++ b/routed/entry.go
@@ -17,6 +17,7 @@
 	"github.com/uber-go/tally/v4"
 
 	"guavahitch.example/guavahitch/forward"
+	"guavahitch.example/guavahitch/listener"
 	"guavahitch.example/guavahitch/quarantine"
 	"guavahitch.example/guavahitch/quota"
 	"guavahitch.example/guavahitch/registry"
@@ -125,7 +126,7 @@
 
 // Run serves until the context ends, then stops gracefully.
 func (e *Entry) Run(ctx context.Context) error {
-	front, err := net.Listen("tcp", e.settings.Listen)
+	front, err := listener.Listen(ctx, e.settings.Listen)
 	if err != nil {
 		return eris.Wrapf(err, "listen on %s", e.settings.Listen)
 	}
@@ -140,7 +141,7 @@
 	group.Add(func() error { return e.expireUpstreams(running) }, func(error) { cancel() })
 	group.Add(func() error { return e.serve(front) }, func(error) { _ = e.front.Close() })
 	group.Add(func() error { return ignoreServerClosed(e.ready.Serve(ready)) }, func(error) { _ = e.ready.Close() })
-	group.Add(func() error { return e.drainAfter(ctx, running) }, func(error) { cancel() })
+	group.Add(func() error { return e.drainAfter(ctx, running, front) }, func(error) { cancel() })
 	e.settings.Log.WithField("listen", e.settings.Listen).Info("started")
 	err = group.Run()
 	e.settings.Log.Info("stopped")
@@ -149,8 +150,8 @@
 
 // serve serves callers. http.Server.Serve returns as soon as a shutdown starts, so serve then waits for the requests
 // under way.
-func (e *Entry) serve(listener net.Listener) error {
-	err := e.front.Serve(listener)
+func (e *Entry) serve(front net.Listener) error {
+	err := e.front.Serve(front)
 	if e.stopping.Load() {
 		<-e.drained
 	}
@@ -160,7 +161,7 @@
 // drainAfter stops the entry gracefully when ctx ends: the entry reports that it is not ready and closes each
 // connection after its response. After drainNoticeTime it refuses new requests and waits for those under way. It does
 // nothing if running ends first.
-func (e *Entry) drainAfter(ctx, running context.Context) error {
+func (e *Entry) drainAfter(ctx, running context.Context, front net.Listener) error {
 	select {
 	case <-running.Done():
 		return nil
@@ -169,10 +170,14 @@
 	e.settings.Log.Info("stopping")
 	e.stopping.Store(true)
 	defer close(e.drained)
+	stopBy := time.Now().Add(e.settings.Grace - graceMargin)
 	e.server.DisableKeepAlives()
 	wait.For(running, drainNoticeTime)
 	e.server.Refuse()
-	bounded, cancel := context.WithTimeout(running, e.settings.Grace-drainNoticeTime-graceMargin)
+	if err := listener.AcceptLast(running, front); err != nil {
+		e.settings.Log.WithError(err).Warn("connections that are not accepted yet will be cut off")
+	}
+	bounded, cancel := context.WithTimeout(running, time.Until(stopBy))
 	defer cancel()
 	if err := e.front.Shutdown(bounded); err != nil {
 		e.settings.Log.WithError(err).Warn("requests did not end within the grace time")
