Makefile: make test installs what the models need, and says so

After: make tools in a clean clone with spin removed says so and installs it. Not run: without gcc, without apt-get, without root.

--- a/Makefile
+++ b/Makefile
@@ -2,7 +2,7 @@
 GO ?= go
 SKIP := $(shell sed -n 's/^- *\(Test[A-Za-z0-9_\/]*\).*/\1/p' KNOWN-RED.txt 2>/dev/null | paste -sd'|' -)
 
-.PHONY: dev test format lint build unit generate spec measure torture soak rename-tool
+.PHONY: dev test tools format lint build unit generate spec measure torture soak rename-tool
 
 dev: build
 	bin/guavahitch dev
@@ -10,7 +10,15 @@
 build:
 	$(GO) build -o bin/guavahitch ./cmd/guavahitch
 
-test: format lint build unit spec
+test: tools format lint build unit spec
+
+# Installs what the models need where it is missing.
+tools:
+	@if command -v spin >/dev/null && command -v gcc >/dev/null; then exit 0; fi; \
+	echo "installing spin and gcc, which the models under spec/ need"; \
+	if ! command -v apt-get >/dev/null; then echo "make test: there is no apt-get; install spin and gcc"; exit 1; fi; \
+	apt-get update -qq && apt-get install -y -qq spin gcc libc6-dev >/dev/null || \
+		{ echo "make test: can't install spin and gcc; install them as root: apt-get install spin gcc libc6-dev"; exit 1; }
 
 format:
 	@unformatted=$$($(GO) tool gofumpt -l .); if [ -n "$$unformatted" ]; then echo "gofumpt: $$unformatted"; exit 1; fi
