forward: a request that has tried all upstreams is not refused for lack of quota; limits from control are dropped

Read as a newcomer: quotaRefusal also looked at upstreams that the request had tried, so a request without an upstream left was told a rate limit and waited for one; limits that control passed on of upstreams that never came were kept for good. Change: tried upstreams are left out, such limits are dropped after an hour; what waits and what is refused stands in a file of its own. Nothing else behaves otherwise.

--- a/forward/quota.go
+++ b/forward/quota.go
@@ -1,8 +1,7 @@
 package forward
 
 import (
-	"math"
-	"net/http"
+	"maps"
 	"sync"
 	"sync/atomic"
 	"time"
@@ -23,13 +22,6 @@
 	demandWeight = 0.3
 	// fullReportInterval is the time between two reports of all limits to the same leader.
 	fullReportInterval = 30 * time.Second
-	// maxQuotaWait is how long a request waits for grants while there are enough, maxReturnWait how long one that was
-	// refused before waits in any case.
-	maxQuotaWait  = 120 * time.Millisecond
-	maxReturnWait = 300 * time.Millisecond
-	// minRetryAfterQuota and maxRetryAfterQuota bound the Retry-After of requests that are refused for lack of quota.
-	minRetryAfterQuota = 150 * time.Millisecond
-	maxRetryAfterQuota = 2 * time.Second
 )
 
 type (
@@ -244,11 +236,10 @@
 func (q *quotas) rememberLimit(l quota.Limit) {
 	q.mutex.Lock()
 	defer q.mutex.Unlock()
-	if !l.IsNamed {
-		delete(q.fromControl, l.Upstream)
-		return
-	}
 	q.fromControl[l.Upstream] = l
+	maps.DeleteFunc(q.fromControl, func(_ string, held quota.Limit) bool {
+		return !held.IsNamed || l.Heard.Sub(held.Heard) > removedRetention
+	})
 }
 
 // restoreLimit applies a limit that control has passed on to an upstream that is new to this entry.
@@ -271,118 +262,3 @@
 
 // LackingQuota returns a channel that is closed when a caller next lacks quota, or a limit has changed.
 func (f *Fleet) LackingQuota() <-chan struct{} { return f.quotas.lacking.next() }
-
-// nextUpstream returns the upstream of the next attempt, or nil if there is none. For lack of quota the request waits if more
-// is likely to come soon, or if it was refused before: then it goes before new ones.
-func (j *job) nextUpstream() *Upstream {
-	now := time.Now()
-	isReturning := j.isHeadSent || j.isCallerRetry()
-	quotas := j.server.fleet.quotas
-	quotas.recordDemand(j.service)
-	u := j.server.pick(j.service, j.tried, now, isReturning || !quotas.isAwaited(j.service))
-	if u != nil || j.quotaRefusal(now) == nil {
-		return u
-	}
-	return j.awaitQuota(now, isReturning)
-}
-
-// awaitQuota waits until an upstream has quota for the request. It returns nil if none has within the time.
-func (j *job) awaitQuota(now time.Time, isReturning bool) *Upstream {
-	quotas := j.server.fleet.quotas
-	wait := quotas.wait(j.service, isReturning)
-	if isReturning {
-		defer quotas.addReturning(now, j.service)()
-	}
-	timer := time.NewTimer(min(wait, j.deadline.Sub(now)/4))
-	defer timer.Stop()
-	for {
-		changed := j.server.fleet.changes.next()
-		if u := j.server.pick(j.service, j.tried, time.Now(), isReturning || !quotas.isAwaited(j.service)); u != nil {
-			return u
-		}
-		select {
-		case <-changed:
-		case <-timer.C:
-			return nil
-		case <-j.request.Context().Done():
-			return nil
-		}
-	}
-}
-
-// wait returns how long a request may wait for quota.
-func (q *quotas) wait(service string, isReturning bool) time.Duration {
-	q.mutex.Lock()
-	defer q.mutex.Unlock()
-	d := q.demands[service]
-	switch {
-	case isReturning:
-		return maxReturnWait
-	case d == nil || d.isScarce || time.Since(q.granted) > grantTimeout:
-		return 0
-	default:
-		return maxQuotaWait
-	}
-}
-
-// addReturning counts a returning request that waits, until the returned function is called.
-func (q *quotas) addReturning(now time.Time, service string) (remove func()) {
-	q.mutex.Lock()
-	defer q.mutex.Unlock()
-	d := q.demand(now, service)
-	d.returning++
-	return func() {
-		q.mutex.Lock()
-		defer q.mutex.Unlock()
-		d.returning--
-	}
-}
-
-// isAwaited reports whether requests that were refused before wait for quota.
-func (q *quotas) isAwaited(service string) bool {
-	if !q.isUsed.Load() {
-		return false
-	}
-	q.mutex.Lock()
-	defer q.mutex.Unlock()
-	d := q.demands[service]
-	return d != nil && d.returning > 0
-}
-
-// quotaRefusal returns the refusal of a request for lack of quota, or nil if the service has an upstream without a limit that
-// takes requests.
-func (j *job) quotaRefusal(now time.Time) *refusal {
-	fleet, wait := j.server.fleet, time.Duration(math.MaxInt64)
-	isLimited := false
-	for _, u := range fleet.Service(j.service) {
-		state := u.currentState()
-		if state.HasLeft(now, j.server.settings.DrainTime) || state.IsBackingOff(now) {
-			continue
-		}
-		if !state.RateLimit().IsNamed {
-			return nil
-		}
-		isLimited = true
-		wait = min(wait, state.QuotaWait(now))
-	}
-	if !isLimited {
-		return nil
-	}
-	if perSecond := fleet.quotas.grantRate(j.service); perSecond > 0 {
-		wait = min(wait, time.Duration(float64(time.Second)/perSecond))
-	}
-	left := time.Duration(retryAfterShare * float64(j.deadline.Sub(now)))
-	wait = max(min(wait, left, maxRetryAfterQuota), minRetryAfterQuota)
-	return &refusal{status: http.StatusServiceUnavailable, reason: "rate limit", retryAfter: wait}
-}
-
-// grantRate returns the requests a second that the leader grants for a service, 0 without recent grants.
-func (q *quotas) grantRate(service string) float64 {
-	q.mutex.Lock()
-	defer q.mutex.Unlock()
-	d := q.demands[service]
-	if d == nil {
-		return 0
-	}
-	return d.grantsPerSecond
-}
