soak: a stream whose head is older than the trouble tells its entry nothing

The fake counted each event of a stream as an answer that says so, also if the head of the stream had gone out before. At that entry the upstream answered two streams of 0.3 s that had begun before the trouble, and nothing more until 1.4 s before the request, when the line upstream is leaving comes. Ruled out: a state that was lost (the entry did not restart in between) and a request that waited (it was sent 0.1 s before). Change: only answers count whose head has the field, for limits too. The rule is about answers with the field, so the case is allowed; the bound is as before.

--- a/soak/notice_test.go
+++ b/soak/notice_test.go
@@ -135,16 +135,17 @@
 	return isEndless || retryAfter > 0
 }
 
-// recordAnswer records that the entry of a request got an answer that may say that the upstream leaves.
-func (u *fakeUpstream) recordAnswer(id string) {
+// recordAnswer records that the entry of a request got an answer, whose head may say that the upstream leaves or names a limit.
+// The head of a stream may be older than the trouble of its upstream.
+func (u *fakeUpstream) recordAnswer(id string, head http.Header) {
 	entry, isKnown := entryOf(id)
 	n := &u.notices
 	n.mutex.Lock()
 	defer n.mutex.Unlock()
-	if isKnown && n.isLeaving && n.leavingHeard[entry].IsZero() {
+	if isKnown && n.isLeaving && head.Get("Server-Leaving") != "" && n.leavingHeard[entry].IsZero() {
 		n.leavingHeard[entry] = time.Now()
 	}
-	if isKnown && n.rateLimit.perSecond > 0 && n.rateLimit.heard[entry].IsZero() {
+	if isKnown && n.rateLimit.perSecond > 0 && head.Get("Server-Limit") != "" && n.rateLimit.heard[entry].IsZero() {
 		n.rateLimit.heard[entry] = time.Now()
 	}
 }
--- a/soak/upstream_test.go
+++ b/soak/upstream_test.go
@@ -172,7 +172,7 @@
 		return
 	}
 	fmt.Fprintf(w, "answer to %s: %s", id, body)
-	u.recordAnswer(id)
+	u.recordAnswer(id, w.Header())
 }
 
 // failAfterRunning sends no answer, an incomplete answer or an error after the request has run.
@@ -203,7 +203,7 @@
 		if flush.Flush() != nil {
 			return
 		}
-		u.recordAnswer(r.Header.Get("Guavahitch-Attempt-Id"))
+		u.recordAnswer(r.Header.Get("Guavahitch-Attempt-Id"), w.Header())
 		if u.failurePercent.Load() > 0 && u.cluster.noise.intN(1000) < int(u.failurePercent.Load()) {
 			panic(http.ErrAbortHandler)
 		}
