engine: connections of a test share its variable under a lock

Seen with the race detector, on too in two of three runs: the handler of TestSecondCopyOfAnAnswer runs for each connection and wrote one variable without a lock. Change: a mutex; nothing is checked otherwise.

--- a/engine/trouble_test.go
+++ b/engine/trouble_test.go
@@ -7,6 +7,7 @@
 	"net"
 	"net/http"
 	"strings"
+	"sync"
 	"testing"
 	"time"
 
@@ -54,8 +55,11 @@
 func TestSecondCopyOfAnAnswer(t *testing.T) {
 	for name, isNamed := range map[string]bool{"with IDs": true, "without IDs": false} {
 		t.Run(name, func(t *testing.T) {
+			var mutex sync.Mutex
 			earlier := ""
 			client := rawEngine(t, func(conn net.Conn, request *http.Request, number int) bool {
+				mutex.Lock()
+				defer mutex.Unlock()
 				id, label := request.Header.Get("X-Request-Id"), ""
 				if isNamed {
 					label = id
