--- a/lockstep/slow_copies_test.go
+++ b/lockstep/slow_copies_test.go
@@ -31,7 +31,9 @@
 			}
 			cancel()
 			time.Sleep(time.Minute)
-			return g.passes
+			passes := 0
+			g.locked(func() { passes = g.passes })
+			return passes
 		}
 		var switches atomic.Int64
 		moving := passes(lockstep.Settings{
