--- /dev/null
+++ b/review/rig/process_other.go
@@ -0,0 +1,7 @@
+//go:build !linux
+
+package rig
+
+import "syscall"
+
+func childAttributes() *syscall.SysProcAttr { return nil }
