--- a/review/rig/rig.go
+++ b/review/rig/rig.go
@@ -107,6 +107,14 @@
 	return p
 }
 
+// AddControl adds a control machine with an empty disk at a new address to a system that was started before.
+func (r *Rig) AddControl() *Process {
+	p := r.add(Control, len(r.Controls))
+	p.bootstrap = false
+	r.Controls = append(r.Controls, p)
+	return p
+}
+
 // Processes returns all processes of the system.
 func (r *Rig) Processes() []*Process {
 	return append(append(append([]*Process{}, r.Controls...), r.Entries...), r.Sidecars...)
