Record every call in the cases of the review

Cause: the records lacked the calls of the operator and the workers. Change: the rig writes each call and its status. Measured: no run of the scripts yet with this change.

--- a/review/rig/operator.go
+++ b/review/rig/operator.go
@@ -21,6 +21,12 @@
 }
 
 func (r *Rig) call(method, address, path string, body []byte) (int, []byte) {
+	status, answer := r.exchange(method, address, path, body)
+	r.Record.Printf("%s %s at %s: %d", method, path, address, status)
+	return status, answer
+}
+
+func (r *Rig) exchange(method, address, path string, body []byte) (int, []byte) {
 	request, err := http.NewRequest(method, "http://"+address+path, bytes.NewReader(body))
 	if err != nil {
 		return 0, nil
