Store departures in the replicated log before they are acknowledged

Cause: control acknowledged departures and draining heartbeats that it held in memory only. Ruled out: a late heartbeat that overrides a departure which is held (the case holds without the kill).

Those that arrive while others are stored share one entry. Announcements from before a departure are ignored. Without a quorum the answer is 503; entries hear of the departure at once all the same. A replica that has started announces no new upstreams until it has applied the read index of the leader, since its log may lack the departure or replay it. Renewals are sent all the time.

Why it works: a majority of 2n+1 disks holds each acknowledged departure, and a replica has applied it before it announces an upstream.

--- a/registry/announcements.go
+++ b/registry/announcements.go
@@ -11,32 +11,55 @@
 // spreadTimeout bounds the wait until another replica has received a change of an upstream.
 const spreadTimeout = 250 * time.Millisecond
 
-// Announce records an announcement of an upstream. It passes a change on to the other replicas, and waits for one of
-// them unless the upstream is ready.
-func (r *Replica) Announce(ctx context.Context, instance roster.Instance) {
+// Announce records an announcement of an upstream and passes a change on to the other replicas. If the upstream drains, it
+// returns once its departure is stored in the replicated log and another replica has received the change. An announcement
+// that returns an error must not be acknowledged.
+func (r *Replica) Announce(ctx context.Context, instance roster.Instance) error {
 	r.settings.Scope.Counter("announcements").Inc(1)
+	if r.state.hasDeparted(&instance) {
+		return nil
+	}
 	now := time.Now()
 	r.mutex.Lock()
 	isChange := r.roster.Announce(instance, now)
-	r.publishAndUnlock(ctx, instance.ID, isChange, now)
+	spread := r.publishAndUnlock(ctx, instance.ID, isChange, now)
+	if instance.State == roster.Ready {
+		return nil
+	}
+	err := r.storeDeparture(ctx, &wire.UpstreamDeparture{
+		Id: instance.ID, Born: instance.Born, Draining: instance.State == roster.Draining,
+	})
+	<-spread
+	return err
 }
 
-// Leave records that an upstream has left. It passes the change on to the other replicas and waits for one of them. A
-// born of 0 stands for an unknown incarnation.
-func (r *Replica) Leave(ctx context.Context, id string, born int64) {
+// Leave records that an upstream has left and passes the change on to the other replicas. It returns once the departure is
+// stored in the replicated log and another replica has received the change. A born of 0 stands for an unknown incarnation. A
+// departure that returns an error must not be acknowledged.
+func (r *Replica) Leave(ctx context.Context, id string, born int64) error {
 	now := time.Now()
 	r.mutex.Lock()
+	held := r.roster.Get(id)
+	if held != nil && born == 0 {
+		born = held.Instance.Born
+	}
+	isUnknown := held == nil && born == 0
 	isChange := r.roster.Leave(id, born, now)
-	r.publishAndUnlock(ctx, id, isChange, now)
+	spread := r.publishAndUnlock(ctx, id, isChange, now)
+	err := r.storeDeparture(ctx, &wire.UpstreamDeparture{Id: id, Born: born, AnyIncarnation: isUnknown})
+	<-spread
+	return err
 }
 
-// publishAndUnlock sends a change to the entries and the other replicas, and waits for one of these unless the upstream
-// is ready. It unlocks the mutex, which the caller holds.
-func (r *Replica) publishAndUnlock(ctx context.Context, id string, isChange bool, now time.Time) {
+// publishAndUnlock sends a change to the entries and the other replicas. It unlocks the mutex, which the caller holds. The
+// returned channel is closed once one of the replicas has received the change, and at the latest after spreadTimeout.
+func (r *Replica) publishAndUnlock(ctx context.Context, id string, isChange bool, now time.Time) <-chan struct{} {
+	done := make(chan struct{})
 	entry := r.roster.Get(id)
 	if !isChange || entry == nil {
 		r.mutex.Unlock()
-		return
+		close(done)
+		return done
 	}
 	message := encodeEntry(entry, now)
 	others := r.otherReplicas()
@@ -48,11 +71,11 @@
 		line = line.WithField("cold_ms", message.ColdMs)
 	}
 	line.Info("upstream changed")
-	if roster.State(message.State) == roster.Ready {
-		go r.spread(context.WithoutCancel(ctx), others, message)
-		return
-	}
-	r.spread(ctx, others, message)
+	go func() {
+		r.spread(ctx, others, message)
+		close(done)
+	}()
+	return done
 }
 
 // otherReplicas returns the IDs of the other members. The caller holds the mutex.
@@ -99,6 +122,9 @@
 	defer r.mutex.Unlock()
 	isChange := false
 	for _, entry := range announced {
+		if r.state.hasDeparted(&entry.Instance) {
+			continue
+		}
 		isChange = r.roster.Announce(entry.Instance, entry.LastHeartbeat) || isChange
 	}
 	for _, entry := range renewals {
@@ -116,8 +142,7 @@
 func (i replicaService) Submit(
 	ctx context.Context, request *wire.RoutingSubmitRequest,
 ) (*wire.RoutingSubmitReply, error) {
-	node := i.replica.node.Load()
-	if request.Document == nil || node == nil || node.Status().Leader != i.replica.settings.ID {
+	if request.Document == nil || !i.replica.isLeader() {
 		return nil, ErrNoQuorum
 	}
 	if err := i.replica.submit(ctx, request.Document); err != nil {
@@ -128,8 +153,7 @@
 
 // Newest returns the newest configuration. A replica that does not lead returns ErrNoQuorum.
 func (i replicaService) Newest(ctx context.Context, _ *wire.RoutingNewestRequest) (*wire.RoutingNewestReply, error) {
-	node := i.replica.node.Load()
-	if node == nil || node.Status().Leader != i.replica.settings.ID {
+	if !i.replica.isLeader() {
 		return nil, ErrNoQuorum
 	}
 	document, err := i.replica.Newest(ctx)
--- a/registry/bench_test.go
+++ b/registry/bench_test.go
@@ -4,6 +4,7 @@
 	"context"
 	"fmt"
 	"net"
+	"slices"
 	"strings"
 	"sync/atomic"
 	"testing"
@@ -217,3 +218,23 @@
 		b.ReportMetric(float64(process.MemoryInUse()-before)/5/(1<<20), "MB/replica")
 	}
 }
+
+// BenchmarkDepartures measures the departure of 300 upstreams at the same time, on disks that take 5 ms for a sync: the time to
+// an acknowledgement, the processor time of five replicas and the bytes that each writes to its disk.
+func BenchmarkDepartures(b *testing.B) {
+	g := newSlowGroup(b, 5, 2, slowSync)
+	g.submit(1)
+	g.leader()
+	var took []time.Duration
+	born, before, size := int64(0), processorTime(b), g.diskBytes.Load()
+	for b.Loop() {
+		born++
+		took = append(took, g.leaveAtOnce(manyDepartures, born)...)
+	}
+	departures := float64(len(took))
+	slices.Sort(took)
+	b.ReportMetric(float64(took[len(took)/2])/float64(time.Millisecond), "p50-ms")
+	b.ReportMetric(float64(took[len(took)*99/100])/float64(time.Millisecond), "p99-ms")
+	b.ReportMetric(float64(processorTime(b)-before)/float64(time.Microsecond)/departures, "cpu-µs/departure")
+	b.ReportMetric(float64(g.diskBytes.Load()-size)/departures/5, "bytes/departure")
+}
--- /dev/null
+++ b/registry/catch_up.go
@@ -0,0 +1,91 @@
+package registry
+
+import (
+	"context"
+	"time"
+
+	"github.com/rotisserie/eris"
+
+	"guavahitch.example/guavahitch/wait"
+	"guavahitch.example/guavahitch/wire"
+)
+
+// This file tells when a replica that has started holds everything that was acknowledged before. Until then its log may lack
+// committed entries or replay them, so followers receive no new upstreams from it: an entry that has restarted, too, would act
+// on an older state.
+
+const (
+	// catchUpInterval is the pause between two attempts to catch up.
+	catchUpInterval = 50 * time.Millisecond
+	// catchUpTimeout bounds one attempt.
+	catchUpTimeout = 800 * time.Millisecond
+	// appliedPollInterval is the time between two checks of what has been applied.
+	appliedPollInterval = 5 * time.Millisecond
+)
+
+// catchUp retries until the replica has caught up or closes.
+func (r *Replica) catchUp() {
+	for r.ctx.Err() == nil {
+		if r.tryCatchUp() == nil {
+			r.hasCaughtUp.Store(true)
+			r.settings.Log.Info("replica has caught up")
+			r.mutex.Lock()
+			r.notifyWatchers()
+			r.mutex.Unlock()
+			return
+		}
+		wait.For(r.ctx, catchUpInterval)
+	}
+}
+
+// tryCatchUp returns nil once this replica has applied what was acknowledged before the call.
+func (r *Replica) tryCatchUp() error {
+	ctx, cancel := context.WithTimeout(r.ctx, catchUpTimeout)
+	defer cancel()
+	index, err := r.readIndex(ctx)
+	if err != nil {
+		return err
+	}
+	for ctx.Err() == nil {
+		if node := r.node.Load(); node != nil && node.Status().Applied >= index {
+			return nil
+		}
+		wait.For(ctx, appliedPollInterval)
+	}
+	return eris.Wrapf(ctx.Err(), "apply up to index %d", index)
+}
+
+// readIndex returns an index of the log that covers everything acknowledged before the call.
+func (r *Replica) readIndex(ctx context.Context) (uint64, error) {
+	node := r.node.Load()
+	if node == nil {
+		return 0, ErrNoQuorum
+	}
+	leader := node.Status().Leader
+	if leader == "" {
+		return 0, ErrNoQuorum
+	}
+	if leader == r.settings.ID {
+		if err := node.ReadBarrier(ctx); err != nil {
+			return 0, err
+		}
+		return node.Status().Applied, nil
+	}
+	reply, err := r.registryAt(leader).ReadIndex(ctx, &wire.ReadIndexRequest{})
+	if err != nil {
+		return 0, eris.Wrapf(err, "read the index at %s", leader)
+	}
+	return reply.Index, nil
+}
+
+// ReadIndex returns the read index. A replica that does not lead returns ErrNoQuorum.
+func (i replicaService) ReadIndex(ctx context.Context, _ *wire.ReadIndexRequest) (*wire.ReadIndexReply, error) {
+	if !i.replica.isLeader() {
+		return nil, ErrNoQuorum
+	}
+	index, err := i.replica.readIndex(ctx)
+	if err != nil {
+		return nil, err
+	}
+	return &wire.ReadIndexReply{Index: index}, nil
+}
--- a/registry/evacuation.go
+++ b/registry/evacuation.go
@@ -174,8 +174,7 @@
 
 // Evacuate stores an order. A replica that does not lead returns ErrNoQuorum.
 func (i replicaService) Evacuate(ctx context.Context, request *wire.EvacuateRequest) (*wire.EvacuateReply, error) {
-	node := i.replica.node.Load()
-	if request.Order == nil || node == nil || node.Status().Leader != i.replica.settings.ID {
+	if request.Order == nil || !i.replica.isLeader() {
 		return nil, ErrNoQuorum
 	}
 	return i.replica.evacuate(ctx, request.Order)
--- a/registry/evacuation_test.go
+++ b/registry/evacuation_test.go
@@ -340,12 +340,7 @@
 	g.order("east", false)
 	g.order("west", true)
 	ordered := time.Now()
-	padding := make([]byte, 3<<20)
-	_, _ = rand.Read(padding)
-	for version := 2; version*len(padding) < 2*consensus.DefaultSnapshotBytes; version++ {
-		source := append(fmt.Appendf(nil, "%d ", version), padding...)
-		require.Eventually(t, func() bool { return g.awaitLeader().Submit(t.Context(), source) == nil }, 30*time.Second, 20*time.Millisecond)
-	}
+	g.fillLog()
 	id := g.seeds[0]
 	g.stop(id)
 	g.restart(id, t.TempDir())
@@ -353,6 +348,16 @@
 	require.WithinDuration(t, ordered, g.running[id].Evacuated().Orders()[0].Started, 2*time.Second)
 }
 
+// fillLog submits configurations until a snapshot has replaced the first part of the log.
+func (g *group) fillLog() {
+	padding := make([]byte, 3<<20)
+	_, _ = rand.Read(padding)
+	for version := 2; version*len(padding) < 2*consensus.DefaultSnapshotBytes; version++ {
+		source := append(fmt.Appendf(nil, "%d ", version), padding...)
+		require.Eventually(g.t, func() bool { return g.awaitLeader().Submit(g.t.Context(), source) == nil }, 30*time.Second, 20*time.Millisecond)
+	}
+}
+
 // Guards against frames that grow by the set of evacuated domains: each frame carries it, and an entry receives some ten a second
 // from each replica.
 func TestEvacuationsTakeFewBytesOfAFrame(t *testing.T) {
--- a/registry/replica.go
+++ b/registry/replica.go
@@ -16,6 +16,7 @@
 	"google.golang.org/protobuf/proto"
 
 	"guavahitch.example/guavahitch/consensus"
+	"guavahitch.example/guavahitch/journal"
 	"guavahitch.example/guavahitch/peer"
 	"guavahitch.example/guavahitch/quarantine"
 	"guavahitch.example/guavahitch/quota"
@@ -49,6 +50,8 @@
 		Seeds []string
 		// Folder holds the files of the replica.
 		Folder string
+		// Disk replaces the files in Folder in tests.
+		Disk *journal.Disk
 		// IsFounding reports that the whole system starts for the first time, so that this replica forms a new group
 		// rather than joining one.
 		IsFounding bool
@@ -76,6 +79,10 @@
 		leadingSince atomic.Pointer[time.Time]
 		// memory holds what entries know of requests that end upstreams.
 		memory *quarantine.Memory
+		// departures stores departures of upstreams in the replicated log.
+		departures *departureWriter
+		// hasCaughtUp reports whether the replica has applied what was acknowledged before it started.
+		hasCaughtUp atomic.Bool
 		// allocator grants requests at upstreams that name rate limits, while this replica leads.
 		allocator *quota.Allocator
 		// table is the lookup table of the configuration in force.
@@ -127,12 +134,13 @@
 		settings: settings, roster: roster.New(), changed: make(chan struct{}), loads: map[string]groupLoads{},
 		memory: quarantine.NewMemory(), allocator: quota.NewAllocator(), roll: quota.NewRoll(), started: time.Now(),
 	}
+	r.departures = &departureWriter{write: r.writeDepartures}
 	r.ctx, r.cancel = context.WithCancel(context.Background())
 	if r.settings.Scope == nil {
 		r.settings.Scope = tally.NoopScope
 	}
 	r.settings.Scope.Gauge("evacuated_domains").Update(0)
-	r.state.onChange, r.state.onEvacuations = r.onConfiguration, r.onEvacuations
+	r.state.onChange, r.state.onEvacuations, r.state.onDepartures = r.onConfiguration, r.onEvacuations, r.onDepartures
 	dialer := &net.Dialer{Timeout: dialTimeout}
 	r.client = &http.Client{Transport: &http.Transport{
 		DialContext: dialer.DialContext, MaxIdleConnsPerHost: 4, DisableCompression: true,
@@ -152,6 +160,7 @@
 		Log: settings.Log,
 	})
 	r.done.Go(r.maintain)
+	r.done.Go(r.catchUp)
 	r.done.Go(func() { _ = follower.Run(r.ctx) })
 	return r, nil
 }
@@ -163,7 +172,7 @@
 		members = append(members, consensus.Member{ID: seed, Address: seed, IsVoter: true})
 	}
 	node, err := consensus.Open(consensus.Settings{
-		ID: r.settings.ID, Address: r.settings.ID, Members: members, Folder: r.settings.Folder,
+		ID: r.settings.ID, Address: r.settings.ID, Members: members, Folder: r.settings.Folder, Disk: r.settings.Disk,
 		IsAutoReplacing: true, IsJoining: !r.settings.IsFounding, Voters: r.requiredVoters(),
 		Apply:    r.state.apply,
 		Snapshot: r.state.snapshot, Restore: r.state.restore,
@@ -265,7 +274,7 @@
 	r.changed = make(chan struct{})
 }
 
-// maintain periodically removes silent upstreams and reopens the log after a fault.
+// maintain periodically removes silent upstreams and expired departures, and reopens the log after a fault.
 func (r *Replica) maintain() {
 	ticker := time.NewTicker(maintenanceInterval)
 	defer ticker.Stop()
@@ -279,6 +288,7 @@
 		r.roster.Expire(time.Now(), upstreamTimeout)
 		r.roll.Expire(time.Now())
 		r.mutex.Unlock()
+		r.expireDepartures()
 		r.reopen()
 	}
 }
@@ -427,6 +437,12 @@
 	return status.Term, status.Leader == r.settings.ID
 }
 
+// isLeader reports whether this replica believes that it leads. Only a barrier or a committed entry proves it.
+func (r *Replica) isLeader() bool {
+	_, leads := r.Leading()
+	return leads
+}
+
 // Upstreams returns the last announcement of each upstream, including those that left recently.
 func (r *Replica) Upstreams() []roster.Instance {
 	r.mutex.Lock()
--- a/registry/replica_test.go
+++ b/registry/replica_test.go
@@ -15,6 +15,7 @@
 	"github.com/sirupsen/logrus"
 	"github.com/stretchr/testify/require"
 
+	"guavahitch.example/guavahitch/journal"
 	"guavahitch.example/guavahitch/registry"
 	"guavahitch.example/guavahitch/roster"
 	"guavahitch.example/guavahitch/route"
@@ -42,6 +43,13 @@
 	seeds     []string
 	tolerance int
 	running   map[string]*replica
+	// parseDelay is added to the time that the parsing of a configuration takes.
+	parseDelay time.Duration
+	// syncDelay is added to the time that a disk takes for a sync. If it is not 0, syncs and diskBytes count the syncs of all
+	// disks and the bytes written to them.
+	syncDelay time.Duration
+	syncs     atomic.Int64
+	diskBytes atomic.Int64
 	// written counts the bytes that replicas write to connections which their peers opened.
 	written atomic.Int64
 }
@@ -53,7 +61,12 @@
 }
 
 func newGroup(t testing.TB, size, tolerance int) *group {
-	g := &group{t: t, tolerance: tolerance, running: map[string]*replica{}}
+	return newSlowGroup(t, size, tolerance, 0)
+}
+
+// newSlowGroup returns a group whose disks take longer for each sync.
+func newSlowGroup(t testing.TB, size, tolerance int, syncDelay time.Duration) *group {
+	g := &group{t: t, tolerance: tolerance, running: map[string]*replica{}, syncDelay: syncDelay}
 	var listeners []net.Listener
 	for range size {
 		listener, err := net.Listen("tcp", "127.0.0.1:0")
@@ -75,9 +88,14 @@
 }
 
 func (g *group) start(listener net.Listener, folder string, isFounding bool) {
-	id := listener.Addr().String()
+	id, delay := listener.Addr().String(), g.parseDelay
 	r, err := registry.Open(registry.Settings{
-		ID: id, Seeds: g.seeds, Folder: folder, IsFounding: isFounding, Tolerance: g.tolerance, Parse: parse, Log: quietLog(),
+		ID: id, Seeds: g.seeds, Folder: folder, IsFounding: isFounding, Tolerance: g.tolerance, Log: quietLog(),
+		Disk: g.slowDisk(folder),
+		Parse: func(source []byte) (*route.Configuration, error) {
+			time.Sleep(delay)
+			return parse(source)
+		},
 	})
 	require.NoError(g.t, err)
 	server := &http.Server{Handler: r.Handler()}
@@ -86,6 +104,34 @@
 	g.running[id] = &replica{Replica: r, server: server, folder: folder}
 }
 
+// slowDisk returns a disk for the folder that delays each sync by syncDelay, or nil if there is no delay.
+func (g *group) slowDisk(folder string) *journal.Disk {
+	if g.syncDelay == 0 {
+		return nil
+	}
+	disk, err := journal.NewDisk(folder)
+	require.NoError(g.t, err)
+	slow := *disk
+	slow.Open = func(name string) (*journal.File, error) {
+		file, err := disk.Open(name)
+		if err != nil {
+			return nil, err
+		}
+		slowFile := *file
+		slowFile.Sync = func() error {
+			g.syncs.Add(1)
+			time.Sleep(g.syncDelay)
+			return file.Sync()
+		}
+		slowFile.WriteAt = func(p []byte, offset int64) (int, error) {
+			g.diskBytes.Add(int64(len(p)))
+			return file.WriteAt(p, offset)
+		}
+		return &slowFile, nil
+	}
+	return &slow
+}
+
 func (g *group) stop(id string) string {
 	r := g.running[id]
 	delete(g.running, id)
@@ -193,7 +239,7 @@
 	lastHeartbeats := map[string]time.Time{}
 	for sequence := range uint64(20) {
 		announced.Sequence = sequence
-		first.Announce(t.Context(), announced)
+		require.NoError(t, first.Announce(t.Context(), announced))
 		time.Sleep(100 * time.Millisecond)
 		for id, r := range g.running {
 			if at, isKnown := r.LastHeartbeat("u"); isKnown && at.After(lastHeartbeats[id]) {
@@ -207,7 +253,7 @@
 		require.WithinDuration(t, latest, at, 1500*time.Millisecond, "replica %s", id)
 	}
 	require.Len(t, lastHeartbeats, 3)
-	g.running[g.seeds[1]].Leave(t.Context(), "u", 1)
+	require.NoError(t, g.running[g.seeds[1]].Leave(t.Context(), "u", 1))
 	require.Eventually(t, func() bool {
 		for _, r := range g.running {
 			list := r.Upstreams()
--- a/registry/state.go
+++ b/registry/state.go
@@ -11,18 +11,22 @@
 	"google.golang.org/protobuf/proto"
 
 	"guavahitch.example/guavahitch/consensus"
+	"guavahitch.example/guavahitch/departure"
 	"guavahitch.example/guavahitch/wire"
 )
 
-// state is the state machine of the replicated log. It holds the configuration with the highest version and the evacuated
-// domains. It is safe for concurrent use.
+// state is the state machine of the replicated log. It holds the configuration with the highest version, the evacuated
+// domains, and the departures of upstreams. It is safe for concurrent use.
 type state struct {
 	mutex       sync.RWMutex
 	document    *wire.RoutingDocument
 	evacuations evacuations
-	// onChange is called with each newer configuration, onEvacuations after each change of the evacuated domains.
+	departures  departure.Set
+	// onChange is called with each newer configuration, onEvacuations after each change of the evacuated domains, and
+	// onDepartures with the departures that were added.
 	onChange      func(*wire.RoutingDocument)
 	onEvacuations func()
+	onDepartures  func([]departure.Departure)
 }
 
 // newest returns the configuration with the highest version, or nil if there is none.
@@ -32,8 +36,8 @@
 	return s.document
 }
 
-// apply applies one committed command. The result is an encoded wire.EvacuateReply for an order, and nil for a
-// configuration.
+// apply applies one committed command. The result is an encoded wire.EvacuateReply for an order, and nil for any
+// other command.
 func (s *state) apply(entry consensus.Entry) []byte {
 	command := &wire.RoutingCommand{}
 	if err := proto.Unmarshal(entry.Command, command); err != nil {
@@ -43,6 +47,10 @@
 	if command.Evacuation != nil {
 		return s.applyEvacuation(command.Evacuation, entry.TimeMs)
 	}
+	if command.Departures != nil {
+		s.applyDepartures(command.Departures, entry.TimeMs)
+		return nil
+	}
 	s.applyDocument(&wire.RoutingDocument{Version: command.Version, Compressed: command.Compressed})
 	return nil
 }
@@ -66,6 +74,7 @@
 	defer s.mutex.RUnlock()
 	held := &wire.RoutingSnapshot{
 		Version: s.document.GetVersion(), Compressed: s.document.GetCompressed(), Evacuations: s.evacuations.encode(),
+		Departures: encodeDepartures(s.departures),
 	}
 	data, err := proto.Marshal(held)
 	if err != nil {
@@ -88,10 +97,13 @@
 	isNewer := document != nil && (s.document == nil || document.Version > s.document.Version)
 	s.document = document
 	s.evacuations = decodeStoredEvacuations(held.Evacuations)
+	s.departures = decodeDepartures(held.Departures)
+	departures := s.departures.All()
 	s.mutex.Unlock()
 	if isNewer {
 		s.onChange(document)
 	}
 	s.onEvacuations()
+	s.onDepartures(departures)
 	return nil
 }
--- a/registry/watch.go
+++ b/registry/watch.go
@@ -7,6 +7,7 @@
 
 	"google.golang.org/protobuf/encoding/protodelim"
 
+	"guavahitch.example/guavahitch/roster"
 	"guavahitch.example/guavahitch/wait"
 	"guavahitch.example/guavahitch/wire"
 )
@@ -92,10 +93,12 @@
 }
 
 // nextFrame returns what has changed since the last frame, and a channel that is closed at the next change. The first
-// frame holds all upstreams.
+// frame after the replica has caught up holds all upstreams. Until then, frames hold only those that drain or have left, and
+// renewals.
 func (w *watchStream) nextFrame(now time.Time) (*wire.WatchFrame, <-chan struct{}) {
 	r := w.replica
 	frame := &wire.WatchFrame{}
+	hasCaughtUp := r.hasCaughtUp.Load()
 	// The set is read after the version, so that it holds all orders from before that configuration.
 	frame.Version = r.state.newest().GetVersion()
 	frame.Evacuations = encodeEvacuations(r.Evacuated(), now)
@@ -103,8 +106,9 @@
 	defer r.mutex.Unlock()
 	isDue := now.Sub(w.lastRenewal) >= renewalInterval
 	for _, entry := range r.roster.Entries() {
+		isWithheld := !hasCaughtUp && entry.Instance.State == roster.Ready
 		switch {
-		case !w.isStarted || entry.Changed > w.revision:
+		case !isWithheld && (!w.isStarted || entry.Changed > w.revision):
 			frame.Upstreams = append(frame.Upstreams, encodeEntry(entry, now))
 		case isDue && entry.LastHeartbeat.After(w.lastRenewal):
 			frame.Renewals = append(frame.Renewals, encodeRenewal(entry, now))
@@ -113,7 +117,7 @@
 	if isDue {
 		w.lastRenewal = now
 	}
-	w.isStarted = true
+	w.isStarted = hasCaughtUp
 	w.revision = r.roster.Revision()
 	if !slices.Equal(w.members, r.members) {
 		w.members = r.members
--- a/roster/roster.go
+++ b/roster/roster.go
@@ -129,16 +129,24 @@
 // unknown incarnation.
 func (r *Roster) Leave(id string, born int64, now time.Time) bool {
 	held := r.entries[id]
-	if held == nil {
-		return r.Announce(Instance{ID: id, Born: born, State: Gone}, now)
+	if held != nil && born == 0 {
+		born = held.Instance.Born
 	}
-	if born != 0 && born < held.Instance.Born || held.Instance.State == Gone && born <= held.Instance.Born {
-		return false
+	return r.Depart(id, born, Gone, now)
+}
+
+// Depart records that the incarnations of an upstream up to one drain or have left, and reports whether this changed
+// anything.
+func (r *Roster) Depart(id string, born int64, state State, now time.Time) bool {
+	next := Instance{ID: id}
+	if held := r.entries[id]; held != nil {
+		if held.Instance.Born > born {
+			return false
+		}
+		next = held.Instance
 	}
-	left := held.Instance
-	left.Born = max(left.Born, born)
-	left.State = Gone
-	return r.Announce(left, now)
+	next.Born, next.State = born, state
+	return r.Announce(next, now)
 }
 
 // Expire removes upstreams without a heartbeat for longer than the limit, and upstreams that left more than
