Send followers no configuration until a replica has caught up

Cause: a replica that replays its log told followers of each version as if it were the newest, and an entry that had just started fetched and obeyed the first one.

Change: the version, the evacuated domains and the document are withheld until the replica has applied the read index of the leader. Entries that run go on with what they have.

TestReplayedConfigurationsAreNotSent failed on the code before.

--- a/registry/departures_test.go
+++ b/registry/departures_test.go
@@ -317,7 +317,22 @@
 		time.Sleep(50 * time.Millisecond)
 	}
 	require.False(t, restarted.hasSeenReady("u"))
+	require.Empty(t, restarted.heardVersions())
 	known.mutex.Lock()
 	defer known.mutex.Unlock()
 	require.WithinDuration(t, time.Now(), known.roster.Get("u").LastHeartbeat, 2*time.Second)
 }
+
+// Guards against entries that act on an older configuration while replicas that have restarted replay their logs.
+func TestReplayedConfigurationsAreNotSent(t *testing.T) {
+	const versions = 60
+	g := newGroup(t, 3, 1)
+	for version := range versions {
+		g.submit(version + 1)
+	}
+	g.parseDelay = 20 * time.Millisecond
+	g.restartAll()
+	o := g.observe()
+	require.Eventually(t, func() bool { return len(o.heardVersions()) > 0 }, 20*time.Second, time.Millisecond)
+	require.Equal(t, uint64(versions), o.heardVersions()[0])
+}
--- a/registry/watch.go
+++ b/registry/watch.go
@@ -99,9 +99,11 @@
 	r := w.replica
 	frame := &wire.WatchFrame{}
 	hasCaughtUp := r.hasCaughtUp.Load()
-	// The set is read after the version, so that it holds all orders from before that configuration.
-	frame.Version = r.state.newest().GetVersion()
-	frame.Evacuations = encodeEvacuations(r.Evacuated(), now)
+	if hasCaughtUp {
+		// The set is read after the version, so that it holds all orders from before that configuration.
+		frame.Version = r.state.newest().GetVersion()
+		frame.Evacuations = encodeEvacuations(r.Evacuated(), now)
+	}
 	r.mutex.Lock()
 	defer r.mutex.Unlock()
 	isDue := now.Sub(w.lastRenewal) >= renewalInterval
@@ -152,7 +154,7 @@
 // serveDocument sends the newest committed configuration that this replica has applied.
 func (r *Replica) serveDocument(w http.ResponseWriter, _ *http.Request) {
 	document := r.state.newest()
-	if document == nil {
+	if document == nil || !r.hasCaughtUp.Load() {
 		http.Error(w, "there is no configuration", http.StatusNotFound)
 		return
 	}
