Pass on no answer that does not continue a stream

Callers of a stream that had begun and broken off got the text of the next upstream's error in their stream, or a stream that ended as if it were complete (reported by operators of similar systems).

Cause: on the routed interface events without IDs and other media types passed for a continuation, and so did the end of a response without a length and without an event. On the chat interface the head of a second attempt was not looked at.

Change: a continuation must be a 200 of the same media type with events that carry IDs (routed), or whole events (chat). Anything else is a failed attempt. A stream without event IDs is not begun anew inside one response.

--- a/dispatch/job.go
+++ b/dispatch/job.go
@@ -3,6 +3,7 @@
 import (
 	"bytes"
 	"context"
+	"errors"
 	"net/http"
 	"time"
 
@@ -253,7 +254,11 @@
 
 // take passes a piece to the output and reports whether it was the last one.
 func (j *job) take(ctx context.Context, l *runningAttempt, piece *wire.Piece) (isEnd bool, failure *outcome.Error) {
-	if err := j.out.add(headOf(piece), piece.Data, piece.End); err != nil {
+	err := j.out.add(headOf(piece), piece.Data, piece.End)
+	if errors.Is(err, errNotContinued) {
+		return false, j.failContinuation(ctx, l, err)
+	}
+	if err != nil {
 		l.choice.Attempt.Ended(time.Now())
 		known := l.attempt.Cancel(ctx)
 		return false, outcome.Error{
@@ -271,6 +276,16 @@
 	return true, nil
 }
 
+// failContinuation ends an attempt whose answer does not continue the stream.
+func (j *job) failContinuation(ctx context.Context, l *runningAttempt, err error) *outcome.Error {
+	known := l.attempt.Cancel(ctx)
+	failure := outcome.Error{
+		Step: "deliver", Peer: l.choice.Upstream.Name, Outcome: known, Reason: "not-continued", Status: http.StatusBadGateway,
+	}.WithCause(err)
+	j.reportFailure(l.choice, failure, time.Now())
+	return failure
+}
+
 // clearSuspicion reports to control that a suspect request completed while it ran alone, and that a request with suspect
 // parts completed.
 func (j *job) clearSuspicion(ctx context.Context) {
--- a/dispatch/output.go
+++ b/dispatch/output.go
@@ -3,8 +3,11 @@
 import (
 	"bytes"
 	"encoding/json"
+	"net/http"
 	"strings"
 
+	"github.com/rotisserie/eris"
+
 	"guavahitch.example/guavahitch/admission"
 )
 
@@ -32,6 +35,9 @@
 		delivered    []byte
 		hasDelivered bool
 		isTooLong    bool
+		// isContinuing is set while an attempt continues what the caller has received, and hasContinued once that has
+		// brought an event.
+		isContinuing, hasContinued bool
 	}
 
 	chatEvent struct {
@@ -43,6 +49,9 @@
 	}
 )
 
+// errNotContinued reports that the answer of an attempt does not continue the stream of which the caller has a part.
+var errNotContinued = eris.New("the answer does not continue the stream")
+
 func newOutput(request *Request, sink Sink) *output {
 	return &output{request: request, sink: sink}
 }
@@ -54,15 +63,19 @@
 		o.buffered, o.hasHead = nil, false
 		return true
 	}
-	o.buffered = nil
+	o.buffered, o.isContinuing, o.hasContinued = nil, true, false
 	return o.isStream && o.request.IsModel && !o.isTooLong
 }
 
-// add receives the next data of the current attempt and delivers what is complete.
+// add receives the next data of the current attempt and delivers what is complete. It returns errNotContinued, and delivers
+// nothing, if the attempt was to continue a stream and does not.
 func (o *output) add(head admission.Head, data []byte, end bool) error {
+	if o.isContinuing && head.Status != 0 && !isStreamHead(head) {
+		return errNotContinued
+	}
 	if !o.hasHead && head.Status != 0 {
 		o.head, o.hasHead = head, true
-		o.isStream = head.Status == 200 && isEventStream(head)
+		o.isStream = isStreamHead(head)
 	}
 	o.buffered = append(o.buffered, data...)
 	switch {
@@ -77,7 +90,11 @@
 	}
 }
 
-func isEventStream(head admission.Head) bool {
+// isStreamHead reports whether the head is that of a successful stream of events.
+func isStreamHead(head admission.Head) bool {
+	if head.Status != http.StatusOK {
+		return false
+	}
 	for _, h := range head.Headers {
 		if h.Name == "Content-Type" {
 			return strings.HasPrefix(h.Value, "text/event-stream")
@@ -86,9 +103,14 @@
 	return false
 }
 
-// deliverEvents delivers the whole events in the buffer, or all of it at the end of the stream.
+// deliverEvents delivers the whole events in the buffer, or all of it at the end of the stream. A continued stream must have
+// whole events only.
 func (o *output) deliverEvents(end bool) error {
 	whole := bytes.LastIndex(o.buffered, []byte("\n\n")) + len("\n\n")
+	o.hasContinued = o.hasContinued || whole >= len("\n\n")
+	if end && o.isContinuing && (!o.hasContinued || whole < len(o.buffered)) {
+		return errNotContinued
+	}
 	if end {
 		whole = len(o.buffered)
 	}
--- a/forward/attempt.go
+++ b/forward/attempt.go
@@ -58,6 +58,8 @@
 		isBodyRead bool
 		// isSent is set once the request was written to the upstream.
 		isSent bool
+		// isContinuing is set when the caller already has a part of the stream.
+		isContinuing bool
 		// events counts the events of a stream that have arrived, the first of them at firstEvent.
 		events     int
 		firstEvent time.Time
@@ -194,14 +196,15 @@
 func (a *attempt) handleResponse(response *http.Response) attemptResult {
 	names := a.job.server.settings.Headers
 	a.hearNotice(response)
+	a.isContinuing = a.job.isHeadSent
 	switch {
 	case a.isRefusal(response):
 		return a.handleRefusal(response)
 	case response.Header.Get(names.Seal) == "" || response.Header.Get("Content-Encoding") != "":
 		a.upstream.recordBroken(time.Now())
 		return broken
-	case a.job.isHeadSent && response.StatusCode >= http.StatusMultipleChoices:
-		// The caller already has part of a stream, so an error response must not be written into it.
+	case a.isContinuing && !a.job.mayContinue(response):
+		// The caller already has part of a stream, so another response must not be written into it.
 		now := time.Now()
 		a.upstream.recordResponse(now, now.Sub(a.started), true)
 		return broken
--- a/forward/job.go
+++ b/forward/job.go
@@ -182,7 +182,7 @@
 }
 
 // mayRetry reports whether another attempt is allowed: there is time left, and the attempts of the route are not used
-// up. After a broken exchange the route must also be repeatable. After a failed connect only the time and
+// up. After a broken exchange the route must also be repeatable, and a stream that has begun must have event IDs. After a failed connect only the time and
 // maxFailedConnects count.
 func (j *job) mayRetry(v attemptResult) bool {
 	if j.deadline.Sub(time.Now()) < minRetryTime {
@@ -194,6 +194,10 @@
 	if v == broken && !j.route.IsRepeatable() {
 		return false
 	}
+	if j.isHeadSent && !j.hasEvent {
+		// Without the ID of an event, the next upstream would begin the stream anew.
+		return false
+	}
 	return j.sent < max(j.route.Attempts, 1)
 }
 
--- a/forward/relay.go
+++ b/forward/relay.go
@@ -39,10 +39,13 @@
 		a.conn.SetReadDeadline(earlier(time.Now().Add(j.streamIdleTimeout()), j.deadline))
 		event, id, hasID, err := events.Next()
 		if err == io.EOF {
-			return a.endStream(response)
+			err = a.checkEnd(response)
+			if err == nil {
+				return a.endStream(response)
+			}
 		}
 		if err == nil {
-			err = j.checkEvent(id, hasID)
+			err = a.checkEvent(event, id, hasID)
 		}
 		if err != nil {
 			return a.fail(err)
@@ -87,11 +90,16 @@
 	}
 }
 
-// checkEvent returns an error if the ID of an event does not follow that of the last event.
-func (j *job) checkEvent(id int64, hasID bool) error {
+// checkEvent returns an error if the ID of an event does not follow that of the last event, or if a continued stream has an
+// event without an ID that is more than a comment: it may be the text of an error.
+func (a *attempt) checkEvent(event []byte, id int64, hasID bool) error {
+	j := a.job
 	if j.hasEvent && hasID && id != j.lastEvent+1 {
 		return eris.Errorf("event %d follows event %d", id, j.lastEvent)
 	}
+	if a.isContinuing && !hasID && !isComment(event) {
+		return errNotContinued
+	}
 	return nil
 }
 
