Send a request ID on a connection only once in a row

A caller that sent its request again under the same ID could get 503 for a request that ran: a faulty upstream wrote its earlier refusal once more on the kept connection, and the ID matched.

Ruled out: requests with other IDs, further attempts of one request, and the chat interface. Change: a connection that carried the ID last is closed, and a new one is opened.

--- a/forward/attempt.go
+++ b/forward/attempt.go
@@ -105,6 +105,7 @@
 		return a.fail(err)
 	}
 	a.isSent = true
+	a.conn.LastRequest = a.job.id
 	response, err := a.conn.Receive(a.job.request.Method, a.matchesRequest)
 	if err != nil {
 		return a.fail(err)
@@ -120,7 +121,18 @@
 	if !a.job.route.IsRepeatable() {
 		limit = unsafeIdleTimeout
 	}
-	return a.upstream.pool.Get(a.job.request.Context(), a.started, limit)
+	conn, err := a.upstream.pool.Get(a.job.request.Context(), a.started, limit)
+	if err != nil || !a.isConfusable(conn) {
+		return conn, err
+	}
+	conn.Close()
+	return a.upstream.pool.Open(a.job.request.Context())
+}
+
+// isConfusable reports whether the connection has carried a request with the same ID before. A second copy of the earlier
+// response could then be taken for the response to this request.
+func (a *attempt) isConfusable(conn *upstream.Connection) bool {
+	return conn.LastRequest == a.job.id
 }
 
 // release returns the connection to its pool, or resets it when the exchange is not complete.
--- a/forward/resume_test.go
+++ b/forward/resume_test.go
@@ -81,3 +81,33 @@
 	require.Equal(t, "data: piece 1\n\n", body)
 	require.Empty(t, other.received())
 }
+
+// Guards against a refusal that an upstream writes once more on a kept connection, and that is taken for the answer to a request
+// which the caller sends again under the same ID, and which runs.
+func TestRepeatedRefusalOnAKeptConnection(t *testing.T) {
+	for _, target := range []string{"/credit/", "/balance/", "/match/", "/match/once/"} {
+		t.Run(target, func(t *testing.T) {
+			requests := map[net.Conn]int{}
+			u := newUpstream(t, func(conn net.Conn, r *http.Request, _ string) bool {
+				requests[conn]++
+				refusal := "X-Not-Executed: 1\r\nContent-Length: 0\r\n"
+				writeSealed(conn, r, 503, refusal, "")
+				if requests[conn] == 1 {
+					return true
+				}
+				// The request runs, and the upstream writes its earlier refusal before the answer.
+				writeResponse(conn, r, 200, "")
+				return true
+			})
+			e := newEntry(t, u)
+			for range 3 {
+				response, _, err := e.send("POST", target, "x")
+				require.NoError(t, err)
+				require.Equal(t, http.StatusServiceUnavailable, response.StatusCode)
+			}
+			for conn, count := range requests {
+				require.Equal(t, 1, count, "connection %v carried the request again", conn.LocalAddr())
+			}
+		})
+	}
+}
--- a/upstream/connection.go
+++ b/upstream/connection.go
@@ -43,6 +43,9 @@
 // Connection is a connection to an upstream that carries one request at a time. Only Abort may be called while another
 // goroutine uses it.
 type Connection struct {
+	// LastRequest is the ID of the request that the connection carried last. Its user sets it.
+	LastRequest string
+
 	conn   net.Conn
 	input  *limitedReader
 	reader *bufio.Reader
