Let no malformed heartbeat take a sound upstream out of use

One message of another writer took a sound upstream out of use for good: under its ID with a later start and an unknown service or a port out of range, or at its address under another ID with a start in the far future. Callers got 503.

Cause: a start in the future counted as the newest, and neither addresses, ranges of numbers nor services were checked.

In the roster an announcement of a service that is not in the configuration does not replace or end an upstream of one that is. Entries of the roster remember the earliest start that may follow a departure.

--- a/forward/fleet.go
+++ b/forward/fleet.go
@@ -10,6 +10,7 @@
 	"guavahitch.example/guavahitch/evacuation"
 	"guavahitch.example/guavahitch/registry"
 	"guavahitch.example/guavahitch/roster"
+	"guavahitch.example/guavahitch/route"
 	"guavahitch.example/guavahitch/upstream"
 )
 
@@ -114,6 +115,13 @@
 	}
 }
 
+// setServices has the roster distinguish announcements of services that are not in the table.
+func (f *Fleet) setServices(table *route.Table) {
+	f.mutex.Lock()
+	defer f.mutex.Unlock()
+	f.roster.IsServed = func(service string) bool { return table.Service(service) != nil }
+}
+
 func (f *Fleet) updateHeartbeats() {
 	for id, u := range f.byID {
 		if entry := f.roster.Get(id); entry != nil {
--- a/forward/server.go
+++ b/forward/server.go
@@ -82,6 +82,7 @@
 		if s.table.CompareAndSwap(held, table) {
 			s.fleet.setColdLimits(s.table.Load())
 			s.fleet.setMemoryLimits(s.table.Load())
+			s.fleet.setServices(s.table.Load())
 			s.fleet.changes.notify()
 			return true
 		}
--- a/registry/announcements.go
+++ b/registry/announcements.go
@@ -21,6 +21,10 @@
 	}
 	now := time.Now()
 	r.mutex.Lock()
+	if !r.roster.Accepts(instance) {
+		r.mutex.Unlock()
+		return nil
+	}
 	isChange := r.roster.Announce(instance, now)
 	spread := r.publishAndUnlock(ctx, instance.ID, isChange, now)
 	if instance.State == roster.Ready {
--- a/registry/replica.go
+++ b/registry/replica.go
@@ -134,6 +134,7 @@
 		settings: settings, roster: roster.New(), changed: make(chan struct{}), loads: map[string]groupLoads{},
 		memory: quarantine.NewMemory(), allocator: quota.NewAllocator(), roll: quota.NewRoll(), started: time.Now(),
 	}
+	r.roster.IsServed = r.isServed
 	r.departures = &departureWriter{write: r.writeDepartures}
 	r.ctx, r.cancel = context.WithCancel(context.Background())
 	if r.settings.Scope == nil {
@@ -437,6 +438,12 @@
 	return status.Term, status.Leader == r.settings.ID
 }
 
+// isServed reports whether the configuration in force has the service. Before the first configuration, all services count.
+func (r *Replica) isServed(service string) bool {
+	table := r.Table()
+	return table == nil || table.Service(service) != nil
+}
+
 // isLeader reports whether this replica believes that it leads. Only a barrier or a committed entry proves it.
 func (r *Replica) isLeader() bool {
 	_, leads := r.Leading()
--- a/roster/roster.go
+++ b/roster/roster.go
@@ -63,12 +63,17 @@
 	Entry struct {
 		Instance      Instance
 		LastHeartbeat time.Time
+		// MinBorn is the earliest start that an incarnation in use may have: earlier ones have left.
+		MinBorn int64
 		// Changed is the revision of the roster at which the instance changed last.
 		Changed uint64
 	}
 
 	// Roster holds the newest announcement of each upstream. It is not safe for concurrent use.
 	Roster struct {
+		// IsServed reports whether a service is in the configuration in force. If it is nil, all services are.
+		IsServed func(service string) bool
+
 		entries  map[string]*Entry
 		revision uint64
 	}
@@ -84,8 +89,11 @@
 // sequence, the time and the countdown to ColdUntil changed. Announcements of older incarnations are ignored. Older announcements of the same
 // incarnation only renew the time.
 func (r *Roster) Announce(next Instance, receivedAt time.Time) bool {
+	if !r.Accepts(next) {
+		return false
+	}
 	held := r.entries[next.ID]
-	if held != nil && !supersedes(next, held.Instance) {
+	if held != nil && !r.supersedes(next, held.Instance) {
 		if next.Born == held.Instance.Born && receivedAt.After(held.LastHeartbeat) {
 			held.LastHeartbeat = receivedAt
 		}
@@ -104,7 +112,10 @@
 	}
 	entry := &Entry{Instance: next, LastHeartbeat: receivedAt}
 	if held != nil {
-		entry.Changed = held.Changed
+		entry.Changed, entry.MinBorn = held.Changed, held.MinBorn
+	}
+	if next.State == Gone {
+		entry.MinBorn = max(entry.MinBorn, next.Born+1)
 	}
 	if isChange {
 		r.revision++
@@ -117,6 +128,25 @@
 	return isChange
 }
 
+// Accepts reports whether an announcement names an upstream that may be used. One of a service that is not served names none,
+// so it does not replace an upstream of a served service.
+func (r *Roster) Accepts(next Instance) bool {
+	held := r.entries[next.ID]
+	if held == nil || next.State == Gone {
+		return true
+	}
+	if next.Born < held.MinBorn {
+		return false
+	}
+	return held.Instance.State == Gone || r.serves(next) || !r.serves(held.Instance)
+}
+
+// serves reports whether the service of an instance is served. An instance without a service is one that is known by its
+// departure only, and counts as served.
+func (r *Roster) serves(i Instance) bool {
+	return i.Service == "" || r.IsServed == nil || r.IsServed(i.Service)
+}
+
 // Renew updates the time of the last heartbeat of an incarnation. Of the instance, it reads only ID and Born.
 func (r *Roster) Renew(entry Entry) {
 	held := r.entries[entry.Instance.ID]
@@ -179,8 +209,11 @@
 }
 
 // supersedes reports whether an announcement replaces the one that is held. Gone is final for an incarnation, and
-// Draining replaces Ready whatever their sequences.
-func supersedes(next, held Instance) bool {
+// Draining replaces Ready whatever their sequences. An upstream of a served service replaces one that names no such service.
+func (r *Roster) supersedes(next, held Instance) bool {
+	if next.State != Gone && held.State != Gone && r.serves(next) && !r.serves(held) {
+		return true
+	}
 	if next.Born != held.Born {
 		return next.Born > held.Born
 	}
@@ -200,25 +233,32 @@
 	return isColdChange || a != b
 }
 
-// hasNewerAtAddress reports whether another upstream with a later start has the address.
+// hasNewerAtAddress reports whether another upstream with a later start has the address. One of a service that is not served
+// does not count.
 func (r *Roster) hasNewerAtAddress(next Instance) bool {
 	for _, entry := range r.entries {
 		other := entry.Instance
-		if other.ID != next.ID && other.Address == next.Address && other.State != Gone && other.Born > next.Born {
+		if other.ID != next.ID && other.Address == next.Address && other.State != Gone && other.Born > next.Born &&
+			r.serves(other) {
 			return true
 		}
 	}
 	return false
 }
 
-// endPredecessors marks other upstreams with an earlier start at the same address as Gone.
+// endPredecessors marks other upstreams with an earlier start at the same address as Gone, unless the service of the later one
+// is not served.
 func (r *Roster) endPredecessors(next Instance) {
+	if !r.serves(next) {
+		return
+	}
 	for _, entry := range r.entries {
 		other := &entry.Instance
 		if other.ID == next.ID || other.Address != next.Address || other.State == Gone || other.Born >= next.Born {
 			continue
 		}
 		other.State = Gone
+		entry.MinBorn = max(entry.MinBorn, other.Born+1)
 		r.revision++
 		entry.Changed = r.revision
 	}
--- a/roster/roster_test.go
+++ b/roster/roster_test.go
@@ -63,6 +63,42 @@
 	require.Equal(t, roster.Gone, r.Get("a").Instance.State)
 }
 
+// Guards against another writer that takes a sound upstream out of use by an announcement that names no service of the
+// configuration, under its ID or at its address.
+func TestUnservedAnnouncementsDoNotReplaceServedOnes(t *testing.T) {
+	r := roster.New()
+	r.IsServed = func(service string) bool { return service == "ledger" }
+	odd := func(id string, state roster.State) roster.Instance {
+		i := instance(id, 9, 100, state)
+		i.Service = "odd"
+		return i
+	}
+	requireSound := func(sequence uint64) {
+		r.Announce(instance("a", 1, sequence, roster.Ready), start)
+		require.Equal(t, instance("a", 1, sequence, roster.Ready), r.Get("a").Instance)
+	}
+	r.Announce(odd("a", roster.Ready), start)
+	requireSound(1)
+	r.Announce(odd("a", roster.Draining), start)
+	requireSound(2)
+	r.Announce(odd("b", roster.Ready), start)
+	requireSound(3)
+	require.True(t, r.Leave("a", 1, start))
+	r.Announce(odd("a", roster.Ready), start)
+	require.False(t, r.Announce(instance("a", 1, 4, roster.Ready), start), "a late announcement of an upstream that left")
+	require.Equal(t, "odd", r.Get("a").Instance.Service)
+}
+
+// Guards against an upstream that is not used although its service has come into the configuration after its announcements.
+func TestServiceThatComesLater(t *testing.T) {
+	r := roster.New()
+	r.IsServed = func(string) bool { return false }
+	r.Announce(instance("a", 1, 1, roster.Ready), start)
+	r.IsServed = func(string) bool { return true }
+	require.Equal(t, roster.Ready, r.Get("a").Instance.State)
+	require.False(t, r.Announce(instance("a", 1, 2, roster.Ready), start))
+}
+
 func TestLeaveAndExpire(t *testing.T) {
 	r := roster.New()
 	r.Announce(instance("a", 5, 1, roster.Ready), start)
