--- a/consensus/memory_disk_test.go
+++ b/consensus/memory_disk_test.go
@@ -2,7 +2,9 @@
 
 import (
 	"errors"
+	"maps"
 	"math/rand/v2"
+	"slices"
 	"sort"
 
 	"guavahitch.example/guavahitch/journal"
@@ -17,6 +19,8 @@
 	// files, durable those that were there at the last sync of the folder.
 	memoryDisk struct {
 		live, durable map[string]*memoryFile
+		// names decides which changes of the folder survive a loss of power.
+		names *rand.Rand
 		// isDroppingSyncs makes the disk ignore every sync of a file after the first one and report success. A power failure
 		// then discards all data that these syncs should have kept.
 		isDroppingSyncs bool
@@ -35,7 +39,9 @@
 )
 
 func newMemoryDisk() *memoryDisk {
-	return &memoryDisk{live: map[string]*memoryFile{}, durable: map[string]*memoryFile{}}
+	return &memoryDisk{
+		live: map[string]*memoryFile{}, durable: map[string]*memoryFile{}, names: rand.New(rand.NewPCG(1, 1)),
+	}
 }
 
 func (d *memoryDisk) disk() *journal.Disk {
@@ -100,17 +106,19 @@
 	copy(f.durable[s.from:s.to], f.data[s.from:s.to])
 }
 
-// losePower discards unsynced data, except for randomly chosen sectors, which count as written before the failure.
+// losePower discards unsynced data, except for randomly chosen sectors, which count as written before the failure. Each name that
+// was created, renamed or removed since the last sync of the folder is kept or lost independently.
 func (d *memoryDisk) losePower(random *rand.Rand) {
 	d.isFailing, d.syncsLeft = false, 0
 	live := map[string]*memoryFile{}
-	names := make([]string, 0, len(d.durable))
-	for name := range d.durable {
-		names = append(names, name)
-	}
-	sort.Strings(names)
-	for _, name := range names {
+	for _, name := range d.allNames() {
 		f := d.durable[name]
+		if d.live[name] != f && d.names.IntN(2) == 0 && !d.isDroppingSyncs {
+			f = d.live[name]
+		}
+		if f == nil {
+			continue
+		}
 		for _, s := range f.pending {
 			for at := s.from; at < s.to; {
 				next := min((at/sectorBytes+1)*sectorBytes, s.to)
@@ -126,6 +134,14 @@
 	d.live = live
 }
 
+// allNames returns the names of the files that are there or were there at the last sync of the folder, sorted.
+func (d *memoryDisk) allNames() []string {
+	all := map[string]*memoryFile{}
+	maps.Copy(all, d.live)
+	maps.Copy(all, d.durable)
+	return slices.Sorted(maps.Keys(all))
+}
+
 func (d *memoryDisk) list() ([]string, error) {
 	names := make([]string, 0, len(d.live))
 	for name := range d.live {
--- a/journal/journal.go
+++ b/journal/journal.go
@@ -12,9 +12,11 @@
 	DefaultSegmentBytes = 4 << 20
 
 	// Kinds below FirstKind are reserved for records that the journal itself writes. A sync marker carries only
-	// the synced offset in its header; a segment end is the last record of a closed segment.
+	// the synced offset in its header; a segment end is the last record of a closed segment; a drop marker holds the number
+	// of the first segment that is still needed.
 	kindSyncMarker = 0
 	kindSegmentEnd = 1
+	kindDropMarker = 2
 	// FirstKind is the smallest kind that callers of Append may use.
 	FirstKind = 16
 )
@@ -65,10 +67,10 @@
 	if len(numbers) == 0 {
 		return j, j.startSegment(1)
 	}
+	if numbers, err = completeDrop(disk, numbers); err != nil {
+		return nil, err
+	}
 	for i, n := range numbers {
-		if i > 0 && n != numbers[i-1]+1 {
-			return nil, &CorruptError{File: segmentName(n), Detail: "the preceding segment is missing"}
-		}
 		if err := j.replaySegment(n, i == len(numbers)-1, settings.Replay); err != nil {
 			j.Close()
 			return nil, err
@@ -280,14 +282,26 @@
 }
 
 // Drop deletes the oldest segments in which no record has a position above the given one. It stops at the first
-// segment that has one, and never deletes the last segment.
+// segment that has one, and never deletes the last segment. A loss of power may undo any of the deletions, so Drop first
+// syncs a drop marker, by which Open knows which segments are not needed.
 func (j *Journal) Drop(position uint64) error {
-	for len(j.segments) > 1 && j.segments[0].maxPosition <= position {
-		if err := j.disk.Remove(segmentName(j.segments[0].number)); err != nil {
+	dropped := 0
+	for dropped < len(j.segments)-1 && j.segments[dropped].maxPosition <= position {
+		dropped++
+	}
+	if dropped == 0 {
+		return nil
+	}
+	j.buffer = appendRecord(j.buffer, kindDropMarker, j.synced, encodeDropMarker(j.segments[dropped].number))
+	if err := j.Sync(); err != nil {
+		return err
+	}
+	for _, s := range j.segments[:dropped] {
+		if err := j.disk.Remove(segmentName(s.number)); err != nil {
 			return eris.Wrap(err, "remove journal segment")
 		}
-		j.segments = j.segments[1:]
 	}
+	j.segments = j.segments[dropped:]
 	return nil
 }
 
--- a/journal/journal_test.go
+++ b/journal/journal_test.go
@@ -209,6 +209,51 @@
 	require.False(t, isRefused(false))
 }
 
+// Guards against a journal that cannot be opened after a loss of power which undoes some of the deletions of segments. Each
+// subset of them may come back.
+func TestAnySubsetOfDeletionsMayBeUndone(t *testing.T) {
+	const dropped = 4
+	for subset := range 1 << dropped {
+		t.Run(fmt.Sprintf("%04b", subset), func(t *testing.T) {
+			folder := t.TempDir()
+			j, _, err := openAndReplay(folder)
+			require.NoError(t, err)
+			contents := map[string][]byte{}
+			for i := range uint64(dropped) {
+				require.NoError(t, j.Append(kind, i+1, []byte("old")))
+				require.NoError(t, j.Rotate())
+				path := filepath.Join(folder, fmt.Sprintf("journal-%016x", i+1))
+				contents[path], err = os.ReadFile(path)
+				require.NoError(t, err)
+			}
+			require.NoError(t, j.Append(kind, dropped+1, []byte("kept")))
+			require.NoError(t, j.Rotate())
+			require.NoError(t, j.Append(kind, dropped+2, []byte("kept, too")))
+			require.NoError(t, j.Sync())
+			require.NoError(t, j.Drop(dropped))
+			j.Close()
+			undone := 0
+			for path, content := range contents {
+				require.NoFileExists(t, path)
+				var number int
+				_, err := fmt.Sscanf(filepath.Base(path), "journal-%x", &number)
+				require.NoError(t, err)
+				if subset&(1<<(number-1)) != 0 {
+					undone++
+					require.NoError(t, os.WriteFile(path, content, 0o600))
+				}
+			}
+			for range 2 {
+				j, found, err := openAndReplay(folder)
+				require.NoError(t, err)
+				j.Close()
+				require.LessOrEqual(t, len(found), undone+2)
+				require.Equal(t, []string{"kept", "kept, too"}, found[len(found)-2:])
+			}
+		})
+	}
+}
+
 func TestMissingSegmentIsRefused(t *testing.T) {
 	folder := t.TempDir()
 	j, _, err := openAndReplay(folder)
