Check services before the first configuration, too, and acknowledge no departure that is not stored

Before the first configuration no service counts as served now; takeovers of addresses take effect when it comes.

TestDrainingOfAnUpstreamThatWasReplacedInMemory failed before: a draining heartbeat of an upstream that was gone in memory only was acknowledged without being stored.

--- a/forward/fleet.go
+++ b/forward/fleet.go
@@ -91,6 +91,7 @@
 		settings: settings.withDefaults(), roster: roster.New(), byID: map[string]*Upstream{}, removed: map[string]removedUpstream{},
 		quotas: newQuotas(), ramps: newRamps(), cold: newColdLimits(),
 	}
+	f.roster.SetServices(func(string) bool { return false })
 	f.view.Store(&view{services: map[string][]*Upstream{}})
 	f.loadsReported.Store(&time.Time{})
 	f.evacuations.Store(&evacuation.Set{})
@@ -119,7 +120,11 @@
 func (f *Fleet) setServices(table *route.Table) {
 	f.mutex.Lock()
 	defer f.mutex.Unlock()
-	f.roster.IsServed = func(service string) bool { return table.Service(service) != nil }
+	before := f.roster.Revision()
+	f.roster.SetServices(func(service string) bool { return table.Service(service) != nil })
+	if f.roster.Revision() != before {
+		f.rebuild()
+	}
 }
 
 func (f *Fleet) updateHeartbeats() {
--- a/registry/announcements.go
+++ b/registry/announcements.go
@@ -12,8 +12,9 @@
 const spreadTimeout = 250 * time.Millisecond
 
 // Announce records an announcement of an upstream and passes a change on to the other replicas. If the upstream drains, it
-// returns once its departure is stored in the replicated log and another replica has received the change. An announcement
-// that returns an error must not be acknowledged.
+// returns once its departure is stored in the replicated log and another replica has received the change. It returns
+// ErrUnknownService for a departure from a service that is not in the configuration, which another writer may have sent. An
+// announcement that returns an error must not be acknowledged.
 func (r *Replica) Announce(ctx context.Context, instance roster.Instance) error {
 	r.settings.Scope.Counter("announcements").Inc(1)
 	if r.state.hasDeparted(&instance) {
@@ -21,15 +22,15 @@
 	}
 	now := time.Now()
 	r.mutex.Lock()
-	if !r.roster.Accepts(instance) {
-		r.mutex.Unlock()
-		return nil
-	}
+	isServed := r.roster.Serves(instance)
 	isChange := r.roster.Announce(instance, now)
 	spread := r.publishAndUnlock(ctx, instance.ID, isChange, now)
 	if instance.State == roster.Ready {
 		return nil
 	}
+	if !isServed {
+		return ErrUnknownService
+	}
 	err := r.storeDeparture(ctx, &wire.UpstreamDeparture{
 		Id: instance.ID, Born: instance.Born, Draining: instance.State == roster.Draining,
 	})
--- a/registry/departures_test.go
+++ b/registry/departures_test.go
@@ -38,6 +38,7 @@
 
 func (g *group) observe() *observer {
 	o := &observer{roster: roster.New(), wasReady: map[string]bool{}}
+	o.roster.SetServices(func(service string) bool { return service == "s" })
 	seeds := slices.Collect(maps.Keys(g.running))
 	follower := registry.NewFollower(registry.FollowerSettings{
 		Seeds: func() []string { return slices.Clone(seeds) }, IsEntry: true, Log: quietLog(), OnUpstreams: o.update,
@@ -243,6 +244,21 @@
 	g.requireStaysAway(heartbeat("u", time.Now().Add(-time.Minute).UnixMilli(), 1, roster.Ready))
 }
 
+// Guards against a draining heartbeat that is acknowledged and not stored, because the replicas hold the upstream as gone in memory
+// only: another one had its address for a time.
+func TestDrainingOfAnUpstreamThatWasReplacedInMemory(t *testing.T) {
+	g := newGroup(t, 3, 1)
+	g.submit(1)
+	leaving, successor := heartbeat("u", 7, 1, roster.Ready), heartbeat("v", 8, 1, roster.Ready)
+	successor.Address = leaving.Address
+	g.announce(leaving)
+	g.announce(successor)
+	time.Sleep(time.Second)
+	g.announce(heartbeat("u", 7, 2, roster.Draining))
+	g.restartAll()
+	g.requireStaysAway(leaving)
+}
+
 // Guards against a snapshot without the departures. The configurations that follow fill the log, so that a replica with an
 // empty disk receives a snapshot instead of it.
 func TestSnapshotsHoldTheDepartures(t *testing.T) {
--- a/registry/replica.go
+++ b/registry/replica.go
@@ -127,6 +127,10 @@
 // lacks the required voters returns it for submissions only.
 var ErrNoQuorum = errors.New("no quorum of replicas answers")
 
+// ErrUnknownService reports that a replica cannot tell whether an announcement names an upstream, because the service is not in
+// the configuration that the replica holds.
+var ErrUnknownService = errors.New("the service is not in the configuration")
+
 // Open opens the folder of a replica and starts it. If the replicated log cannot be opened, the replica retries in the
 // background.
 func Open(settings Settings) (*Replica, error) {
@@ -134,7 +138,7 @@
 		settings: settings, roster: roster.New(), changed: make(chan struct{}), loads: map[string]groupLoads{},
 		memory: quarantine.NewMemory(), allocator: quota.NewAllocator(), roll: quota.NewRoll(), started: time.Now(),
 	}
-	r.roster.IsServed = r.isServed
+	r.roster.SetServices(r.isServed)
 	r.departures = &departureWriter{write: r.writeDepartures}
 	r.ctx, r.cancel = context.WithCancel(context.Background())
 	if r.settings.Scope == nil {
@@ -251,6 +255,7 @@
 		r.settings.Log.WithError(err).WithField("version", document.Version).Error("cannot read the configuration")
 	}
 	r.mutex.Lock()
+	r.roster.SetServices(r.isServed)
 	r.notifyWatchers()
 	r.mutex.Unlock()
 }
@@ -438,10 +443,10 @@
 	return status.Term, status.Leader == r.settings.ID
 }
 
-// isServed reports whether the configuration in force has the service. Before the first configuration, all services count.
+// isServed reports whether the configuration in force has the service.
 func (r *Replica) isServed(service string) bool {
 	table := r.Table()
-	return table == nil || table.Service(service) != nil
+	return table != nil && table.Service(service) != nil
 }
 
 // isLeader reports whether this replica believes that it leads. Only a barrier or a committed entry proves it.
--- a/registry/replica_test.go
+++ b/registry/replica_test.go
@@ -28,9 +28,9 @@
 	return logrus.NewEntry(log)
 }
 
-// parse reads a configuration that consists of its version only.
+// parse reads a configuration that consists of its version only, and has the service s.
 func parse(source []byte) (*route.Configuration, error) {
-	c := &route.Configuration{}
+	c := &route.Configuration{Services: []route.Service{{Name: "s"}}}
 	if _, err := fmt.Sscan(string(source), &c.Version); err != nil {
 		return nil, &route.Invalid{Subject: "configuration", Detail: err.Error()}
 	}
--- a/roster/roster.go
+++ b/roster/roster.go
@@ -71,17 +71,46 @@
 
 	// Roster holds the newest announcement of each upstream. It is not safe for concurrent use.
 	Roster struct {
-		// IsServed reports whether a service is in the configuration in force. If it is nil, all services are.
-		IsServed func(service string) bool
-
 		entries  map[string]*Entry
 		revision uint64
+		// isServed reports whether a service is in the configuration in force. If it is nil, all services are.
+		isServed func(service string) bool
 	}
 )
 
 // New returns an empty roster.
 func New() *Roster { return &Roster{entries: map[string]*Entry{}} }
 
+// SetServices sets the function that reports whether a service is in the configuration in force. It ends upstreams whose address
+// an upstream with a later start and a service that is served now has taken.
+func (r *Roster) SetServices(isServed func(service string) bool) {
+	r.isServed = isServed
+	latest := map[string]*Entry{}
+	for _, entry := range r.entries {
+		i := &entry.Instance
+		if i.State == Gone || i.Address == "" || !r.Serves(*i) {
+			continue
+		}
+		if other := latest[i.Address]; other == nil || other.Instance.Born < i.Born {
+			latest[i.Address] = entry
+		}
+	}
+	for _, entry := range r.entries {
+		successor := latest[entry.Instance.Address]
+		if successor != nil && entry.Instance.State != Gone && entry.Instance.Born < successor.Instance.Born {
+			r.end(entry)
+		}
+	}
+}
+
+// end records that an upstream has left.
+func (r *Roster) end(entry *Entry) {
+	entry.Instance.State = Gone
+	entry.MinBorn = max(entry.MinBorn, entry.Instance.Born+1)
+	r.revision++
+	entry.Changed = r.revision
+}
+
 // Revision returns a number that increases with each change other than a renewal.
 func (r *Roster) Revision() uint64 { return r.revision }
 
@@ -138,13 +167,13 @@
 	if next.Born < held.MinBorn {
 		return false
 	}
-	return held.Instance.State == Gone || r.serves(next) || !r.serves(held.Instance)
+	return held.Instance.State == Gone || r.Serves(next) || !r.Serves(held.Instance)
 }
 
-// serves reports whether the service of an instance is served. An instance without a service is one that is known by its
+// Serves reports whether the service of an instance is served. An instance without a service is one that is known by its
 // departure only, and counts as served.
-func (r *Roster) serves(i Instance) bool {
-	return i.Service == "" || r.IsServed == nil || r.IsServed(i.Service)
+func (r *Roster) Serves(i Instance) bool {
+	return i.Service == "" || r.isServed == nil || r.isServed(i.Service)
 }
 
 // Renew updates the time of the last heartbeat of an incarnation. Of the instance, it reads only ID and Born.
@@ -211,7 +240,7 @@
 // supersedes reports whether an announcement replaces the one that is held. Gone is final for an incarnation, and
 // Draining replaces Ready whatever their sequences. An upstream of a served service replaces one that names no such service.
 func (r *Roster) supersedes(next, held Instance) bool {
-	if next.State != Gone && held.State != Gone && r.serves(next) && !r.serves(held) {
+	if next.State != Gone && held.State != Gone && r.Serves(next) && !r.Serves(held) {
 		return true
 	}
 	if next.Born != held.Born {
@@ -239,7 +268,7 @@
 	for _, entry := range r.entries {
 		other := entry.Instance
 		if other.ID != next.ID && other.Address == next.Address && other.State != Gone && other.Born > next.Born &&
-			r.serves(other) {
+			r.Serves(other) {
 			return true
 		}
 	}
@@ -249,17 +278,14 @@
 // endPredecessors marks other upstreams with an earlier start at the same address as Gone, unless the service of the later one
 // is not served.
 func (r *Roster) endPredecessors(next Instance) {
-	if !r.serves(next) {
+	if !r.Serves(next) {
 		return
 	}
 	for _, entry := range r.entries {
-		other := &entry.Instance
+		other := entry.Instance
 		if other.ID == next.ID || other.Address != next.Address || other.State == Gone || other.Born >= next.Born {
 			continue
 		}
-		other.State = Gone
-		entry.MinBorn = max(entry.MinBorn, other.Born+1)
-		r.revision++
-		entry.Changed = r.revision
+		r.end(entry)
 	}
 }
--- a/roster/roster_test.go
+++ b/roster/roster_test.go
@@ -67,7 +67,7 @@
 // configuration, under its ID or at its address.
 func TestUnservedAnnouncementsDoNotReplaceServedOnes(t *testing.T) {
 	r := roster.New()
-	r.IsServed = func(service string) bool { return service == "ledger" }
+	r.SetServices(func(service string) bool { return service == "ledger" })
 	odd := func(id string, state roster.State) roster.Instance {
 		i := instance(id, 9, 100, state)
 		i.Service = "odd"
@@ -92,13 +92,29 @@
 // Guards against an upstream that is not used although its service has come into the configuration after its announcements.
 func TestServiceThatComesLater(t *testing.T) {
 	r := roster.New()
-	r.IsServed = func(string) bool { return false }
+	r.SetServices(func(string) bool { return false })
 	r.Announce(instance("a", 1, 1, roster.Ready), start)
-	r.IsServed = func(string) bool { return true }
+	r.SetServices(func(string) bool { return true })
 	require.Equal(t, roster.Ready, r.Get("a").Instance.State)
 	require.False(t, r.Announce(instance("a", 1, 2, roster.Ready), start))
 }
 
+// Guards against an upstream that another writer ends by its address before the configuration is known, and against two upstreams
+// at one address after it has come.
+func TestTakeoversWaitForTheConfiguration(t *testing.T) {
+	r := roster.New()
+	r.SetServices(func(string) bool { return false })
+	odd := instance("x", 9, 1, roster.Ready)
+	odd.Service = "odd"
+	for _, i := range []roster.Instance{instance("a", 1, 1, roster.Ready), odd, instance("b", 2, 1, roster.Ready)} {
+		r.Announce(i, start)
+	}
+	require.Equal(t, roster.Ready, r.Get("a").Instance.State)
+	r.SetServices(func(service string) bool { return service == "ledger" })
+	require.Equal(t, roster.Gone, r.Get("a").Instance.State)
+	require.Equal(t, roster.Ready, r.Get("b").Instance.State)
+}
+
 func TestLeaveAndExpire(t *testing.T) {
 	r := roster.New()
 	r.Announce(instance("a", 5, 1, roster.Ready), start)
