registry: One way for commands to the replicated log

Submissions, orders, departures and reads each looked for the leader and the required voters by themselves. leader and propose do it for all of them, in a file of their own. IsBlank of upstream serves the check of continued streams as well.

--- a/forward/continuation.go
+++ b/forward/continuation.go
@@ -6,6 +6,8 @@
 	"net/http"
 
 	"github.com/rotisserie/eris"
+
+	"guavahitch.example/guavahitch/upstream"
 )
 
 // This file checks the answer of an upstream that is to continue a stream of which the caller already has a part. Anything that
@@ -38,15 +40,13 @@
 // isComment reports whether all lines of an event are comments.
 func isComment(event []byte) bool {
 	for line := range bytes.Lines(event) {
-		if !isBlankLine(line) && line[0] != ':' {
+		if !upstream.IsBlank(line) && line[0] != ':' {
 			return false
 		}
 	}
 	return true
 }
 
-func isBlankLine(line []byte) bool { return len(bytes.TrimRight(line, "\r\n")) == 0 }
-
 // checkEnd returns an error if the end of a continued stream proves nothing: without a length and without an event, an upstream
 // that has crashed ends in the same way.
 func (a *attempt) checkEnd(response *http.Response) error {
--- a/registry/catch_up.go
+++ b/registry/catch_up.go
@@ -57,13 +57,9 @@
 
 // readIndex returns an index of the log that covers everything acknowledged before the call.
 func (r *Replica) readIndex(ctx context.Context) (uint64, error) {
-	node := r.node.Load()
-	if node == nil {
-		return 0, ErrNoQuorum
-	}
-	leader := node.Status().Leader
-	if leader == "" {
-		return 0, ErrNoQuorum
+	node, leader, err := r.leader()
+	if err != nil {
+		return 0, err
 	}
 	if leader == r.settings.ID {
 		if err := node.ReadBarrier(ctx); err != nil {
--- a/registry/departures.go
+++ b/registry/departures.go
@@ -6,7 +6,6 @@
 	"time"
 
 	"github.com/rotisserie/eris"
-	"google.golang.org/protobuf/proto"
 
 	"guavahitch.example/guavahitch/departure"
 	"guavahitch.example/guavahitch/roster"
@@ -112,26 +111,15 @@
 }
 
 func (r *Replica) depart(ctx context.Context, command *wire.DepartureCommand) error {
-	node := r.node.Load()
-	if node == nil {
-		return ErrNoQuorum
-	}
-	status := node.Status()
-	if status.Leader == "" {
-		return ErrNoQuorum
-	}
-	if status.Leader != r.settings.ID {
-		_, err := r.registryAt(status.Leader).Depart(ctx, &wire.DepartRequest{Command: command})
-		return eris.Wrapf(err, "store departures at %s", status.Leader)
-	}
-	if !r.hasEnoughVoters(status) {
-		return ErrNoQuorum
-	}
-	encoded, err := proto.Marshal(&wire.RoutingCommand{Departures: command})
+	node, leader, err := r.leader()
 	if err != nil {
-		return eris.Wrap(err, "encode the departures")
+		return err
+	}
+	if leader != r.settings.ID {
+		_, err := r.registryAt(leader).Depart(ctx, &wire.DepartRequest{Command: command})
+		return eris.Wrapf(err, "store departures at %s", leader)
 	}
-	_, err = node.Propose(ctx, encoded)
+	_, err = r.propose(ctx, node, &wire.RoutingCommand{Departures: command})
 	return err
 }
 
--- a/registry/evacuation.go
+++ b/registry/evacuation.go
@@ -145,26 +145,15 @@
 }
 
 func (r *Replica) evacuate(ctx context.Context, order *wire.EvacuationCommand) (*wire.EvacuateReply, error) {
-	node := r.node.Load()
-	if node == nil {
-		return nil, ErrNoQuorum
-	}
-	status := node.Status()
-	if status.Leader == "" {
-		return nil, ErrNoQuorum
-	}
-	if status.Leader != r.settings.ID {
-		reply, err := r.registryAt(status.Leader).Evacuate(ctx, &wire.EvacuateRequest{Order: order})
-		return reply, eris.Wrapf(err, "evacuate at %s", status.Leader)
-	}
-	if !r.hasEnoughVoters(status) {
-		return nil, ErrNoQuorum
-	}
-	command, err := proto.Marshal(&wire.RoutingCommand{Evacuation: order})
+	node, leader, err := r.leader()
 	if err != nil {
-		return nil, eris.Wrap(err, "encode the order")
+		return nil, err
+	}
+	if leader != r.settings.ID {
+		reply, err := r.registryAt(leader).Evacuate(ctx, &wire.EvacuateRequest{Order: order})
+		return reply, eris.Wrapf(err, "evacuate at %s", leader)
 	}
-	result, err := node.Propose(ctx, command)
+	result, err := r.propose(ctx, node, &wire.RoutingCommand{Evacuation: order})
 	if err != nil {
 		return nil, err
 	}
--- a/registry/replica.go
+++ b/registry/replica.go
@@ -13,7 +13,6 @@
 	"github.com/rotisserie/eris"
 	"github.com/sirupsen/logrus"
 	"github.com/uber-go/tally/v4"
-	"google.golang.org/protobuf/proto"
 
 	"guavahitch.example/guavahitch/consensus"
 	"guavahitch.example/guavahitch/journal"
@@ -319,112 +318,6 @@
 	}
 }
 
-// Submit stores a configuration durably through the leader. A version that is not newer than the current one changes
-// nothing and is no error. The error is a *route.Invalid if the configuration is refused. After any other error, the
-// outcome is unknown.
-func (r *Replica) Submit(ctx context.Context, source []byte) error {
-	err := r.submitSource(ctx, source)
-	r.countResult("submissions", err)
-	return err
-}
-
-// countResult counts a call by its result, done or failed.
-func (r *Replica) countResult(name string, err error) {
-	result := "done"
-	if err != nil {
-		result = "failed"
-	}
-	r.settings.Scope.Tagged(map[string]string{"result": result}).Counter(name).Inc(1)
-}
-
-func (r *Replica) submitSource(ctx context.Context, source []byte) error {
-	configuration, err := r.settings.Parse(source)
-	if err != nil {
-		return err
-	}
-	current := r.state.newest()
-	if current != nil && current.Version >= configuration.Version {
-		return nil
-	}
-	compressed, err := compress(source)
-	if err != nil {
-		return err
-	}
-	return r.submit(ctx, &wire.RoutingDocument{Version: configuration.Version, Compressed: compressed})
-}
-
-func (r *Replica) submit(ctx context.Context, document *wire.RoutingDocument) error {
-	node := r.node.Load()
-	if node == nil {
-		return ErrNoQuorum
-	}
-	leader := node.Status().Leader
-	if leader != r.settings.ID {
-		return r.forward(ctx, leader, document)
-	}
-	if !r.hasEnoughVoters(node.Status()) {
-		return ErrNoQuorum
-	}
-	command, err := proto.Marshal(document)
-	if err != nil {
-		return eris.Wrap(err, "encode the configuration")
-	}
-	_, err = node.Propose(ctx, command)
-	return err
-}
-
-// forward submits a configuration to the leader.
-func (r *Replica) forward(ctx context.Context, leader string, document *wire.RoutingDocument) error {
-	if leader == "" {
-		return ErrNoQuorum
-	}
-	_, err := r.registryAt(leader).Submit(ctx, &wire.RoutingSubmitRequest{Document: document})
-	return eris.Wrapf(err, "submit at %s", leader)
-}
-
-// hasEnoughVoters reports whether the group has the voters that the tolerated disk losses require. After
-// voterWaitTimeout, a leader accepts changes with fewer.
-func (r *Replica) hasEnoughVoters(status consensus.Status) bool {
-	voters := 0
-	for _, member := range status.Members {
-		if member.IsVoter {
-			voters++
-		}
-	}
-	since := r.leadingSince.Load()
-	return voters >= r.requiredVoters() || since != nil && time.Since(*since) > voterWaitTimeout
-}
-
-// Newest returns the newest configuration that any replica has acknowledged, nil if there is none. It returns an error
-// if the leader cannot confirm that the configuration is the newest.
-func (r *Replica) Newest(ctx context.Context) (*wire.RoutingDocument, error) {
-	document, err := r.readNewest(ctx)
-	r.countResult("reads", err)
-	return document, err
-}
-
-func (r *Replica) readNewest(ctx context.Context) (*wire.RoutingDocument, error) {
-	node := r.node.Load()
-	if node == nil {
-		return nil, ErrNoQuorum
-	}
-	leader := node.Status().Leader
-	if leader == r.settings.ID {
-		if err := node.ReadBarrier(ctx); err != nil {
-			return nil, err
-		}
-		return r.state.newest(), nil
-	}
-	if leader == "" {
-		return nil, ErrNoQuorum
-	}
-	reply, err := r.registryAt(leader).Newest(ctx, &wire.RoutingNewestRequest{})
-	if err != nil {
-		return nil, eris.Wrapf(err, "read at %s", leader)
-	}
-	return reply.Document, nil
-}
-
 // registryAt returns a client of the replica with the ID.
 func (r *Replica) registryAt(id string) wire.Registry {
 	return wire.NewRegistryProtobufClient("http://"+id, r.client)
--- a/upstream/events.go
+++ b/upstream/events.go
@@ -48,7 +48,7 @@
 		if err != nil {
 			return nil, 0, false, r.endError(err)
 		}
-		if isBlank(line) && len(r.event) > len(line) {
+		if IsBlank(line) && len(r.event) > len(line) {
 			return r.event, id, hasID, nil
 		}
 		if value, isID := bytes.CutPrefix(line, []byte("id:")); isID {
@@ -71,4 +71,5 @@
 	return err
 }
 
-func isBlank(line []byte) bool { return len(bytes.TrimRight(line, "\r\n")) == 0 }
+// IsBlank reports whether a line has no bytes besides its end.
+func IsBlank(line []byte) bool { return len(bytes.TrimRight(line, "\r\n")) == 0 }
