--- a/forward/attempt.go
+++ b/forward/attempt.go
@@ -122,16 +122,16 @@
 		limit = unsafeIdleTimeout
 	}
 	conn, err := a.upstream.pool.Get(a.job.request.Context(), a.started, limit)
-	if err != nil || !a.isConfusable(conn) {
+	if err != nil || !a.hasCarriedRequest(conn) {
 		return conn, err
 	}
 	conn.Close()
 	return a.upstream.pool.Open(a.job.request.Context())
 }
 
-// isConfusable reports whether the connection has carried a request with the same ID before. A second copy of the earlier
+// hasCarriedRequest reports whether the connection has carried a request with the same ID before. A second copy of the earlier
 // response could then be taken for the response to this request.
-func (a *attempt) isConfusable(conn *upstream.Connection) bool {
+func (a *attempt) hasCarriedRequest(conn *upstream.Connection) bool {
 	return conn.LastRequest == a.job.id
 }
 
