--- a/departure/departure.go
+++ b/departure/departure.go
@@ -61,9 +61,16 @@
 // WithoutExpired returns the set without the departures that are older than Retention at a log time.
 func (s Set) WithoutExpired(logTimeMs int64) Set {
 	oldestMs := logTimeMs - Retention.Milliseconds()
-	isExpired := func(_ string, d Departure) bool { return d.LoggedMs < oldestMs }
-	kept := maps.Clone(s.byID)
-	maps.DeleteFunc(kept, isExpired)
+	kept := s.byID
+	for id, d := range s.byID {
+		if d.LoggedMs >= oldestMs {
+			continue
+		}
+		if len(kept) == len(s.byID) {
+			kept = maps.Clone(s.byID)
+		}
+		delete(kept, id)
+	}
 	return Set{byID: kept}
 }
 
--- a/registry/announcements.go
+++ b/registry/announcements.go
@@ -13,7 +13,7 @@
 
 // Announce records an announcement of an upstream and passes a change on to the other replicas. If the upstream drains, it
 // returns once its departure is stored in the replicated log and another replica has received the change. It returns
-// ErrUnknownService for a departure from a service that is not in the configuration, which another writer may have sent. An
+// ErrUnknownService for a departure from a service that is not in the configuration, which another sender may have forged. An
 // announcement that returns an error must not be acknowledged.
 func (r *Replica) Announce(ctx context.Context, instance roster.Instance) error {
 	r.settings.Scope.Counter("announcements").Inc(1)
--- a/registry/odd_heartbeats_test.go
+++ b/registry/malformed_heartbeats_test.go
@@ -11,26 +11,26 @@
 	"guavahitch.example/guavahitch/roster"
 )
 
-// Guards against another writer whose announcement, sent once to each replica, takes a sound upstream out of use at an entry, or
+// Guards against another sender whose announcement, sent once to each replica, takes a healthy upstream out of use at an entry, or
 // is remembered as its departure.
-func TestOddHeartbeatsDoNotTakeUpstreamsOutOfUse(t *testing.T) {
-	sound := heartbeat("u", 7, 1, roster.Ready)
-	odd := func(id string, state roster.State) roster.Instance {
+func TestMalformedHeartbeatsDoNotTakeUpstreamsOutOfUse(t *testing.T) {
+	healthy := heartbeat("u", 7, 1, roster.Ready)
+	unserved := func(id string, state roster.State) roster.Instance {
 		i := heartbeat(id, 99, math.MaxUint64, state)
-		i.Service, i.Address = "odd", sound.Address
+		i.Service, i.Address = "unknown", healthy.Address
 		return i
 	}
 	for name, announced := range map[string]roster.Instance{
-		"its ID":           odd("u", roster.Ready),
-		"its ID, draining": odd("u", roster.Draining),
-		"its address":      odd("x", roster.Ready),
+		"its ID":           unserved("u", roster.Ready),
+		"its ID, draining": unserved("u", roster.Draining),
+		"its address":      unserved("x", roster.Ready),
 	} {
 		t.Run(name, func(t *testing.T) {
 			t.Parallel()
 			g := newGroup(t, 3, 1)
 			g.submit(1)
 			o := g.observe()
-			g.announce(sound)
+			g.announce(healthy)
 			require.Eventually(t, func() bool { return o.stateOf("u") == roster.Ready }, 10*time.Second, 5*time.Millisecond)
 			for _, r := range g.running {
 				if err := r.Announce(t.Context(), announced); err != nil {
@@ -38,7 +38,7 @@
 				}
 			}
 			time.Sleep(time.Second)
-			next := sound
+			next := healthy
 			next.Sequence++
 			g.announce(next)
 			require.Equal(t, roster.Ready, o.stateOf("u"))
--- a/roster/roster.go
+++ b/roster/roster.go
@@ -118,7 +118,7 @@
 // sequence, the time and the countdown to ColdUntil changed. Announcements of older incarnations are ignored. Older announcements of the same
 // incarnation only renew the time.
 func (r *Roster) Announce(next Instance, receivedAt time.Time) bool {
-	if !r.Accepts(next) {
+	if !r.accepts(next) {
 		return false
 	}
 	held := r.entries[next.ID]
@@ -157,9 +157,9 @@
 	return isChange
 }
 
-// Accepts reports whether an announcement names an upstream that may be used. One of a service that is not served names none,
+// accepts reports whether an announcement names an upstream that may be used. One of a service that is not served names none,
 // so it does not replace an upstream of a served service.
-func (r *Roster) Accepts(next Instance) bool {
+func (r *Roster) accepts(next Instance) bool {
 	held := r.entries[next.ID]
 	if held == nil || next.State == Gone {
 		return true
--- a/roster/roster_test.go
+++ b/roster/roster_test.go
@@ -63,30 +63,30 @@
 	require.Equal(t, roster.Gone, r.Get("a").Instance.State)
 }
 
-// Guards against another writer that takes a sound upstream out of use by an announcement that names no service of the
+// Guards against another sender that takes a healthy upstream out of use by an announcement that names no service of the
 // configuration, under its ID or at its address.
 func TestUnservedAnnouncementsDoNotReplaceServedOnes(t *testing.T) {
 	r := roster.New()
 	r.SetServices(func(service string) bool { return service == "ledger" })
-	odd := func(id string, state roster.State) roster.Instance {
+	unserved := func(id string, state roster.State) roster.Instance {
 		i := instance(id, 9, 100, state)
-		i.Service = "odd"
+		i.Service = "unknown"
 		return i
 	}
 	requireSound := func(sequence uint64) {
 		r.Announce(instance("a", 1, sequence, roster.Ready), start)
 		require.Equal(t, instance("a", 1, sequence, roster.Ready), r.Get("a").Instance)
 	}
-	r.Announce(odd("a", roster.Ready), start)
+	r.Announce(unserved("a", roster.Ready), start)
 	requireSound(1)
-	r.Announce(odd("a", roster.Draining), start)
+	r.Announce(unserved("a", roster.Draining), start)
 	requireSound(2)
-	r.Announce(odd("b", roster.Ready), start)
+	r.Announce(unserved("b", roster.Ready), start)
 	requireSound(3)
 	require.True(t, r.Leave("a", 1, start))
-	r.Announce(odd("a", roster.Ready), start)
+	r.Announce(unserved("a", roster.Ready), start)
 	require.False(t, r.Announce(instance("a", 1, 4, roster.Ready), start), "a late announcement of an upstream that left")
-	require.Equal(t, "odd", r.Get("a").Instance.Service)
+	require.Equal(t, "unknown", r.Get("a").Instance.Service)
 }
 
 // Guards against an upstream that is not used although its service has come into the configuration after its announcements.
@@ -99,14 +99,14 @@
 	require.False(t, r.Announce(instance("a", 1, 2, roster.Ready), start))
 }
 
-// Guards against an upstream that another writer ends by its address before the configuration is known, and against two upstreams
+// Guards against an upstream that another sender ends by its address before the configuration is known, and against two upstreams
 // at one address after it has come.
 func TestTakeoversWaitForTheConfiguration(t *testing.T) {
 	r := roster.New()
 	r.SetServices(func(string) bool { return false })
-	odd := instance("x", 9, 1, roster.Ready)
-	odd.Service = "odd"
-	for _, i := range []roster.Instance{instance("a", 1, 1, roster.Ready), odd, instance("b", 2, 1, roster.Ready)} {
+	unserved := instance("x", 9, 1, roster.Ready)
+	unserved.Service = "unknown"
+	for _, i := range []roster.Instance{instance("a", 1, 1, roster.Ready), unserved, instance("b", 2, 1, roster.Ready)} {
 		r.Announce(i, start)
 	}
 	require.Equal(t, roster.Ready, r.Get("a").Instance.State)
