--- a/registry/cold.go
+++ b/registry/cold.go
@@ -86,9 +86,13 @@
 	})
 }
 
-// entryQuery returns the query of a stream of an entry: its role and name, and the largest number of entries that it knows.
-func (f *Follower) entryQuery(now time.Time) string {
-	query := url.Values{roleField: {entryRole}, nameField: {f.name}}
+// query returns the query of a stream: the name of the follower and, for an entry, its role and the largest number of entries
+// that it knows.
+func (f *Follower) query(now time.Time) string {
+	query := url.Values{nameField: {f.name}}
+	if f.settings.IsEntry {
+		query.Set(roleField, entryRole)
+	}
 	if f.settings.Quota.Peak != nil {
 		if peak := f.settings.Quota.Peak(); peak.Entries > 0 {
 			query.Set(entriesField, strconv.Itoa(peak.Entries))
--- a/registry/follower.go
+++ b/registry/follower.go
@@ -13,6 +13,7 @@
 
 	"github.com/rotisserie/eris"
 	"github.com/sirupsen/logrus"
+	"github.com/uber-go/tally/v4"
 	"google.golang.org/protobuf/encoding/protodelim"
 
 	"guavahitch.example/guavahitch/evacuation"
@@ -46,7 +47,7 @@
 		// Self is the internal address of the replica that runs the follower, and is not followed. It is empty in an
 		// entry.
 		Self string
-		// Name identifies an entry among the entries, also after a restart. NewFollower draws one if it is empty.
+		// Name identifies the process among the followers, also after a restart. NewFollower draws one if it is empty.
 		Name string
 		// IsEntry reports that the follower is an entry and counts among those that share the limits of services.
 		IsEntry bool
@@ -69,7 +70,9 @@
 		Quota QuotaClient
 		// OnEntries receives the number of entries, which is the largest that a connected replica counts.
 		OnEntries func(int)
-		Log       *logrus.Entry
+		// Scope receives the metrics. If it is nil, they are discarded.
+		Scope tally.Scope
+		Log   *logrus.Entry
 	}
 
 	// Follower keeps a stream to every replica that it knows of.
@@ -82,8 +85,10 @@
 		// runContext is the context of Run. All replicas are followed under it, so that following one does not depend
 		// on the stream of the replica that listed it.
 		runContext context.Context
-		mutex      sync.Mutex
-		replicas   map[string]*followedReplica
+		// freshness records how recent the received frames are.
+		freshness *freshness
+		mutex     sync.Mutex
+		replicas  map[string]*followedReplica
 		// newestVersion is the version of the newest configuration passed to OnDocument. fetchStarted is the start of
 		// the fetch under way, zero if there is none.
 		newestVersion uint64
@@ -102,6 +107,8 @@
 		// leadingTerm is the term that it leads, 0 if it does not lead.
 		leadingTerm uint64
 		connected   bool
+		// isFailing reports whether it was logged that no stream to the replica can be opened.
+		isFailing bool
 	}
 )
 
@@ -110,10 +117,14 @@
 	if settings.Memory == nil {
 		settings.Memory = quarantine.NewMemory()
 	}
+	if settings.Scope == nil {
+		settings.Scope = tally.NoopScope
+	}
 	dialer := &net.Dialer{Timeout: dialTimeout}
 	return &Follower{
 		settings: settings, replicas: map[string]*followedReplica{},
-		name: cmp.Or(settings.Name, strconv.FormatUint(rand.Uint64(), 36)),
+		freshness: newFreshness(time.Now(), settings.Log, settings.Scope),
+		name:      cmp.Or(settings.Name, strconv.FormatUint(rand.Uint64(), 36)),
 		client: &http.Client{Transport: &http.Transport{
 			DialContext: dialer.DialContext, DisableCompression: true, DisableKeepAlives: true,
 		}},
@@ -133,6 +144,7 @@
 	defer ticker.Stop()
 	for {
 		f.refresh(time.Now())
+		f.freshness.check(time.Now())
 		select {
 		case <-ctx.Done():
 			f.done.Wait()
@@ -182,9 +194,10 @@
 func (f *Follower) followReplica(ctx context.Context, address string) {
 	for ctx.Err() == nil {
 		err := f.readStream(ctx, address)
-		if f.markDisconnected(address) {
-			f.settings.Log.WithError(err).WithField("replica", address).Warn("stream to replica lost")
+		if ctx.Err() == nil {
+			f.freshness.recordLoss(err)
 		}
+		f.logLoss(address, err)
 		wait.For(ctx, reconnectDelay)
 	}
 }
@@ -195,10 +208,7 @@
 	defer cancel()
 	idleTimer := time.AfterFunc(streamIdleTimeout, cancel)
 	defer idleTimer.Stop()
-	url := "http://" + address + watchPath
-	if f.settings.IsEntry {
-		url += "?" + f.entryQuery(time.Now())
-	}
+	url := "http://" + address + watchPath + "?" + f.query(time.Now())
 	request, err := http.NewRequestWithContext(ctx, http.MethodGet, url, http.NoBody)
 	if err != nil {
 		return eris.Wrap(err, "create watch request")
@@ -221,6 +231,7 @@
 			return eris.Wrap(err, "read watch frame")
 		}
 		idleTimer.Reset(streamIdleTimeout)
+		f.freshness.recordFrame(time.Now(), frame.Version)
 		f.handleFrame(ctx, address, frame)
 	}
 }
@@ -284,6 +295,7 @@
 	f.mutex.Unlock()
 	if isNewer {
 		f.settings.OnDocument(document)
+		f.freshness.recordFetched(document.Version)
 	}
 }
 
@@ -324,7 +336,7 @@
 		return
 	}
 	if !r.connected {
-		r.connected = true
+		r.connected, r.isFailing = true, false
 		f.settings.Log.WithField("replica", address).Info("stream to replica opened")
 	}
 	r.entries, r.leadingTerm = int(frame.Entries), frame.LeadingTerm
@@ -350,16 +362,24 @@
 	return entries
 }
 
-// markDisconnected records that a stream ended, and reports whether it had received a frame.
-func (f *Follower) markDisconnected(address string) bool {
+// logLoss records that a stream ended. It logs the end of one that had received a frame, and the first of several attempts
+// without a frame.
+func (f *Follower) logLoss(address string, err error) {
 	f.mutex.Lock()
 	defer f.mutex.Unlock()
 	r := f.replicas[address]
-	if r == nil || !r.connected {
-		return false
+	if r == nil {
+		return
+	}
+	line := f.settings.Log.WithError(err).WithField("replica", address)
+	switch {
+	case r.connected:
+		line.Warn("stream to replica lost")
+	case !r.isFailing:
+		r.isFailing = true
+		line.Warn("no stream to replica")
 	}
 	r.connected = false
-	return true
 }
 
 // IsConnected reports whether the follower has an open stream to a replica.
--- a/registry/log.go
+++ b/registry/log.go
@@ -44,7 +44,12 @@
 	if err != nil {
 		return err
 	}
-	return r.submit(ctx, &wire.RoutingDocument{Version: configuration.Version, Compressed: compressed})
+	if err := r.submit(ctx, &wire.RoutingDocument{Version: configuration.Version, Compressed: compressed}); err != nil {
+		return err
+	}
+	r.settings.Log.WithField("version", configuration.Version).Info("configuration acknowledged")
+	r.settings.Scope.Gauge("acknowledged_version").Update(float64(configuration.Version))
+	return nil
 }
 
 func (r *Replica) submit(ctx context.Context, document *wire.RoutingDocument) error {
--- a/registry/replica.go
+++ b/registry/replica.go
@@ -80,6 +80,8 @@
 		memory *quarantine.Memory
 		// departures stores departures of upstreams in the replicated log.
 		departures *departureWriter
+		// streams records the streams to followers.
+		streams *streamLog
 		// hasCaughtUp reports whether the replica has applied what was acknowledged before it started.
 		hasCaughtUp atomic.Bool
 		// allocator grants requests at upstreams that name rate limits, while this replica leads.
@@ -143,6 +145,7 @@
 	if r.settings.Scope == nil {
 		r.settings.Scope = tally.NoopScope
 	}
+	r.streams = newStreamLog(r.settings.Log, r.settings.Scope)
 	r.settings.Scope.Gauge("evacuated_domains").Update(0)
 	r.state.onChange, r.state.onEvacuations, r.state.onDepartures = r.onConfiguration, r.onEvacuations, r.onDepartures
 	dialer := &net.Dialer{Timeout: dialTimeout}
@@ -160,8 +163,8 @@
 		settings.Log.WithError(err).Error("cannot open the replicated log")
 	}
 	follower := NewFollower(FollowerSettings{
-		Seeds: func() []string { return settings.Seeds }, Self: settings.ID, OnUpstreams: r.merge, Memory: r.memory,
-		Log: settings.Log,
+		Seeds: func() []string { return settings.Seeds }, Self: settings.ID, Name: settings.ID, OnUpstreams: r.merge,
+		Memory: r.memory, Scope: r.settings.Scope, Log: settings.Log,
 	})
 	r.done.Go(r.maintain)
 	r.done.Go(r.catchUp)
--- a/registry/replica_test.go
+++ b/registry/replica_test.go
@@ -52,6 +52,7 @@
 	diskBytes atomic.Int64
 	// written counts the bytes that replicas write to connections which their peers opened.
 	written atomic.Int64
+	log     *logrus.Entry
 }
 
 type replica struct {
@@ -64,9 +65,20 @@
 	return newSlowGroup(t, size, tolerance, 0)
 }
 
+// newLoggedGroup returns a group that writes to the log.
+func newLoggedGroup(t testing.TB, size, tolerance int, log *logrus.Entry) *group {
+	return (&group{t: t, tolerance: tolerance, running: map[string]*replica{}, log: log}).startAll(size)
+}
+
 // newSlowGroup returns a group whose disks take longer for each sync.
 func newSlowGroup(t testing.TB, size, tolerance int, syncDelay time.Duration) *group {
-	g := &group{t: t, tolerance: tolerance, running: map[string]*replica{}, syncDelay: syncDelay}
+	g := &group{t: t, tolerance: tolerance, running: map[string]*replica{}, syncDelay: syncDelay, log: quietLog()}
+	return g.startAll(size)
+}
+
+// startAll starts replicas until the group has the size.
+func (g *group) startAll(size int) *group {
+	t := g.t
 	var listeners []net.Listener
 	for range size {
 		listener, err := net.Listen("tcp", "127.0.0.1:0")
@@ -90,7 +102,7 @@
 func (g *group) start(listener net.Listener, folder string, isFounding bool) {
 	id, delay := listener.Addr().String(), g.parseDelay
 	r, err := registry.Open(registry.Settings{
-		ID: id, Seeds: g.seeds, Folder: folder, IsFounding: isFounding, Tolerance: g.tolerance, Log: quietLog(),
+		ID: id, Seeds: g.seeds, Folder: folder, IsFounding: isFounding, Tolerance: g.tolerance, Log: g.log,
 		Disk: g.slowDisk(folder),
 		Parse: func(source []byte) (*route.Configuration, error) {
 			time.Sleep(delay)
--- a/registry/watch.go
+++ b/registry/watch.go
@@ -1,10 +1,17 @@
 package registry
 
 import (
+	"bytes"
+	"cmp"
+	"context"
+	"errors"
+	"net"
 	"net/http"
+	"os"
 	"slices"
 	"time"
 
+	"github.com/rotisserie/eris"
 	"google.golang.org/protobuf/encoding/protodelim"
 
 	"guavahitch.example/guavahitch/roster"
@@ -30,7 +37,9 @@
 
 // watchStream records what one follower has been sent, so that the next frame carries only changes.
 type watchStream struct {
-	replica       *Replica
+	replica *Replica
+	// follower names the process that reads the stream.
+	follower      string
 	revision      uint64
 	isStarted     bool
 	lastRenewal   time.Time
@@ -45,34 +54,42 @@
 
 // serveWatch streams frames until the follower disconnects or the replica closes.
 func (r *Replica) serveWatch(w http.ResponseWriter, request *http.Request) {
-	if query := request.URL.Query(); query.Get(roleField) == entryRole {
+	query := request.URL.Query()
+	if query.Get(roleField) == entryRole {
 		defer r.enroll(query)()
 		r.addEntries(1)
 		defer r.addEntries(-1)
 	}
-	control := http.NewResponseController(w)
-	stream := &watchStream{replica: r}
+	host, _, _ := net.SplitHostPort(request.RemoteAddr)
+	stream := &watchStream{replica: r, follower: cmp.Or(query.Get(nameField), host)}
+	cause, err := stream.run(request.Context(), w)
+	if err != nil && r.ctx.Err() == nil {
+		r.streams.recordEnd(time.Now(), stream.follower, cause, err)
+	}
+}
+
+// run sends frames until the follower disconnects, the replica closes or a frame cannot be sent. It returns the error of the
+// frame and its cause.
+func (w *watchStream) run(ctx context.Context, writer http.ResponseWriter) (cause string, err error) {
+	r := w.replica
 	timer := time.NewTimer(0)
 	defer timer.Stop()
 	for {
 		now := time.Now()
-		frame, changed := stream.nextFrame(now)
+		frame, changed := w.nextFrame(now)
 		var learned <-chan struct{}
-		frame.Evidence, stream.evidenceRevision, learned = r.memory.Evidence(now, stream.evidenceRevision)
-		limited := stream.addLimits(frame, now)
-		_ = control.SetWriteDeadline(time.Now().Add(frameWriteTimeout))
-		if _, err := protodelim.MarshalTo(w, frame); err != nil {
-			return
-		}
-		if err := control.Flush(); err != nil {
-			return
+		frame.Evidence, w.evidenceRevision, learned = r.memory.Evidence(now, w.evidenceRevision)
+		limited := w.addLimits(frame, now)
+		if cause, err := sendFrame(writer, frame); err != nil {
+			return cause, err
 		}
+		r.streams.recordSent(w.follower, frame.Version)
 		timer.Reset(renewalInterval)
 		select {
-		case <-request.Context().Done():
-			return
+		case <-ctx.Done():
+			return "", nil
 		case <-r.ctx.Done():
-			return
+			return "", nil
 		case <-timer.C:
 		case <-learned:
 			wait.For(r.ctx, batchDelay)
@@ -84,6 +101,24 @@
 	}
 }
 
+// sendFrame encodes and writes a frame. It returns the cause of an error.
+func sendFrame(w http.ResponseWriter, frame *wire.WatchFrame) (cause string, err error) {
+	var encoded bytes.Buffer
+	if _, err := protodelim.MarshalTo(&encoded, frame); err != nil {
+		return endOfEncoding, eris.Wrap(err, "encode the frame")
+	}
+	control := http.NewResponseController(w)
+	_ = control.SetWriteDeadline(time.Now().Add(frameWriteTimeout))
+	_, err = w.Write(encoded.Bytes())
+	if err == nil {
+		err = control.Flush()
+	}
+	if errors.Is(err, os.ErrDeadlineExceeded) {
+		return endOfTimeout, eris.Wrap(err, "write the frame")
+	}
+	return endOfFollower, eris.Wrap(err, "write the frame")
+}
+
 // addEntries adds to the number of connected entries.
 func (r *Replica) addEntries(change int) {
 	r.mutex.Lock()
--- a/routed/entry.go
+++ b/routed/entry.go
@@ -106,7 +106,7 @@
 	e.server = forward.NewServer(settings.Forward, e.fleet)
 	evacuations := newEvacuationLog(settings.Log, settings.scope(), settings.Forward.DomainDrainTime())
 	e.follower = registry.NewFollower(registry.FollowerSettings{
-		Seeds: settings.Seeds, Name: settings.Name, IsEntry: true, Log: settings.Log,
+		Seeds: settings.Seeds, Name: settings.Name, IsEntry: true, Scope: settings.scope(), Log: settings.Log,
 		OnEvacuations: func(received evacuation.Set) {
 			if set, isChanged := e.fleet.SetEvacuations(received); isChanged {
 				evacuations.apply(set)
@@ -234,6 +234,7 @@
 		return
 	}
 	if e.server.SetTable(route.NewTable(configuration)) {
+		e.settings.scope().Gauge("configuration_version").Update(float64(version))
 		e.settings.Log.WithField("version", version).WithField("routes", len(configuration.Routes)).
 			Info("configuration in force")
 	}
