--- a/registry/allotment.go
+++ b/registry/allotment.go
@@ -6,6 +6,7 @@
 	"strconv"
 	"time"
 
+	"guavahitch.example/guavahitch/item"
 	"guavahitch.example/guavahitch/quota"
 	"guavahitch.example/guavahitch/wire"
 )
@@ -51,20 +52,21 @@
 	now := time.Now()
 	allocator := i.replica.allocator
 	allocator.Lead(now, term)
-	allocator.Hear(now, decodeLimits(request.Limits, now))
-	reply := &wire.AllotReply{}
-	for _, d := range request.Demands {
+	items := i.replica.items
+	allocator.Hear(now, decodeLimits(items, request.Entry, request.Limits, now))
+	var grants []*wire.QuotaGrant
+	for _, d := range item.DecodeAll[wire.QuotaDemand](items, kindDemand, request.Entry, request.Demands) {
 		if d.Requests > 0 || d.Cold <= 0 {
 			// A demand under a cold bound alone must not replace that under a rate limit.
 			for _, g := range allocator.Grant(now, request.Entry, d.Service, int(max(d.Requests, 0))) {
-				reply.Grants = append(reply.Grants, encodeGrant(g))
+				grants = append(grants, encodeGrant(g))
 			}
 		}
 		for _, g := range i.replica.grantCold(now, request.Entry, d) {
-			reply.Grants = append(reply.Grants, encodeGrant(g))
+			grants = append(grants, encodeGrant(g))
 		}
 	}
-	return reply, nil
+	return &wire.AllotReply{Grants: item.EncodeAll(items, kindGrant, (*wire.QuotaGrant).GetId, grants)}, nil
 }
 
 // addLimits adds the rate limits that have changed to a frame if the replica leads, and returns a channel that is closed at the
@@ -78,7 +80,7 @@
 	allocator.Lead(now, term)
 	var limits []quota.Limit
 	limits, w.limitsRevision, changed = allocator.Limits(w.limitsRevision)
-	frame.LeadingTerm, frame.Limits = term, encodeLimits(limits, now)
+	frame.LeadingTerm, frame.Limits = term, encodeLimits(w.replica.items, limits, now)
 	return changed
 }
 
@@ -137,15 +139,18 @@
 			Info("quota comes from the leader")
 	}
 	a.term = term
-	f.settings.Quota.OnGrants(time.Now(), decodeGrants(reply.Grants, asked))
+	f.settings.Quota.OnGrants(time.Now(), decodeGrants(f.items, address, reply.Grants, asked))
 }
 
 func (a *quotaAsker) newRequest(limits []quota.Limit, demands []quota.Demand) *wire.AllotRequest {
-	request := &wire.AllotRequest{Entry: a.entry, Limits: encodeLimits(limits, time.Now())}
+	items, messages := a.follower.items, make([]*wire.QuotaDemand, 0, len(demands))
 	for _, d := range demands {
-		request.Demands = append(request.Demands, &wire.QuotaDemand{Service: d.Service, Requests: int32(d.Requests), Cold: int32(d.Cold)})
+		messages = append(messages, &wire.QuotaDemand{Service: d.Service, Requests: int32(d.Requests), Cold: int32(d.Cold)})
+	}
+	return &wire.AllotRequest{
+		Entry: a.entry, Limits: encodeLimits(items, limits, time.Now()),
+		Demands: item.EncodeAll(items, kindDemand, (*wire.QuotaDemand).GetService, messages),
 	}
-	return request
 }
 
 func (f *Follower) allot(ctx context.Context, address string, request *wire.AllotRequest) (*wire.AllotReply, error) {
--- a/registry/announcements.go
+++ b/registry/announcements.go
@@ -4,6 +4,7 @@
 	"context"
 	"time"
 
+	"guavahitch.example/guavahitch/item"
 	"guavahitch.example/guavahitch/roster"
 	"guavahitch.example/guavahitch/wire"
 )
@@ -11,6 +12,9 @@
 // spreadTimeout bounds the wait until another replica has received a change of an upstream.
 const spreadTimeout = 250 * time.Millisecond
 
+// callOrigin names items that came with a call, whose sender is not known.
+const callOrigin = "call"
+
 // Announce records an announcement of an upstream and passes a change on to the other replicas. If the upstream drains, it
 // returns once its departure is stored in the replicated log and another replica has received the change. It returns
 // ErrUnknownService for a departure from a service that is not in the configuration, which another sender may have forged. An
@@ -98,11 +102,15 @@
 // the latest after spreadTimeout.
 // After an acknowledgement, entries receive the change even if this replica fails at once.
 func (r *Replica) spread(ctx context.Context, others []string, message *wire.AnnouncedUpstream) {
+	upstreams := item.EncodeAll(r.items, kindUpstream, (*wire.AnnouncedUpstream).GetId, []*wire.AnnouncedUpstream{message})
+	if len(upstreams) == 0 {
+		return
+	}
 	ctx, cancel := context.WithTimeout(context.WithoutCancel(ctx), spreadTimeout)
 	replies := make(chan bool, len(others))
 	for _, id := range others {
 		go func() {
-			_, err := r.registryAt(id).Spread(ctx, &wire.SpreadRequest{Upstreams: []*wire.AnnouncedUpstream{message}})
+			_, err := r.registryAt(id).Spread(ctx, &wire.SpreadRequest{Upstreams: upstreams})
 			replies <- err == nil
 		}()
 	}
@@ -171,11 +179,8 @@
 // Spread records changes that another replica has received.
 func (i replicaService) Spread(_ context.Context, request *wire.SpreadRequest) (*wire.SpreadReply, error) {
 	now := time.Now()
-	announced := make([]roster.Entry, 0, len(request.Upstreams))
-	for _, message := range request.Upstreams {
-		announced = append(announced, decodeEntry(message, now))
-	}
-	i.replica.merge(announced, nil)
-	i.replica.memory.Merge(now, request.Evidence)
+	items := i.replica.items
+	i.replica.merge(decodeEntries(items, callOrigin, request.Upstreams, now), nil)
+	i.replica.memory.Merge(now, decodeEvidence(items, callOrigin, request.Evidence))
 	return &wire.SpreadReply{}, nil
 }
--- a/registry/departures.go
+++ b/registry/departures.go
@@ -8,6 +8,7 @@
 	"github.com/rotisserie/eris"
 
 	"guavahitch.example/guavahitch/departure"
+	"guavahitch.example/guavahitch/item"
 	"guavahitch.example/guavahitch/roster"
 	"guavahitch.example/guavahitch/wire"
 )
@@ -27,7 +28,7 @@
 	// that many departures at once cost few log entries.
 	departureWriter struct {
 		// write stores one batch.
-		write func([]*wire.UpstreamDeparture) error
+		write func(departures [][]byte) error
 
 		mutex     sync.Mutex
 		batches   []*departureBatch
@@ -36,7 +37,8 @@
 
 	// departureBatch is a batch of departures. err is set before done is closed.
 	departureBatch struct {
-		departures []*wire.UpstreamDeparture
+		// departures are encoded by themselves, so that one that cannot be encoded fails alone.
+		departures [][]byte
 		done       chan struct{}
 		err        error
 	}
@@ -44,7 +46,11 @@
 
 // store stores a departure and returns once it is in the log. After an error, the outcome is unknown.
 func (w *departureWriter) store(ctx context.Context, d *wire.UpstreamDeparture) error {
-	batch := w.add(d)
+	encoded, err := item.Encode(d)
+	if err != nil {
+		return eris.Wrap(err, "store the departure")
+	}
+	batch := w.add(encoded)
 	select {
 	case <-batch.done:
 		return batch.err
@@ -54,7 +60,7 @@
 }
 
 // add adds a departure to the last batch that is not being stored, and starts to store the batches.
-func (w *departureWriter) add(d *wire.UpstreamDeparture) *departureBatch {
+func (w *departureWriter) add(d []byte) *departureBatch {
 	w.mutex.Lock()
 	defer w.mutex.Unlock()
 	last := len(w.batches) - 1
@@ -104,7 +110,7 @@
 }
 
 // writeDepartures stores departures through the leader.
-func (r *Replica) writeDepartures(departures []*wire.UpstreamDeparture) error {
+func (r *Replica) writeDepartures(departures [][]byte) error {
 	ctx, cancel := context.WithTimeout(r.ctx, departureTimeout)
 	defer cancel()
 	return r.depart(ctx, &wire.DepartureCommand{Departures: departures})
@@ -134,7 +140,7 @@
 // applyDepartures applies committed departures.
 func (s *state) applyDepartures(command *wire.DepartureCommand, loggedMs int64) {
 	departures := make([]departure.Departure, 0, len(command.Departures))
-	for _, m := range command.Departures {
+	for _, m := range item.DecodeAll[wire.UpstreamDeparture](s.items, kindDeparture, logOrigin, command.Departures) {
 		d := decodeDeparture(m)
 		if m.AnyIncarnation {
 			d.Born = loggedMs
@@ -209,21 +215,21 @@
 	return departure.Departure{ID: m.Id, Born: m.Born, IsDraining: m.Draining}
 }
 
-// encodeDepartures returns the messages for a snapshot.
-func encodeDepartures(set departure.Set) []*wire.StoredDeparture {
+// encodeDepartures returns the items for a snapshot.
+func encodeDepartures(l *item.Log, set departure.Set) [][]byte {
 	var messages []*wire.StoredDeparture
 	for _, d := range set.All() {
 		messages = append(messages, &wire.StoredDeparture{
 			Id: d.ID, Born: d.Born, Draining: d.IsDraining, LoggedMs: d.LoggedMs,
 		})
 	}
-	return messages
+	return item.EncodeAll(l, kindDeparture, (*wire.StoredDeparture).GetId, messages)
 }
 
 // decodeDepartures returns the departures of a snapshot.
-func decodeDepartures(messages []*wire.StoredDeparture) departure.Set {
-	departures := make([]departure.Departure, 0, len(messages))
-	for _, m := range messages {
+func decodeDepartures(l *item.Log, items [][]byte) departure.Set {
+	departures := make([]departure.Departure, 0, len(items))
+	for _, m := range item.DecodeAll[wire.StoredDeparture](l, kindDeparture, snapshotOrigin, items) {
 		departures = append(departures, departure.Departure{
 			ID: m.Id, Born: m.Born, IsDraining: m.Draining, LoggedMs: m.LoggedMs,
 		})
--- a/registry/encoding.go
+++ b/registry/encoding.go
@@ -5,6 +5,7 @@
 	"time"
 
 	"guavahitch.example/guavahitch/availability"
+	"guavahitch.example/guavahitch/item"
 	"guavahitch.example/guavahitch/quota"
 	"guavahitch.example/guavahitch/roster"
 	"guavahitch.example/guavahitch/wire"
@@ -42,6 +43,15 @@
 	return entry
 }
 
+// decodeEntries returns the roster entries of items. Items that cannot be decoded are left out.
+func decodeEntries(l *item.Log, origin string, items [][]byte, now time.Time) []roster.Entry {
+	entries := make([]roster.Entry, 0, len(items))
+	for _, m := range item.DecodeAll[wire.AnnouncedUpstream](l, kindUpstream, origin, items) {
+		entries = append(entries, decodeEntry(m, now))
+	}
+	return entries
+}
+
 // encodeRenewal returns the message that renews an entry which has not changed.
 func encodeRenewal(entry *roster.Entry, now time.Time) *wire.UpstreamRenewal {
 	return &wire.UpstreamRenewal{
@@ -49,9 +59,15 @@
 	}
 }
 
-// decodeRenewal returns an entry that holds only the ID, the incarnation and the last heartbeat.
-func decodeRenewal(m *wire.UpstreamRenewal, now time.Time) roster.Entry {
-	return roster.Entry{LastHeartbeat: heartbeatTime(m.SilenceMs, now), Instance: roster.Instance{ID: m.Id, Born: m.Born}}
+// decodeRenewals returns entries that hold only the ID, the incarnation and the last heartbeat.
+func decodeRenewals(l *item.Log, origin string, items [][]byte, now time.Time) []roster.Entry {
+	renewals := make([]roster.Entry, 0, len(items))
+	for _, m := range item.DecodeAll[wire.UpstreamRenewal](l, kindRenewal, origin, items) {
+		renewals = append(renewals, roster.Entry{
+			LastHeartbeat: heartbeatTime(m.SilenceMs, now), Instance: roster.Instance{ID: m.Id, Born: m.Born},
+		})
+	}
+	return renewals
 }
 
 // heartbeatTime returns the time of the last heartbeat on the local clock.
@@ -59,8 +75,8 @@
 	return now.Add(-time.Duration(max(silenceMs, 0)) * time.Millisecond)
 }
 
-// encodeLimits returns the messages for rate limits, with the age of what was heard in place of its time.
-func encodeLimits(limits []quota.Limit, now time.Time) []*wire.UpstreamLimit {
+// encodeLimits returns the items for rate limits, with the age of what was heard in place of its time.
+func encodeLimits(log *item.Log, limits []quota.Limit, now time.Time) [][]byte {
 	messages := make([]*wire.UpstreamLimit, 0, len(limits))
 	for _, l := range limits {
 		messages = append(messages, &wire.UpstreamLimit{
@@ -68,13 +84,13 @@
 			AgeMs: now.Sub(l.Heard).Milliseconds(),
 		})
 	}
-	return messages
+	return item.EncodeAll(log, kindLimit, (*wire.UpstreamLimit).GetId, messages)
 }
 
-// decodeLimits returns the rate limits of messages. Those that no upstream can have named are left out.
-func decodeLimits(messages []*wire.UpstreamLimit, now time.Time) []quota.Limit {
-	limits := make([]quota.Limit, 0, len(messages))
-	for _, m := range messages {
+// decodeLimits returns the rate limits of items. Those that no upstream can have named are left out.
+func decodeLimits(log *item.Log, origin string, items [][]byte, now time.Time) []quota.Limit {
+	limits := make([]quota.Limit, 0, len(items))
+	for _, m := range item.DecodeAll[wire.UpstreamLimit](log, kindLimit, origin, items) {
 		if !(m.PerSecond >= 0) || math.IsInf(m.PerSecond, 1) {
 			continue
 		}
@@ -87,9 +103,9 @@
 }
 
 // decodeGrants returns the grants in the answer to a request that was sent at the given time.
-func decodeGrants(messages []*wire.QuotaGrant, asked time.Time) []quota.Grant {
-	grants := make([]quota.Grant, 0, len(messages))
-	for _, m := range messages {
+func decodeGrants(log *item.Log, origin string, items [][]byte, asked time.Time) []quota.Grant {
+	grants := make([]quota.Grant, 0, len(items))
+	for _, m := range item.DecodeAll[wire.QuotaGrant](log, kindGrant, origin, items) {
 		grants = append(grants, quota.Grant{Upstream: m.Id, Born: m.Born, Requests: int(m.Requests), IsCold: m.Cold, Asked: asked})
 	}
 	return grants
--- a/registry/follower.go
+++ b/registry/follower.go
@@ -17,6 +17,7 @@
 	"google.golang.org/protobuf/encoding/protodelim"
 
 	"guavahitch.example/guavahitch/evacuation"
+	"guavahitch.example/guavahitch/item"
 	"guavahitch.example/guavahitch/quarantine"
 	"guavahitch.example/guavahitch/roster"
 	"guavahitch.example/guavahitch/wait"
@@ -85,6 +86,8 @@
 		// runContext is the context of Run. All replicas are followed under it, so that following one does not depend
 		// on the stream of the replica that listed it.
 		runContext context.Context
+		// items records the items that are left out of messages.
+		items *item.Log
 		// freshness records how recent the received frames are.
 		freshness *freshness
 		mutex     sync.Mutex
@@ -123,6 +126,7 @@
 	dialer := &net.Dialer{Timeout: dialTimeout}
 	return &Follower{
 		settings: settings, replicas: map[string]*followedReplica{},
+		items:     item.NewLog(settings.Log, settings.Scope),
 		freshness: newFreshness(time.Now(), settings.Log, settings.Scope),
 		name:      cmp.Or(settings.Name, strconv.FormatUint(rand.Uint64(), 36)),
 		client: &http.Client{Transport: &http.Transport{
@@ -193,17 +197,20 @@
 // followReplica keeps a stream to one replica and reopens it until the context ends.
 func (f *Follower) followReplica(ctx context.Context, address string) {
 	for ctx.Err() == nil {
-		err := f.readStream(ctx, address)
+		isOpened, err := f.readStream(ctx, address)
 		if ctx.Err() == nil {
 			f.freshness.recordLoss(err)
 		}
 		f.logLoss(address, err)
+		if isOpened {
+			f.fetchWithoutFrame(ctx, address)
+		}
 		wait.For(ctx, reconnectDelay)
 	}
 }
 
-// readStream opens one stream and handles its frames until it fails.
-func (f *Follower) readStream(ctx context.Context, address string) error {
+// readStream opens one stream and handles its frames until it fails. It reports whether the replica opened the stream.
+func (f *Follower) readStream(ctx context.Context, address string) (isOpened bool, err error) {
 	ctx, cancel := context.WithCancel(ctx)
 	defer cancel()
 	idleTimer := time.AfterFunc(streamIdleTimeout, cancel)
@@ -211,15 +218,15 @@
 	url := "http://" + address + watchPath + "?" + f.query(time.Now())
 	request, err := http.NewRequestWithContext(ctx, http.MethodGet, url, http.NoBody)
 	if err != nil {
-		return eris.Wrap(err, "create watch request")
+		return false, eris.Wrap(err, "create watch request")
 	}
 	response, err := f.client.Do(request)
 	if err != nil {
-		return eris.Wrap(err, "open watch stream")
+		return false, eris.Wrap(err, "open watch stream")
 	}
 	defer response.Body.Close()
 	if response.StatusCode != http.StatusOK {
-		return eris.Errorf("open watch stream: replica answered %s", response.Status)
+		return false, eris.Errorf("open watch stream: replica answered %s", response.Status)
 	}
 	if f.settings.IsEntry {
 		f.done.Go(func() { f.sendEvidence(ctx, address) })
@@ -228,7 +235,7 @@
 	for {
 		frame := &wire.WatchFrame{}
 		if err := (protodelim.UnmarshalOptions{MaxSize: maxFrameBytes}).UnmarshalFrom(reader, frame); err != nil {
-			return eris.Wrap(err, "read watch frame")
+			return true, eris.Wrap(err, "read watch frame")
 		}
 		idleTimer.Reset(streamIdleTimeout)
 		f.freshness.recordFrame(time.Now(), frame.Version)
@@ -245,24 +252,18 @@
 	if f.settings.OnDocument != nil && f.claimFetch(frame.Version, now) {
 		f.done.Go(func() { f.fetchDocument(ctx, address) })
 	}
-	announced := make([]roster.Entry, 0, len(frame.Upstreams))
-	for _, m := range frame.Upstreams {
-		announced = append(announced, decodeEntry(m, now))
-	}
-	renewals := make([]roster.Entry, 0, len(frame.Renewals))
-	for _, m := range frame.Renewals {
-		renewals = append(renewals, decodeRenewal(m, now))
-	}
+	announced := decodeEntries(f.items, address, frame.Upstreams, now)
+	renewals := decodeRenewals(f.items, address, frame.Renewals, now)
 	if len(announced) > 0 || len(renewals) > 0 {
 		f.settings.OnUpstreams(announced, renewals)
 	}
 	if len(frame.Loads) > 0 && f.settings.OnLoads != nil {
-		f.settings.OnLoads(decodeLoads(frame.Loads))
+		f.settings.OnLoads(decodeLoads(f.items, address, frame.Loads))
 	}
 	if len(frame.Limits) > 0 && f.settings.Quota.OnLimits != nil {
-		f.settings.Quota.OnLimits(now, decodeLimits(frame.Limits, now))
+		f.settings.Quota.OnLimits(now, decodeLimits(f.items, address, frame.Limits, now))
 	}
-	f.mergeEvidence(frame.Evidence, now)
+	f.mergeEvidence(decodeEvidence(f.items, address, frame.Evidence), now)
 	f.hearCount(frame, now)
 	f.recordFrame(address, frame, now)
 }
@@ -282,13 +283,34 @@
 // fetchDocument reads the newest configuration of one replica and passes it to OnDocument. If that fails, the next
 // frame with a newer version starts another fetch.
 func (f *Follower) fetchDocument(ctx context.Context, address string) {
-	document, err := f.readDocument(ctx, address)
+	document, err := f.readDocument(ctx, address, 0)
 	if err != nil {
 		f.settings.Log.WithError(err).WithField("replica", address).Warn("cannot fetch the configuration")
 	}
 	f.mutex.Lock()
 	f.fetchStarted = time.Time{}
-	isNewer := err == nil && document.Version > f.newestVersion
+	f.mutex.Unlock()
+	f.adopt(document)
+}
+
+// fetchWithoutFrame reads the newest configuration of a replica whose stream ended. The stream may have ended at a frame that
+// cannot be sent or read, which must not withhold the configuration.
+func (f *Follower) fetchWithoutFrame(ctx context.Context, address string) {
+	if f.settings.OnDocument == nil {
+		return
+	}
+	f.mutex.Lock()
+	held := f.newestVersion
+	f.mutex.Unlock()
+	// A replica that has ended does not answer. The loss of its stream was logged.
+	document, _ := f.readDocument(ctx, address, held)
+	f.adopt(document)
+}
+
+// adopt passes a configuration to OnDocument if it is newer than the ones before. A nil one is ignored.
+func (f *Follower) adopt(document *wire.RoutingDocument) {
+	f.mutex.Lock()
+	isNewer := document.GetVersion() > f.newestVersion
 	if isNewer {
 		f.newestVersion = document.Version
 	}
@@ -299,10 +321,12 @@
 	}
 }
 
-func (f *Follower) readDocument(ctx context.Context, address string) (*wire.RoutingDocument, error) {
+// readDocument returns the newest configuration of a replica, or nil if it is not newer than the held version.
+func (f *Follower) readDocument(ctx context.Context, address string, held uint64) (*wire.RoutingDocument, error) {
 	ctx, cancel := context.WithTimeout(ctx, fetchTimeout)
 	defer cancel()
-	request, err := http.NewRequestWithContext(ctx, http.MethodGet, "http://"+address+documentPath, http.NoBody)
+	url := "http://" + address + documentPath + "?" + heldVersionField + "=" + strconv.FormatUint(held, 10)
+	request, err := http.NewRequestWithContext(ctx, http.MethodGet, url, http.NoBody)
 	if err != nil {
 		return nil, eris.Wrap(err, "create configuration request")
 	}
@@ -311,17 +335,23 @@
 		return nil, eris.Wrap(err, "fetch")
 	}
 	defer response.Body.Close()
+	if response.StatusCode == http.StatusNoContent {
+		return nil, nil
+	}
 	if response.StatusCode != http.StatusOK {
 		return nil, eris.Errorf("fetch configuration: replica answered %s", response.Status)
 	}
 	document := &wire.RoutingDocument{}
 	options := protodelim.UnmarshalOptions{MaxSize: maxFrameBytes}
-	return document, eris.Wrap(options.UnmarshalFrom(bufio.NewReader(response.Body), document), "read configuration")
+	if err := options.UnmarshalFrom(bufio.NewReader(response.Body), document); err != nil {
+		return nil, eris.Wrap(err, "read configuration")
+	}
+	return document, nil
 }
 
-func decodeLoads(messages []*wire.UpstreamLoad) []Load {
-	loads := make([]Load, 0, len(messages))
-	for _, m := range messages {
+func decodeLoads(l *item.Log, origin string, items [][]byte) []Load {
+	loads := make([]Load, 0, len(items))
+	for _, m := range item.DecodeAll[wire.UpstreamLoad](l, kindLoad, origin, items) {
 		loads = append(loads, Load{ID: m.Id, Running: int(m.Running), Waiting: int(m.Waiting), Pace: float64(m.Pace)})
 	}
 	return loads
--- a/registry/replica.go
+++ b/registry/replica.go
@@ -15,6 +15,7 @@
 	"github.com/uber-go/tally/v4"
 
 	"guavahitch.example/guavahitch/consensus"
+	"guavahitch.example/guavahitch/item"
 	"guavahitch.example/guavahitch/journal"
 	"guavahitch.example/guavahitch/peer"
 	"guavahitch.example/guavahitch/quarantine"
@@ -80,8 +81,9 @@
 		memory *quarantine.Memory
 		// departures stores departures of upstreams in the replicated log.
 		departures *departureWriter
-		// streams records the streams to followers.
+		// streams records the streams to followers, items the items that are left out of messages.
 		streams *streamLog
+		items   *item.Log
 		// hasCaughtUp reports whether the replica has applied what was acknowledged before it started.
 		hasCaughtUp atomic.Bool
 		// allocator grants requests at upstreams that name rate limits, while this replica leads.
@@ -146,6 +148,8 @@
 		r.settings.Scope = tally.NoopScope
 	}
 	r.streams = newStreamLog(r.settings.Log, r.settings.Scope)
+	r.items = item.NewLog(r.settings.Log, r.settings.Scope)
+	r.state.items = r.items
 	r.settings.Scope.Gauge("evacuated_domains").Update(0)
 	r.state.onChange, r.state.onEvacuations, r.state.onDepartures = r.onConfiguration, r.onEvacuations, r.onDepartures
 	dialer := &net.Dialer{Timeout: dialTimeout}
--- a/registry/replica_test.go
+++ b/registry/replica_test.go
@@ -1,6 +1,7 @@
 package registry_test
 
 import (
+	"cmp"
 	"context"
 	"fmt"
 	"io"
@@ -52,7 +53,8 @@
 	diskBytes atomic.Int64
 	// written counts the bytes that replicas write to connections which their peers opened.
 	written atomic.Int64
-	log     *logrus.Entry
+	// log receives the log lines of the replicas. If it is nil, they are discarded.
+	log *logrus.Entry
 }
 
 type replica struct {
@@ -72,7 +74,7 @@
 
 // newSlowGroup returns a group whose disks take longer for each sync.
 func newSlowGroup(t testing.TB, size, tolerance int, syncDelay time.Duration) *group {
-	g := &group{t: t, tolerance: tolerance, running: map[string]*replica{}, syncDelay: syncDelay, log: quietLog()}
+	g := &group{t: t, tolerance: tolerance, running: map[string]*replica{}, syncDelay: syncDelay}
 	return g.startAll(size)
 }
 
@@ -102,7 +104,7 @@
 func (g *group) start(listener net.Listener, folder string, isFounding bool) {
 	id, delay := listener.Addr().String(), g.parseDelay
 	r, err := registry.Open(registry.Settings{
-		ID: id, Seeds: g.seeds, Folder: folder, IsFounding: isFounding, Tolerance: g.tolerance, Log: g.log,
+		ID: id, Seeds: g.seeds, Folder: folder, IsFounding: isFounding, Tolerance: g.tolerance, Log: cmp.Or(g.log, quietLog()),
 		Disk: g.slowDisk(folder),
 		Parse: func(source []byte) (*route.Configuration, error) {
 			time.Sleep(delay)
--- a/registry/state.go
+++ b/registry/state.go
@@ -5,6 +5,7 @@
 package registry
 
 import (
+	"errors"
 	"sync"
 
 	"github.com/rotisserie/eris"
@@ -12,9 +13,19 @@
 
 	"guavahitch.example/guavahitch/consensus"
 	"guavahitch.example/guavahitch/departure"
+	"guavahitch.example/guavahitch/item"
 	"guavahitch.example/guavahitch/wire"
 )
 
+const (
+	// logOrigin and snapshotOrigin name items of the replicated log and of snapshots.
+	logOrigin      = "log"
+	snapshotOrigin = "snapshot"
+)
+
+// errUnknownCommand reports a command that holds nothing that this release knows.
+var errUnknownCommand = errors.New("the command is not known")
+
 // state is the state machine of the replicated log. It holds the configuration with the highest version, the evacuated
 // domains, and the departures of upstreams. It is safe for concurrent use.
 type state struct {
@@ -22,6 +33,8 @@
 	document    *wire.RoutingDocument
 	evacuations evacuations
 	departures  departure.Set
+	// items records commands and departures that are left out.
+	items *item.Log
 	// onChange is called with each newer configuration, onEvacuations after each change of the evacuated domains, and
 	// onDepartures with the departures that were added.
 	onChange      func(*wire.RoutingDocument)
@@ -42,6 +55,7 @@
 	command := &wire.RoutingCommand{}
 	if err := proto.Unmarshal(entry.Command, command); err != nil {
 		// All replicas decode the same bytes, so all of them ignore the command.
+		s.items.LeaveOut(kindCommand, logOrigin, eris.Wrapf(err, "decode the command at index %d", entry.Index))
 		return nil
 	}
 	if command.Evacuation != nil {
@@ -51,6 +65,10 @@
 		s.applyDepartures(command.Departures, entry.TimeMs)
 		return nil
 	}
+	if command.Version == 0 && len(command.Compressed) == 0 {
+		s.items.LeaveOut(kindCommand, logOrigin, eris.Wrapf(errUnknownCommand, "apply index %d", entry.Index))
+		return nil
+	}
 	s.applyDocument(&wire.RoutingDocument{Version: command.Version, Compressed: command.Compressed})
 	return nil
 }
@@ -74,7 +92,7 @@
 	defer s.mutex.RUnlock()
 	held := &wire.RoutingSnapshot{
 		Version: s.document.GetVersion(), Compressed: s.document.GetCompressed(), Evacuations: s.evacuations.encode(),
-		Departures: encodeDepartures(s.departures),
+		Departures: encodeDepartures(s.items, s.departures),
 	}
 	data, err := proto.Marshal(held)
 	if err != nil {
@@ -97,7 +115,7 @@
 	isNewer := document != nil && (s.document == nil || document.Version > s.document.Version)
 	s.document = document
 	s.evacuations = decodeStoredEvacuations(held.Evacuations)
-	s.departures = decodeDepartures(held.Departures)
+	s.departures = decodeDepartures(s.items, held.Departures)
 	departures := s.departures.All()
 	s.mutex.Unlock()
 	if isNewer {
--- a/registry/watch.go
+++ b/registry/watch.go
@@ -1,19 +1,17 @@
 package registry
 
 import (
-	"bytes"
 	"cmp"
 	"context"
-	"errors"
 	"net"
 	"net/http"
-	"os"
 	"slices"
+	"strconv"
 	"time"
 
-	"github.com/rotisserie/eris"
 	"google.golang.org/protobuf/encoding/protodelim"
 
+	"guavahitch.example/guavahitch/item"
 	"guavahitch.example/guavahitch/roster"
 	"guavahitch.example/guavahitch/wait"
 	"guavahitch.example/guavahitch/wire"
@@ -31,6 +29,8 @@
 	frameWriteTimeout = 2 * time.Second
 	// roleField is the query parameter with the role of the follower.
 	roleField = "Role"
+	// heldVersionField is the query parameter of documentPath with the version that the follower holds.
+	heldVersionField = "HeldVersion"
 	// entryRole is the role of entries, which share the limits of services.
 	entryRole = "entry"
 )
@@ -77,8 +77,7 @@
 	for {
 		now := time.Now()
 		frame, changed := w.nextFrame(now)
-		var learned <-chan struct{}
-		frame.Evidence, w.evidenceRevision, learned = r.memory.Evidence(now, w.evidenceRevision)
+		learned := w.addEvidence(frame, now)
 		limited := w.addLimits(frame, now)
 		if cause, err := sendFrame(writer, frame); err != nil {
 			return cause, err
@@ -101,24 +100,6 @@
 	}
 }
 
-// sendFrame encodes and writes a frame. It returns the cause of an error.
-func sendFrame(w http.ResponseWriter, frame *wire.WatchFrame) (cause string, err error) {
-	var encoded bytes.Buffer
-	if _, err := protodelim.MarshalTo(&encoded, frame); err != nil {
-		return endOfEncoding, eris.Wrap(err, "encode the frame")
-	}
-	control := http.NewResponseController(w)
-	_ = control.SetWriteDeadline(time.Now().Add(frameWriteTimeout))
-	_, err = w.Write(encoded.Bytes())
-	if err == nil {
-		err = control.Flush()
-	}
-	if errors.Is(err, os.ErrDeadlineExceeded) {
-		return endOfTimeout, eris.Wrap(err, "write the frame")
-	}
-	return endOfFollower, eris.Wrap(err, "write the frame")
-}
-
 // addEntries adds to the number of connected entries.
 func (r *Replica) addEntries(change int) {
 	r.mutex.Lock()
@@ -139,6 +120,18 @@
 		frame.Version = r.state.newest().GetVersion()
 		frame.Evacuations = encodeEvacuations(r.Evacuated(), now)
 	}
+	upstreams, renewals, loads, changed := w.addState(frame, now, hasCaughtUp)
+	frame.Upstreams = item.EncodeAll(r.items, kindUpstream, (*wire.AnnouncedUpstream).GetId, upstreams)
+	frame.Renewals = item.EncodeAll(r.items, kindRenewal, (*wire.UpstreamRenewal).GetId, renewals)
+	frame.Loads = item.EncodeAll(r.items, kindLoad, (*wire.UpstreamLoad).GetId, loads)
+	return frame, changed
+}
+
+// addState adds the members and the number of entries to a frame, and returns the upstreams, renewals and loads that go into it.
+func (w *watchStream) addState(frame *wire.WatchFrame, now time.Time, hasCaughtUp bool) (
+	upstreams []*wire.AnnouncedUpstream, renewals []*wire.UpstreamRenewal, loads []*wire.UpstreamLoad, changed <-chan struct{},
+) {
+	r := w.replica
 	r.mutex.Lock()
 	defer r.mutex.Unlock()
 	isDue := now.Sub(w.lastRenewal) >= renewalInterval
@@ -146,9 +139,9 @@
 		isWithheld := !hasCaughtUp && entry.Instance.State == roster.Ready
 		switch {
 		case !isWithheld && (!w.isStarted || entry.Changed > w.revision):
-			frame.Upstreams = append(frame.Upstreams, encodeEntry(entry, now))
+			upstreams = append(upstreams, encodeEntry(entry, now))
 		case isDue && entry.LastHeartbeat.After(w.lastRenewal):
-			frame.Renewals = append(frame.Renewals, encodeRenewal(entry, now))
+			renewals = append(renewals, encodeRenewal(entry, now))
 		}
 	}
 	if isDue {
@@ -163,10 +156,18 @@
 	frame.Entries = int32(r.entryCount)
 	r.addCount(frame, now)
 	if w.loadsRevision != r.loadsRevision {
-		frame.Loads = r.encodeLoads(w.loadsRevision)
+		loads = r.encodeLoads(w.loadsRevision)
 		w.loadsRevision = r.loadsRevision
 	}
-	return frame, r.changed
+	return upstreams, renewals, loads, r.changed
+}
+
+// addEvidence adds new evidence to a frame, and returns a channel that is closed at the next addition.
+func (w *watchStream) addEvidence(frame *wire.WatchFrame, now time.Time) (learned <-chan struct{}) {
+	var evidence *wire.Evidence
+	evidence, w.evidenceRevision, learned = w.replica.memory.Evidence(now, w.evidenceRevision)
+	frame.Evidence = encodeEvidence(w.replica.items, evidence)
+	return learned
 }
 
 // encodeLoads returns the messages for the loads of the groups that have changed since a revision. The caller holds the
@@ -186,13 +187,18 @@
 	return messages
 }
 
-// serveDocument sends the newest committed configuration that this replica has applied.
-func (r *Replica) serveDocument(w http.ResponseWriter, _ *http.Request) {
+// serveDocument sends the newest committed configuration that this replica has applied, unless the follower holds it.
+func (r *Replica) serveDocument(w http.ResponseWriter, request *http.Request) {
 	document := r.state.newest()
 	if document == nil || !r.hasCaughtUp.Load() {
 		http.Error(w, "there is no configuration", http.StatusNotFound)
 		return
 	}
+	held, err := strconv.ParseUint(request.URL.Query().Get(heldVersionField), 10, 64)
+	if err == nil && held >= document.Version {
+		w.WriteHeader(http.StatusNoContent)
+		return
+	}
 	if _, err := protodelim.MarshalTo(w, document); err != nil {
 		r.settings.Log.WithError(err).Warn("cannot send the configuration")
 	}
