--- a/dispatch/claimed.go
+++ b/dispatch/claimed.go
@@ -184,7 +184,7 @@
 	}
 	body, _ := json.Marshal(NewRefusal(lost))
 	return &wire.Answer{
-		Status: http.StatusBadGateway, Headers: []*wire.Header{{Name: "Content-Type", Value: "application/json"}}, Body: body,
+		Status: http.StatusBadGateway, Headers: []*wire.Header{{Name: "Content-Type", Value: []byte("application/json")}}, Body: body,
 	}
 }
 
--- a/dispatch/job.go
+++ b/dispatch/job.go
@@ -215,7 +215,7 @@
 		Id: &wire.AttemptID{
 			Request: r.ID, Attempt: int32(j.attemptNumber), Entry: j.d.settings.Entry + "/" + j.d.settings.Incarnation,
 		},
-		Epoch: choice.Upstream.Epoch, Organisation: r.Organisation, Service: r.Service, Method: r.Method, Path: r.Path,
+		Epoch: choice.Upstream.Epoch, Organisation: r.Organisation, Service: r.Service, Method: r.Method, Path: []byte(r.Path),
 		Headers: sidecar.HeadersToWire(r.Headers), Body: r.Body, DeadlineMs: left.Milliseconds(), Priority: r.Priority, Repeatable: r.Repeatable,
 		Fingerprint: j.fingerprint.Bytes(), Alone: j.alone, Rank: int32(choice.Rank), Revision: j.d.Holder().Revision(),
 	}
--- a/event/ring.go
+++ b/event/ring.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"strings"
 	"sync"
 
 	"guavahitch.example/guavahitch/wire"
@@ -12,6 +13,8 @@
 	RingSize = 16384
 	// maxListedEvents is the maximum number of events that one call of List returns.
 	maxListedEvents = 4096
+	// replacement stands for bytes that are not UTF-8.
+	replacement = "\ufffd"
 )
 
 // Ring keeps the latest RingSize events of one process and serves them to the time line. It implements wire.Events and
@@ -29,8 +32,12 @@
 	return &Ring{process: process, clock: clock, events: make([]*wire.Event, 0, RingSize), next: 1}
 }
 
-// Add stamps and stores an event. When the ring is full, it drops the oldest event.
+// Add stamps and stores an event. When the ring is full, it drops the oldest event. Bytes that are not UTF-8 are replaced, as the
+// time line could not be sent with them.
 func (r *Ring) Add(e *wire.Event) {
+	for _, text := range []*string{&e.Kind, &e.Request, &e.Group, &e.Change, &e.Peer, &e.Detail, &e.Outcome} {
+		*text = strings.ToValidUTF8(*text, replacement)
+	}
 	stamp := r.clock.Now()
 	r.mutex.Lock()
 	defer r.mutex.Unlock()
--- a/event/ring_test.go
+++ b/event/ring_test.go
@@ -7,6 +7,7 @@
 	"time"
 
 	"github.com/stretchr/testify/require"
+	"google.golang.org/protobuf/proto"
 
 	"guavahitch.example/guavahitch/event"
 	"guavahitch.example/guavahitch/wire"
@@ -38,3 +39,14 @@
 	require.Len(t, reply.Events, 5)
 	require.EqualValues(t, 11, reply.Events[0].Sequence)
 }
+
+// Guards against one event with bytes that are not UTF-8 that withholds the time line of a process.
+func TestEventsOfAnyBytesCanBeSent(t *testing.T) {
+	ring := event.NewRing("p", &event.Clock{})
+	ring.Add(&wire.Event{Kind: "admit", Detail: "/status?q=\xff"})
+	reply, err := ring.List(t.Context(), &wire.EventsRequest{})
+	require.NoError(t, err)
+	_, err = proto.Marshal(reply)
+	require.NoError(t, err)
+	require.Equal(t, "/status?q=\ufffd", reply.Events[0].Detail)
+}
--- a/outcome/outcome.go
+++ b/outcome/outcome.go
@@ -6,6 +6,7 @@
 import (
 	"errors"
 	"fmt"
+	"strings"
 	"time"
 
 	"github.com/rotisserie/eris"
@@ -108,14 +109,15 @@
 	return Error{Step: step, Peer: peer, Outcome: Unknown, Reason: "failed"}.WithCause(err)
 }
 
-// Failure converts the error to its wire message. The cause becomes part of the detail.
+// Failure converts the error to its wire message. The cause becomes part of the detail, in which bytes that are not UTF-8 are
+// replaced: they may come from an upstream.
 func (e *Error) Failure() *wire.Failure {
 	detail := e.Detail
 	if e.cause != nil {
 		detail += ": " + e.cause.Error()
 	}
 	return &wire.Failure{
-		Step: e.Step, Peer: e.Peer, Outcome: wire.Outcome(e.Outcome), Reason: e.Reason, Detail: detail,
+		Step: e.Step, Peer: e.Peer, Outcome: wire.Outcome(e.Outcome), Reason: e.Reason, Detail: strings.ToValidUTF8(detail, "\ufffd"),
 		RetryAfterMs: e.RetryAfter.Milliseconds(), Status: int32(e.Status),
 	}
 }
--- a/outcome/outcome_test.go
+++ b/outcome/outcome_test.go
@@ -28,6 +28,12 @@
 	require.Nil(t, outcome.FromWire(nil))
 }
 
+// Guards against a refusal that cannot be sent because its detail quotes bytes of an upstream that are not UTF-8.
+func TestFailureHoldsUTF8(t *testing.T) {
+	failed := outcome.Error{Detail: "answer \xff", Reason: "malformed"}.WithCause(errors.New("field \xfe"))
+	require.Equal(t, "answer \ufffd: field \ufffd", failed.Failure().Detail)
+}
+
 func TestFromErrorKeepsErrorsAndMarksOthersUnknown(t *testing.T) {
 	known := &outcome.Error{Step: "admit", Outcome: outcome.NotRun, Reason: "draining"}
 	require.Same(t, known, outcome.FromError(fmt.Errorf("wrapped: %w", known), "dispatch", "ub-a-1"))
--- a/sidecar/headers.go
+++ b/sidecar/headers.go
@@ -9,7 +9,7 @@
 func HeadersToWire(headers []admission.Header) []*wire.Header {
 	messages := make([]*wire.Header, 0, len(headers))
 	for _, h := range headers {
-		messages = append(messages, &wire.Header{Name: h.Name, Value: h.Value})
+		messages = append(messages, &wire.Header{Name: h.Name, Value: []byte(h.Value)})
 	}
 	return messages
 }
@@ -18,7 +18,7 @@
 func HeadersFromWire(messages []*wire.Header) []admission.Header {
 	headers := make([]admission.Header, 0, len(messages))
 	for _, m := range messages {
-		headers = append(headers, admission.Header{Name: m.Name, Value: m.Value})
+		headers = append(headers, admission.Header{Name: m.Name, Value: string(m.Value)})
 	}
 	return headers
 }
--- a/sidecar/server.go
+++ b/sidecar/server.go
@@ -119,7 +119,7 @@
 	s.requests[start.ID] = request
 	s.settings.Scope.Counter("admitted").Inc(1)
 	s.settings.Events.Add(&wire.Event{
-		Kind: "admit", Request: request.Id.Request, Peer: request.Id.Entry, Detail: request.Path,
+		Kind: "admit", Request: request.Id.Request, Peer: request.Id.Entry, Detail: string(request.Path),
 	})
 	s.dispatch(now)
 	return call, nil
@@ -138,7 +138,7 @@
 func keyOf(request *wire.StartRequest) string {
 	for _, h := range request.Headers {
 		if !request.Repeatable && h.Name == idempotencyHeader {
-			return h.Value
+			return string(h.Value)
 		}
 	}
 	return ""
@@ -242,7 +242,7 @@
 
 func (s *Server) engineCall(request *wire.StartRequest) engine.Call {
 	call := engine.Call{
-		RequestID: request.Id.Request, Method: request.Method, Path: request.Path, Body: request.Body,
+		RequestID: request.Id.Request, Method: request.Method, Path: string(request.Path), Body: request.Body,
 		Headers:    HeadersFromWire(request.Headers),
 		ResumeText: request.ResumeText, Repeatable: request.Repeatable, Rank: -1,
 	}
