--- a/forward/attempt.go
+++ b/forward/attempt.go
@@ -91,6 +91,7 @@
 		}
 		return unsent
 	}
+	defer context.AfterFunc(a.job.server.ended, a.conn.Abort)()
 	stop := context.AfterFunc(a.job.request.Context(), a.conn.Abort)
 	defer a.release(stop)
 	if a.job.mayMigrate() {
@@ -290,8 +291,11 @@
 }
 
 // fail records a broken exchange and returns its result. The failure does not count against the upstream if the caller
-// disconnected, the exchange was migrated or the deadline of the request passed.
+// disconnected, the exchange was migrated, the entry ended it or the deadline of the request passed.
 func (a *attempt) fail(err error) attemptResult {
+	if a.job.server.isEnding() {
+		return broken
+	}
 	if a.isMigrating.Load() && a.job.request.Context().Err() == nil {
 		return migrated
 	}
--- a/forward/job.go
+++ b/forward/job.go
@@ -185,7 +185,7 @@
 // up. After a broken exchange the route must also be repeatable, and a stream that has begun must have event IDs. After a failed connect only the time and
 // maxFailedConnects count.
 func (j *job) mayRetry(v attemptResult) bool {
-	if j.deadline.Sub(time.Now()) < minRetryTime {
+	if j.deadline.Sub(time.Now()) < minRetryTime || j.server.isEnding() {
 		return false
 	}
 	if v == unsent {
@@ -224,6 +224,8 @@
 		j.refuse(&refusal{status: http.StatusBadGateway, reason: reasonDeadly})
 	case !j.mayHaveRun:
 		j.refuse(j.noUpstreamRefusal())
+	case j.server.isEnding():
+		j.refuse(&refusal{status: http.StatusBadGateway, reason: "stopping"})
 	case isLate:
 		j.refuse(&refusal{status: http.StatusGatewayTimeout, reason: "deadline"})
 	default:
--- a/forward/server.go
+++ b/forward/server.go
@@ -1,6 +1,7 @@
 package forward
 
 import (
+	"context"
 	"errors"
 	"io"
 	"net/http"
@@ -29,7 +30,12 @@
 		isClosing atomic.Bool
 		// isRefusing is set when new requests are refused.
 		isRefusing atomic.Bool
-		inFlight   sync.WaitGroup
+		// stopBy is the time at which End is called, nil unless the entry stops.
+		stopBy atomic.Pointer[time.Time]
+		// ended is cancelled by End.
+		ended    context.Context
+		end      context.CancelFunc
+		inFlight sync.WaitGroup
 		// readers holds what is buffered for callers.
 		readers *readerMemory
 		started time.Time
@@ -64,8 +70,9 @@
 
 // NewServer returns a server for the upstreams of a fleet. It answers 503 until SetTable is called.
 func NewServer(settings Settings, fleet *Fleet) *Server {
+	ended, end := context.WithCancel(context.Background())
 	return &Server{
-		settings: settings.withDefaults(), fleet: fleet, started: time.Now(),
+		settings: settings.withDefaults(), fleet: fleet, started: time.Now(), ended: ended, end: end,
 		budgets: map[string]sharedBudget{}, admissions: map[string]*admission{}, schedules: map[string]*schedule{},
 		readers: newReaderMemory(settings.SlowReaders),
 	}
@@ -99,8 +106,12 @@
 	}
 }
 
-// DisableKeepAlives makes every later response close its connection. An entry calls it when it begins to stop.
-func (s *Server) DisableKeepAlives() { s.isClosing.Store(true) }
+// BeginStop makes every later response close its connection. Later requests get no longer than until stopBy, so that upstreams do
+// not work on what can no longer be answered.
+func (s *Server) BeginStop(stopBy time.Time) {
+	s.stopBy.Store(&stopBy)
+	s.isClosing.Store(true)
+}
 
 // Refuse makes the server refuse all later requests, and the streams that wait for their turn.
 func (s *Server) Refuse() {
@@ -108,6 +119,13 @@
 	s.refusing.notify()
 }
 
+// End aborts the exchanges with upstreams. Requests without a response get one that does not claim that they did not run; streams
+// that have begun are cut.
+func (s *Server) End() { s.end() }
+
+// isEnding reports whether End was called.
+func (s *Server) isEnding() bool { return s.ended.Err() != nil }
+
 // Wait returns once no request is in flight.
 func (s *Server) Wait() { s.inFlight.Wait() }
 
@@ -188,7 +206,7 @@
 	return nil
 }
 
-// setDeadline sets the deadline to the earlier of the caller's deadline and the route's timeout.
+// setDeadline sets the deadline to the earliest of the caller's deadline, the route's timeout and the end of a planned stop.
 func (j *job) setDeadline() {
 	left := j.route.Timeout
 	if requested, isGiven := j.requestedTime(); isGiven {
@@ -198,6 +216,9 @@
 		left = defaultDeadline
 	}
 	j.deadline = j.arrived.Add(left)
+	if stopBy := j.server.stopBy.Load(); stopBy != nil {
+		j.deadline = earlier(j.deadline, *stopBy)
+	}
 }
 
 // requestedTime returns how long the caller waits for the response, and false if the request does not say.
--- a/routed/entry.go
+++ b/routed/entry.go
@@ -38,8 +38,10 @@
 	// drainNoticeTime is how long a stopping entry still accepts requests, so that the load balancers of callers notice
 	// that it is not ready.
 	drainNoticeTime = 2500 * time.Millisecond
-	// graceMargin is the part of the grace time that is reserved for the exit of the process.
+	// graceMargin is the part of the grace time that is reserved for the last answers and the exit of the process. endTime is
+	// its part for the answers to requests whose upstreams did not answer.
 	graceMargin = 600 * time.Millisecond
+	endTime     = 300 * time.Millisecond
 	// upstreamTimeout is the time without a heartbeat after which an entry removes an upstream.
 	upstreamTimeout = 30 * time.Second
 	// sendBufferBytes is the size of the send buffer of the connection to a caller where slow callers are buffered for. The kernel
@@ -188,20 +190,30 @@
 	e.stopping.Store(true)
 	defer close(e.drained)
 	stopBy := time.Now().Add(e.settings.Grace - graceMargin)
-	e.server.DisableKeepAlives()
+	e.server.BeginStop(stopBy)
 	wait.For(running, drainNoticeTime)
 	e.server.Refuse()
 	if err := listener.AcceptLast(running, front); err != nil {
 		e.settings.Log.WithError(err).Warn("connections that are not accepted yet will be cut off")
 	}
-	bounded, cancel := context.WithTimeout(running, time.Until(stopBy))
-	defer cancel()
-	if err := e.front.Shutdown(bounded); err != nil {
-		e.settings.Log.WithError(err).Warn("requests did not end within the grace time")
+	if e.shutdown(running, stopBy) == nil {
+		return nil
+	}
+	e.settings.Log.Warn("requests did not end within the grace time")
+	e.server.End()
+	if err := e.shutdown(running, stopBy.Add(endTime)); err != nil {
+		e.settings.Log.WithError(err).Warn("requests are cut off without an answer")
 	}
 	return nil
 }
 
+// shutdown waits for the requests under way until a time.
+func (e *Entry) shutdown(ctx context.Context, until time.Time) error {
+	bounded, cancel := context.WithDeadline(ctx, until)
+	defer cancel()
+	return e.front.Shutdown(bounded)
+}
+
 // withSmallSendBuffer sets the size of the send buffer of a connection.
 func withSmallSendBuffer(ctx context.Context, conn net.Conn) context.Context {
 	if sized, isSized := conn.(interface{ SetWriteBuffer(bytes int) error }); isSized {
--- a/routed/entry_test.go
+++ b/routed/entry_test.go
@@ -91,9 +91,15 @@
 
 // newEntry returns an entry that follows the replica.
 func newEntry(t testing.TB, listen string, replica *registry.Replica, settings forward.Settings) *routed.Entry {
+	return newEntryWithGrace(t, listen, replica, settings, 8*time.Second)
+}
+
+func newEntryWithGrace(
+	t testing.TB, listen string, replica *registry.Replica, settings forward.Settings, grace time.Duration,
+) *routed.Entry {
 	seeds := replica.Seeds()
 	return routed.NewEntry(routed.EntrySettings{
-		Listen: listen, Readiness: freeAddress(t), ReadinessPath: "/ready", Parse: parse, Grace: 8 * time.Second, Log: quietLog(),
+		Listen: listen, Readiness: freeAddress(t), ReadinessPath: "/ready", Parse: parse, Grace: grace, Log: quietLog(),
 		Seeds: func() []string { return seeds }, Forward: settings,
 	})
 }
