--- a/departure/departure.go
+++ b/departure/departure.go
@@ -22,23 +22,49 @@
 		Born int64
 		// IsDraining reports that the upstream finishes the requests that it has. Otherwise, it has left.
 		IsDraining bool
+		// IsUnknown reports that no such upstream was known when it left.
+		IsUnknown bool
 		// LoggedMs is the log time of the departure, in milliseconds since 1970.
 		LoggedMs int64
 	}
 
 	// Set is a set of departures, at most one for each ID. It is immutable, and its zero value is empty.
-	Set struct{ byID map[string]Departure }
+	Set struct {
+		byID map[string]Departure
+		// unknown is the number of departures with IsUnknown.
+		unknown int
+	}
 )
 
 // NewSet returns the set of the departures.
 func NewSet(departures []Departure) Set {
 	s := Set{byID: make(map[string]Departure, len(departures))}
 	for _, d := range departures {
-		s.byID[d.ID] = d
+		s.put(d)
 	}
 	return s
 }
 
+// put adds or replaces a departure in a set that is not shared yet.
+func (s *Set) put(d Departure) {
+	s.drop(d.ID)
+	s.byID[d.ID] = d
+	if d.IsUnknown {
+		s.unknown++
+	}
+}
+
+// drop removes a departure from a set that is not shared yet.
+func (s *Set) drop(id string) {
+	if s.byID[id].IsUnknown {
+		s.unknown--
+	}
+	delete(s.byID, id)
+}
+
+// Unknown returns the number of departures of upstreams that were not known when they left.
+func (s Set) Unknown() int { return s.unknown }
+
 // With returns the set with the departures of a log entry, and those of them that the set did not include before. It drops
 // departures that have expired at the log time of the entry.
 func (s Set) With(departures []Departure, loggedMs int64) (next Set, added []Departure) {
@@ -52,7 +78,7 @@
 			continue
 		}
 		d.LoggedMs = loggedMs
-		next.byID[d.ID] = d
+		next.put(d)
 		added = append(added, d)
 	}
 	return next, added
@@ -61,17 +87,17 @@
 // WithoutExpired returns the set without the departures that are older than Retention at a log time.
 func (s Set) WithoutExpired(logTimeMs int64) Set {
 	oldestMs := logTimeMs - Retention.Milliseconds()
-	kept := s.byID
+	kept := s
 	for id, d := range s.byID {
 		if d.LoggedMs >= oldestMs {
 			continue
 		}
-		if len(kept) == len(s.byID) {
-			kept = maps.Clone(s.byID)
+		if len(kept.byID) == len(s.byID) {
+			kept.byID = maps.Clone(s.byID)
 		}
-		delete(kept, id)
+		kept.drop(id)
 	}
-	return Set{byID: kept}
+	return kept
 }
 
 // Includes reports whether the set holds the departure, or one that says more: of a later incarnation, or that a draining
--- a/registry/announcements.go
+++ b/registry/announcements.go
@@ -27,7 +27,8 @@
 	now := time.Now()
 	r.mutex.Lock()
 	isServed := r.roster.Serves(instance)
-	isChange := r.roster.Announce(instance, now)
+	// Others need no upstream of a service that is not in the configuration. They receive it when it is.
+	isChange := r.roster.Announce(instance, now) && isServed
 	spread := r.publishAndUnlock(ctx, instance.ID, isChange, now)
 	if instance.State == roster.Ready {
 		return nil
@@ -44,7 +45,8 @@
 
 // Leave records that an upstream has left and passes the change on to the other replicas. It returns once the departure is
 // stored in the replicated log and another replica has received the change. A born of 0 stands for an unknown incarnation. A
-// departure that returns an error must not be acknowledged.
+// departure that returns an error must not be acknowledged: ErrTooManyDepartures, for example, if the replica knows no such upstream
+// and too many of these have left.
 func (r *Replica) Leave(ctx context.Context, id string, born int64) error {
 	now := time.Now()
 	r.mutex.Lock()
@@ -52,10 +54,14 @@
 	if held != nil && born == 0 {
 		born = held.Instance.Born
 	}
-	isUnknown := held == nil && born == 0
+	isUnknown := held == nil || held.Instance.Service == "" || !r.roster.Serves(held.Instance)
+	if isUnknown && r.state.departed().Unknown() >= maxUnknownDepartures {
+		r.mutex.Unlock()
+		return ErrTooManyDepartures
+	}
 	isChange := r.roster.Leave(id, born, now)
 	spread := r.publishAndUnlock(ctx, id, isChange, now)
-	err := r.storeDeparture(ctx, &wire.UpstreamDeparture{Id: id, Born: born, AnyIncarnation: isUnknown})
+	err := r.storeDeparture(ctx, &wire.UpstreamDeparture{Id: id, Born: born, AnyIncarnation: born == 0, Unknown: isUnknown})
 	<-spread
 	return err
 }
--- a/registry/departures.go
+++ b/registry/departures.go
@@ -21,6 +21,8 @@
 	departureTimeout = 400 * time.Millisecond
 	// maxBatchedDepartures bounds the departures of one log entry.
 	maxBatchedDepartures = 1024
+	// maxUnknownDepartures bounds the stored departures of upstreams that no replica knew, which anyone can send.
+	maxUnknownDepartures = roster.MaxUnserved
 )
 
 type (
@@ -212,7 +214,7 @@
 }
 
 func decodeDeparture(m *wire.UpstreamDeparture) departure.Departure {
-	return departure.Departure{ID: m.Id, Born: m.Born, IsDraining: m.Draining}
+	return departure.Departure{ID: m.Id, Born: m.Born, IsDraining: m.Draining, IsUnknown: m.Unknown}
 }
 
 // encodeDepartures returns the items for a snapshot.
@@ -220,7 +222,7 @@
 	var messages []*wire.StoredDeparture
 	for _, d := range set.All() {
 		messages = append(messages, &wire.StoredDeparture{
-			Id: d.ID, Born: d.Born, Draining: d.IsDraining, LoggedMs: d.LoggedMs,
+			Id: d.ID, Born: d.Born, Draining: d.IsDraining, LoggedMs: d.LoggedMs, Unknown: d.IsUnknown,
 		})
 	}
 	return item.EncodeAll(l, kindDeparture, (*wire.StoredDeparture).GetId, messages)
@@ -231,7 +233,7 @@
 	departures := make([]departure.Departure, 0, len(items))
 	for _, m := range item.DecodeAll[wire.StoredDeparture](l, kindDeparture, snapshotOrigin, items) {
 		departures = append(departures, departure.Departure{
-			ID: m.Id, Born: m.Born, IsDraining: m.Draining, LoggedMs: m.LoggedMs,
+			ID: m.Id, Born: m.Born, IsDraining: m.Draining, LoggedMs: m.LoggedMs, IsUnknown: m.Unknown,
 		})
 	}
 	return departure.NewSet(departures)
--- a/registry/departures_test.go
+++ b/registry/departures_test.go
@@ -2,11 +2,13 @@
 
 import (
 	"context"
+	"errors"
 	"fmt"
 	"maps"
 	"net"
 	"slices"
 	"sync"
+	"sync/atomic"
 	"testing"
 	"time"
 
@@ -352,3 +354,46 @@
 	require.Eventually(t, func() bool { return len(o.heardVersions()) > 0 }, 20*time.Second, time.Millisecond)
 	require.Equal(t, uint64(versions), o.heardVersions()[0])
 }
+
+// Guards against another sender whose departures of invented IDs fill the log and keep upstreams from leaving.
+func TestDeparturesOfInventedIDsDoNotFillTheLog(t *testing.T) {
+	g := newGroup(t, 1, 0)
+	g.submit(1)
+	r := g.running[g.seeds[0]]
+	g.announce(heartbeat("u", 7, 1, roster.Ready))
+	var refused atomic.Int64
+	var senders sync.WaitGroup
+	for sender := range 64 {
+		senders.Go(func() {
+			for n := range 100 {
+				if errors.Is(r.Leave(t.Context(), fmt.Sprint("invented-", sender, "-", n), 7), registry.ErrTooManyDepartures) {
+					refused.Add(1)
+				}
+			}
+		})
+	}
+	senders.Wait()
+	require.Greater(t, refused.Load(), int64(2000))
+	require.NoError(t, r.Leave(t.Context(), "u", 7))
+}
+
+// Guards against heartbeats of invented IDs that are sent on to entries, and against an upstream that stays unknown to them after
+// its service has come into the configuration.
+func TestUpstreamsOfUnknownServicesAreNotSent(t *testing.T) {
+	g := newGroup(t, 3, 1)
+	early := heartbeat("early", 7, 1, roster.Ready)
+	for _, r := range g.running {
+		require.NoError(t, r.Announce(t.Context(), early))
+	}
+	g.submit(1)
+	o := g.observe()
+	o.requireHeard(t, 1)
+	require.Eventually(t, func() bool { return o.stateOf("early") == roster.Ready }, inForceTimeout, time.Millisecond)
+	unserved := heartbeat("unserved", 7, 1, roster.Ready)
+	unserved.Service = "unknown"
+	for _, r := range g.running {
+		require.NoError(t, r.Announce(t.Context(), unserved))
+	}
+	time.Sleep(time.Second)
+	require.Zero(t, o.stateOf("unserved"))
+}
--- a/registry/replica.go
+++ b/registry/replica.go
@@ -134,6 +134,10 @@
 // the configuration that the replica holds.
 var ErrUnknownService = errors.New("the service is not in the configuration")
 
+// ErrTooManyDepartures reports that a departure is not stored, because the replica does not know the upstream and too many
+// departures of unknown upstreams are stored.
+var ErrTooManyDepartures = errors.New("too many departures of unknown upstreams are stored")
+
 // Open opens the folder of a replica and starts it. If the replicated log cannot be opened, the replica retries in the
 // background.
 func Open(settings Settings) (*Replica, error) {
--- a/registry/watch.go
+++ b/registry/watch.go
@@ -134,17 +134,9 @@
 	r := w.replica
 	r.mutex.Lock()
 	defer r.mutex.Unlock()
-	isDue := now.Sub(w.lastRenewal) >= renewalInterval
-	for _, entry := range r.roster.Entries() {
-		isWithheld := !hasCaughtUp && entry.Instance.State == roster.Ready
-		switch {
-		case !isWithheld && (!w.isStarted || entry.Changed > w.revision):
-			upstreams = append(upstreams, encodeEntry(entry, now))
-		case isDue && entry.LastHeartbeat.After(w.lastRenewal):
-			renewals = append(renewals, encodeRenewal(entry, now))
-		}
-	}
-	if isDue {
+	upstreams = w.changedUpstreams(now, hasCaughtUp)
+	if now.Sub(w.lastRenewal) >= renewalInterval {
+		renewals = w.renewals(now, hasCaughtUp)
 		w.lastRenewal = now
 	}
 	w.isStarted = hasCaughtUp
@@ -162,6 +154,36 @@
 	return upstreams, renewals, loads, r.changed
 }
 
+// changedUpstreams returns the upstreams that changed since the last frame, without those of services that are not served. A
+// replica that has not caught up may not know the services: it withholds ready upstreams, and sends the others. The caller holds the
+// mutex of the replica.
+func (w *watchStream) changedUpstreams(now time.Time, hasCaughtUp bool) []*wire.AnnouncedUpstream {
+	since := w.revision
+	if !w.isStarted {
+		since = 0
+	}
+	var upstreams []*wire.AnnouncedUpstream
+	r := w.replica.roster
+	for _, entry := range r.ChangedSince(since) {
+		if hasCaughtUp && r.Serves(entry.Instance) || !hasCaughtUp && entry.Instance.State != roster.Ready {
+			upstreams = append(upstreams, encodeEntry(entry, now))
+		}
+	}
+	return upstreams
+}
+
+// renewals returns the upstreams that were heard since the last renewals. The caller holds the mutex of the replica.
+func (w *watchStream) renewals(now time.Time, hasCaughtUp bool) []*wire.UpstreamRenewal {
+	var renewals []*wire.UpstreamRenewal
+	r := w.replica.roster
+	for entry := range r.All() {
+		if entry.LastHeartbeat.After(w.lastRenewal) && (!hasCaughtUp || r.Serves(entry.Instance)) {
+			renewals = append(renewals, encodeRenewal(entry, now))
+		}
+	}
+	return renewals
+}
+
 // addEvidence adds new evidence to a frame, and returns a channel that is closed at the next addition.
 func (w *watchStream) addEvidence(frame *wire.WatchFrame, now time.Time) (learned <-chan struct{}) {
 	var evidence *wire.Evidence
--- a/roster/roster.go
+++ b/roster/roster.go
@@ -4,6 +4,8 @@
 package roster
 
 import (
+	"container/list"
+	"iter"
 	"slices"
 	"strings"
 	"time"
@@ -67,6 +69,10 @@
 		MinBorn int64
 		// Changed is the revision of the roster at which the instance changed last.
 		Changed uint64
+
+		// change is the place in the order of changes, heard that in the order of heartbeats of the class.
+		change, heard *list.Element
+		class         *class
 	}
 
 	// Roster holds the newest announcement of each upstream. It is not safe for concurrent use.
@@ -75,18 +81,33 @@
 		revision uint64
 		// isServed reports whether a service is in the configuration in force. If it is nil, all services are.
 		isServed func(service string) bool
+		// changes holds the entries in the order of Changed.
+		changes *list.List
+		// byAddress holds the entries that have not left, by address and ID.
+		byAddress map[string]map[string]*Entry
+		served    class
+		unserved  class
 	}
 )
 
 // New returns an empty roster.
-func New() *Roster { return &Roster{entries: map[string]*Entry{}} }
+func New() *Roster {
+	return &Roster{
+		entries: map[string]*Entry{}, changes: list.New(), byAddress: map[string]map[string]*Entry{},
+		served: newClass(MaxServed), unserved: newClass(MaxUnserved),
+	}
+}
 
-// SetServices sets the function that reports whether a service is in the configuration in force. It ends upstreams whose address
-// an upstream with a later start and a service that is served now has taken.
+// SetServices sets the function that reports whether a service is in the configuration in force. Upstreams of services that are
+// served from now on count as changed. It ends upstreams whose address an upstream with a later start and a service that is
+// served now has taken.
 func (r *Roster) SetServices(isServed func(service string) bool) {
 	r.isServed = isServed
 	latest := map[string]*Entry{}
-	for _, entry := range r.entries {
+	for _, entry := range r.Entries() {
+		if r.classify(entry) && entry.class == &r.served {
+			r.markChanged(entry)
+		}
 		i := &entry.Instance
 		if i.State == Gone || i.Address == "" || !r.Serves(*i) {
 			continue
@@ -95,7 +116,7 @@
 			latest[i.Address] = entry
 		}
 	}
-	for _, entry := range r.entries {
+	for _, entry := range r.Entries() {
 		successor := latest[entry.Instance.Address]
 		if successor != nil && entry.Instance.State != Gone && entry.Instance.Born < successor.Instance.Born {
 			r.end(entry)
@@ -105,10 +126,11 @@
 
 // end records that an upstream has left.
 func (r *Roster) end(entry *Entry) {
-	entry.Instance.State = Gone
-	entry.MinBorn = max(entry.MinBorn, entry.Instance.Born+1)
-	r.revision++
-	entry.Changed = r.revision
+	next := entry.Instance
+	next.State = Gone
+	r.setInstance(entry, next)
+	entry.MinBorn = max(entry.MinBorn, next.Born+1)
+	r.markChanged(entry)
 }
 
 // Revision returns a number that increases with each change other than a renewal.
@@ -123,8 +145,8 @@
 	}
 	held := r.entries[next.ID]
 	if held != nil && !r.supersedes(next, held.Instance) {
-		if next.Born == held.Instance.Born && receivedAt.After(held.LastHeartbeat) {
-			held.LastHeartbeat = receivedAt
+		if next.Born == held.Instance.Born {
+			r.renew(held, receivedAt)
 		}
 		return false
 	}
@@ -139,21 +161,26 @@
 		// The time that others were told of is kept, so that small differences do not add up unnoticed.
 		next.ColdUntil = held.Instance.ColdUntil
 	}
-	entry := &Entry{Instance: next, LastHeartbeat: receivedAt}
-	if held != nil {
-		entry.Changed, entry.MinBorn = held.Changed, held.MinBorn
+	entry := held
+	if entry == nil {
+		entry = &Entry{}
+		r.entries[next.ID] = entry
 	}
+	r.setInstance(entry, next)
+	entry.LastHeartbeat = receivedAt
 	if next.State == Gone {
 		entry.MinBorn = max(entry.MinBorn, next.Born+1)
 	}
 	if isChange {
-		r.revision++
-		entry.Changed = r.revision
+		r.markChanged(entry)
 	}
-	r.entries[next.ID] = entry
+	r.classify(entry)
+	entry.class.touch(entry)
 	if next.State != Gone {
 		r.endPredecessors(next)
 	}
+	r.evict(entry.class)
+	r.evictAtAddress(next.Address)
 	return isChange
 }
 
@@ -179,8 +206,16 @@
 // Renew updates the time of the last heartbeat of an incarnation. Of the instance, it reads only ID and Born.
 func (r *Roster) Renew(entry Entry) {
 	held := r.entries[entry.Instance.ID]
-	if held != nil && held.Instance.Born == entry.Instance.Born && entry.LastHeartbeat.After(held.LastHeartbeat) {
-		held.LastHeartbeat = entry.LastHeartbeat
+	if held != nil && held.Instance.Born == entry.Instance.Born {
+		r.renew(held, entry.LastHeartbeat)
+	}
+}
+
+// renew records a later heartbeat.
+func (r *Roster) renew(held *Entry, heardAt time.Time) {
+	if heardAt.After(held.LastHeartbeat) {
+		held.LastHeartbeat = heardAt
+		held.class.touch(held)
 	}
 }
 
@@ -211,11 +246,11 @@
 // Expire removes upstreams without a heartbeat for longer than the limit, and upstreams that left more than
 // goneRetention ago.
 func (r *Roster) Expire(now time.Time, limit time.Duration) {
-	for id, entry := range r.entries {
+	for _, entry := range r.entries {
 		silence := now.Sub(entry.LastHeartbeat)
 		isExpired := entry.Instance.State != Gone && silence > limit
 		if isExpired || silence > goneRetention {
-			delete(r.entries, id)
+			r.remove(entry)
 			r.revision++
 		}
 	}
@@ -227,65 +262,38 @@
 // Get returns the entry of an upstream, or nil. The caller must not change it.
 func (r *Roster) Get(id string) *Entry { return r.entries[id] }
 
-// Entries returns all entries in the order of their IDs, including upstreams that left.
-func (r *Roster) Entries() []*Entry {
-	list := make([]*Entry, 0, len(r.entries))
-	for _, entry := range r.entries {
-		list = append(list, entry)
-	}
-	slices.SortFunc(list, func(a, b *Entry) int { return strings.Compare(a.Instance.ID, b.Instance.ID) })
-	return list
-}
-
-// supersedes reports whether an announcement replaces the one that is held. Gone is final for an incarnation, and
-// Draining replaces Ready whatever their sequences. An upstream of a served service replaces one that names no such service.
-func (r *Roster) supersedes(next, held Instance) bool {
-	if next.State != Gone && held.State != Gone && r.Serves(next) && !r.Serves(held) {
-		return true
-	}
-	if next.Born != held.Born {
-		return next.Born > held.Born
-	}
-	if next.State == Gone || held.State == Gone {
-		return held.State != Gone
-	}
-	if next.State != held.State {
-		return next.State == Draining
+// All returns all entries in the order of their changes, including upstreams that left.
+func (r *Roster) All() iter.Seq[*Entry] {
+	return func(yield func(*Entry) bool) {
+		for element := r.changes.Front(); element != nil; element = element.Next() {
+			if !yield(element.Value.(*Entry)) {
+				return
+			}
+		}
 	}
-	return next.Sequence > held.Sequence
-}
-
-// isDifferent reports whether two announcements differ in fields other than the sequence and the countdown to ColdUntil.
-func isDifferent(a, b Instance) bool {
-	isColdChange := a.ColdUntil.IsZero() != b.ColdUntil.IsZero() || a.ColdUntil.Sub(b.ColdUntil).Abs() > coldTolerance
-	a.Sequence, a.ColdUntil = b.Sequence, b.ColdUntil
-	return isColdChange || a != b
 }
 
-// hasNewerAtAddress reports whether another upstream with a later start has the address. One of a service that is not served
-// does not count.
-func (r *Roster) hasNewerAtAddress(next Instance) bool {
-	for _, entry := range r.entries {
-		other := entry.Instance
-		if other.ID != next.ID && other.Address == next.Address && other.State != Gone && other.Born > next.Born &&
-			r.Serves(other) {
-			return true
+// ChangedSince returns the entries that changed after a revision, in the order of their changes. Upstreams whose service is served
+// from now on count as changed.
+func (r *Roster) ChangedSince(revision uint64) []*Entry {
+	var changed []*Entry
+	for element := r.changes.Back(); element != nil; element = element.Prev() {
+		entry := element.Value.(*Entry)
+		if entry.Changed <= revision {
+			break
 		}
+		changed = append(changed, entry)
 	}
-	return false
+	slices.Reverse(changed)
+	return changed
 }
 
-// endPredecessors marks other upstreams with an earlier start at the same address as Gone, unless the service of the later one
-// is not served.
-func (r *Roster) endPredecessors(next Instance) {
-	if !r.Serves(next) {
-		return
-	}
+// Entries returns all entries in the order of their IDs, including upstreams that left.
+func (r *Roster) Entries() []*Entry {
+	list := make([]*Entry, 0, len(r.entries))
 	for _, entry := range r.entries {
-		other := entry.Instance
-		if other.ID == next.ID || other.Address != next.Address || other.State == Gone || other.Born >= next.Born {
-			continue
-		}
-		r.end(entry)
+		list = append(list, entry)
 	}
+	slices.SortFunc(list, func(a, b *Entry) int { return strings.Compare(a.Instance.ID, b.Instance.ID) })
+	return list
 }
