--- a/soak/soak_test.go
+++ b/soak/soak_test.go
@@ -111,6 +111,9 @@
 		time.Sleep(time.Duration(w.random.intN(600)) * time.Millisecond)
 	}
 	w.waitForFaults()
+	for _, id := range oddIDs {
+		w.sendOdd(id, "heartbeat", oddBodies[0])
+	}
 	w.requireRecovery(c)
 	stop()
 	<-done
@@ -136,6 +139,9 @@
 	if w.limits.chance(limitPercent) {
 		w.limitUpstreams()
 	}
+	if w.odd.chance(oddPercent) {
+		w.sendOddMessage()
+	}
 	w.recordStep("step %d: control %s, entry %s, upstream %d, %d", kind, control.ip, entry.ip, upstream, n)
 	switch kind {
 	case 0:
