--- a/item/item.go
+++ b/item/item.go
@@ -14,8 +14,9 @@
 const (
 	// MaxBytes bounds one encoded item.
 	MaxBytes = 1 << 20
-	// maxNamed bounds the items that are remembered so that each of them is logged once.
-	maxNamed = 256
+	// maxNamed bounds the items that are remembered so that each of them is logged once. maxOriginBytes bounds their names.
+	maxNamed       = 256
+	maxOriginBytes = 128
 )
 
 type (
@@ -49,6 +50,7 @@
 		return
 	}
 	l.scope.Tagged(map[string]string{"kind": string(kind)}).Counter("items_left_out").Inc(1)
+	origin = origin[:min(len(origin), maxOriginBytes)]
 	if l.isNew(source{kind, origin}) {
 		l.log.WithError(err).WithFields(logrus.Fields{"kind": kind, "origin": origin}).Warn("item left out")
 	}
--- a/registry/announcements.go
+++ b/registry/announcements.go
@@ -66,6 +66,9 @@
 	return err
 }
 
+// RecordRefusal counts a heartbeat or a departure that names no upstream, and names its ID once in the log.
+func (r *Replica) RecordRefusal(id string, err error) { r.items.LeaveOut(kindAnnouncement, id, err) }
+
 // publishAndUnlock sends a change to the entries and the other replicas. It unlocks the mutex, which the caller holds. The
 // returned channel is closed once one of the replicas has received the change, and at the latest after spreadTimeout.
 func (r *Replica) publishAndUnlock(ctx context.Context, id string, isChange bool, now time.Time) <-chan struct{} {
--- a/registry/frame.go
+++ b/registry/frame.go
@@ -19,15 +19,16 @@
 
 // The kinds of items in frames, calls and log entries.
 const (
-	kindUpstream  item.Kind = "upstream"
-	kindRenewal   item.Kind = "renewal"
-	kindLoad      item.Kind = "load"
-	kindLimit     item.Kind = "limit"
-	kindEvidence  item.Kind = "evidence"
-	kindDemand    item.Kind = "demand"
-	kindGrant     item.Kind = "grant"
-	kindDeparture item.Kind = "departure"
-	kindCommand   item.Kind = "command"
+	kindAnnouncement item.Kind = "announcement"
+	kindUpstream     item.Kind = "upstream"
+	kindRenewal      item.Kind = "renewal"
+	kindLoad         item.Kind = "load"
+	kindLimit        item.Kind = "limit"
+	kindEvidence     item.Kind = "evidence"
+	kindDemand       item.Kind = "demand"
+	kindGrant        item.Kind = "grant"
+	kindDeparture    item.Kind = "departure"
+	kindCommand      item.Kind = "command"
 )
 
 // maxFrameItemBytes bounds the items of one frame. More of them are sent in several frames, so that no frame exceeds what a
