registry: Cover one incarnation by the departure of a known upstream without a start

The bound for departures of unknown upstreams also changed which incarnations a departure without a start covers, for upstreams that never named one: their next start stayed out of use. TestDepartureWithoutAStartCoversThatIncarnationOnly fails without this change.

--- a/event/ring_test.go
+++ b/event/ring_test.go
@@ -40,7 +40,7 @@
 	require.EqualValues(t, 11, reply.Events[0].Sequence)
 }
 
-// Guards against one event with bytes that are not UTF-8 that withholds the time line of a process.
+// Guards against one event with bytes that are not UTF-8 that blocks the time line of a process.
 func TestEventsOfAnyBytesCanBeSent(t *testing.T) {
 	ring := event.NewRing("p", &event.Clock{})
 	ring.Add(&wire.Event{Kind: "admit", Detail: "/status?q=\xff"})
--- a/item/item.go
+++ b/item/item.go
@@ -1,5 +1,5 @@
 // Package item encodes and decodes the items of a message one by one. A message carries them as bytes, so that an item which
-// cannot be encoded or decoded is left out and does not withhold the others. Log counts these items and names them.
+// cannot be encoded or decoded is left out and does not block the others. Log counts these items and names them.
 package item
 
 import (
--- a/item/item_test.go
+++ b/item/item_test.go
@@ -14,7 +14,7 @@
 	"guavahitch.example/guavahitch/wire"
 )
 
-// An item that cannot be encoded does not withhold the others.
+// An item that cannot be encoded does not block the others.
 func ExampleEncodeAll() {
 	list := []*wire.UpstreamRenewal{{Id: "a"}, {Id: "b-\xff"}, {Id: "c"}}
 	items := item.EncodeAll(nil, "renewal", (*wire.UpstreamRenewal).GetId, list)
--- a/registry/announcements.go
+++ b/registry/announcements.go
@@ -54,6 +54,7 @@
 	if held != nil && born == 0 {
 		born = held.Instance.Born
 	}
+	isAnyIncarnation := held == nil && born == 0
 	isUnknown := held == nil || held.Instance.Service == "" || !r.roster.Serves(held.Instance)
 	if isUnknown && r.state.departed().Unknown() >= maxUnknownDepartures {
 		r.mutex.Unlock()
@@ -61,7 +62,7 @@
 	}
 	isChange := r.roster.Leave(id, born, now)
 	spread := r.publishAndUnlock(ctx, id, isChange, now)
-	err := r.storeDeparture(ctx, &wire.UpstreamDeparture{Id: id, Born: born, AnyIncarnation: born == 0, Unknown: isUnknown})
+	err := r.storeDeparture(ctx, &wire.UpstreamDeparture{Id: id, Born: born, AnyIncarnation: isAnyIncarnation, Unknown: isUnknown})
 	<-spread
 	return err
 }
--- a/registry/containment_test.go
+++ b/registry/containment_test.go
@@ -32,7 +32,7 @@
 	}, inForceTimeout, time.Millisecond, "version %d", version)
 }
 
-// Guards against one item of a stream, a call or a command that cannot be encoded or is too large, and withholds the others.
+// Guards against one item of a stream, a call or a command that cannot be encoded or is too large, and blocks the others.
 func TestUnencodableItemsAreLeftOutAlone(t *testing.T) {
 	large := make([]registry.Load, 400_000)
 	for n := range large {
--- a/registry/departures_test.go
+++ b/registry/departures_test.go
@@ -397,3 +397,16 @@
 	time.Sleep(time.Second)
 	require.Zero(t, o.stateOf("unserved"))
 }
+
+// Guards against the departure of a known upstream without a start that also covers its next start.
+func TestDepartureWithoutAStartCoversThatIncarnationOnly(t *testing.T) {
+	g := newGroup(t, 1, 0)
+	g.submit(1)
+	o := g.observe()
+	g.announce(heartbeat("u", 0, 1, roster.Ready))
+	require.Eventually(t, func() bool { return o.stateOf("u") == roster.Ready }, 10*time.Second, 5*time.Millisecond)
+	g.leave("u", 0)
+	require.Eventually(t, func() bool { return o.stateOf("u") == roster.Gone }, 10*time.Second, 5*time.Millisecond)
+	g.announce(heartbeat("u", 5, 1, roster.Ready))
+	require.Eventually(t, func() bool { return o.stateOf("u") == roster.Ready }, inForceTimeout, 5*time.Millisecond)
+}
--- a/registry/follower.go
+++ b/registry/follower.go
@@ -294,7 +294,7 @@
 }
 
 // fetchWithoutFrame reads the newest configuration of a replica whose stream ended. The stream may have ended at a frame that
-// cannot be sent or read, which must not withhold the configuration.
+// cannot be sent or read, which must not block the configuration.
 func (f *Follower) fetchWithoutFrame(ctx context.Context, address string) {
 	if f.settings.OnDocument == nil {
 		return
--- a/registry/watch.go
+++ b/registry/watch.go
@@ -155,7 +155,7 @@
 }
 
 // changedUpstreams returns the upstreams that changed since the last frame, without those of services that are not served. A
-// replica that has not caught up may not know the services: it withholds ready upstreams, and sends the others. The caller holds the
+// replica that has not caught up may not know the services: it blocks ready upstreams, and sends the others. The caller holds the
 // mutex of the replica.
 func (w *watchStream) changedUpstreams(now time.Time, hasCaughtUp bool) []*wire.AnnouncedUpstream {
 	since := w.revision
--- a/soak/cluster_test.go
+++ b/soak/cluster_test.go
@@ -45,8 +45,8 @@
 	random, noise *lockedRandom
 	// trouble draws what upstreams in trouble say of themselves, apart from the other steps.
 	trouble *lockedRandom
-	// odd draws what another sender sends, apart from the other steps.
-	odd *lockedRandom
+	// malformed draws what another sender sends, apart from the other steps.
+	malformed *lockedRandom
 	// limits draws the rate limits that upstreams name, apart from the other steps.
 	limits          *lockedRandom
 	isBootstrapping bool
@@ -109,7 +109,7 @@
 		t: t, seed: seed, isBootstrapping: true,
 		random: &lockedRandom{random: rand.New(rand.NewPCG(seed, 1))},
 		noise:  &lockedRandom{random: rand.New(rand.NewPCG(seed, 2))}, trouble: &lockedRandom{random: rand.New(rand.NewPCG(seed, 3))},
-		limits: &lockedRandom{random: rand.New(rand.NewPCG(seed, 4))}, odd: &lockedRandom{random: rand.New(rand.NewPCG(seed, 5))},
+		limits: &lockedRandom{random: rand.New(rand.NewPCG(seed, 4))}, malformed: &lockedRandom{random: rand.New(rand.NewPCG(seed, 5))},
 		ledger: newLedger(), client: &http.Client{Timeout: callTimeout}, began: time.Now(),
 	}
 	add := func(role string, n int, hasDataFolder bool) *process {
--- a/soak/soak_test.go
+++ b/soak/soak_test.go
@@ -111,8 +111,8 @@
 		time.Sleep(time.Duration(w.random.intN(600)) * time.Millisecond)
 	}
 	w.waitForFaults()
-	for _, id := range oddIDs {
-		w.sendOdd(id, "heartbeat", oddBodies[0])
+	for _, id := range malformedIDs {
+		w.sendMalformed(id, "heartbeat", malformedBodies[0])
 	}
 	w.requireRecovery(c)
 	stop()
@@ -139,8 +139,8 @@
 	if w.limits.chance(limitPercent) {
 		w.limitUpstreams()
 	}
-	if w.odd.chance(oddPercent) {
-		w.sendOddMessage()
+	if w.malformed.chance(malformedPercent) {
+		w.sendMalformedMessage()
 	}
 	w.recordStep("step %d: control %s, entry %s, upstream %d, %d", kind, control.ip, entry.ip, upstream, n)
 	switch kind {
