roster: Keep the bounds when a configuration drops services

Entries that are no longer served moved to the class with the smaller bound without being evicted. TestDroppedServicesAreBounded failed before (100 entries over the bound). The version sent to a follower is recorded when it changes, not with each frame.

--- a/registry/watch.go
+++ b/registry/watch.go
@@ -50,6 +50,8 @@
 	evidenceRevision uint64
 	// limitsRevision is that of the rate limits that were sent last.
 	limitsRevision uint64
+	// sentVersion is the version of the configuration that was sent last.
+	sentVersion uint64
 }
 
 // serveWatch streams frames until the follower disconnects or the replica closes.
@@ -82,7 +84,10 @@
 		if cause, err := sendFrame(writer, frame); err != nil {
 			return cause, err
 		}
-		r.streams.recordSent(w.follower, frame.Version)
+		if frame.Version != w.sentVersion {
+			w.sentVersion = frame.Version
+			r.streams.recordSent(w.follower, frame.Version)
+		}
 		timer.Reset(renewalInterval)
 		select {
 		case <-ctx.Done():
--- a/roster/bounds_test.go
+++ b/roster/bounds_test.go
@@ -45,6 +45,18 @@
 	}
 }
 
+// Guards against more entries of services that are not served than the bound, after a configuration that drops a service.
+func TestDroppedServicesAreBounded(t *testing.T) {
+	r := roster.New()
+	for n := range roster.MaxUnserved + 100 {
+		next := invented(n, "ledger")
+		next.Address = fmt.Sprint("10.0.0.1:", n)
+		r.Announce(next, start)
+	}
+	r.SetServices(func(string) bool { return false })
+	require.Len(t, r.Entries(), roster.MaxUnserved)
+}
+
 // Guards against departures of invented IDs that fill the memory of a process.
 func TestDeparturesOfInventedIDsAreBounded(t *testing.T) {
 	r := roster.New()
--- a/roster/roster.go
+++ b/roster/roster.go
@@ -122,6 +122,8 @@
 			r.end(entry)
 		}
 	}
+	r.evict(&r.served)
+	r.evict(&r.unserved)
 }
 
 // end records that an upstream has left.
