--- a/review/rig-2/deadly.go
+++ b/review/rig-2/deadly.go
@@ -24,7 +24,7 @@
 	deadlyInterval = 1500 * time.Millisecond
 	deadlyTime     = 40 * time.Second
 	// contactTime is the bound contactMs.
-	contactTime = 4 * time.Second
+	contactTime = 3 * time.Second
 	// allowedRetries is how many retries may reach workers later than contactTime after the third crash.
 	allowedRetries = 3
 )
--- a/review/rig-2/deployment.go
+++ b/review/rig-2/deployment.go
@@ -3,11 +3,13 @@
 import (
 	"errors"
 	"fmt"
+	"maps"
 	"net"
 	"os"
 	"os/exec"
 	"path/filepath"
 	"regexp"
+	"slices"
 	"strings"
 	"syscall"
 	"time"
@@ -46,7 +48,7 @@
 		sidecars []string
 		// contracts are added to those of all deployments.
 		contracts []string
-		// bounds are lines that are added to the bounds, requireFence the bound of that name.
+		// bounds replace those of the small deployments or are added to them, requireFence is the bound of that name.
 		bounds       map[string]string
 		requireFence bool
 	}
@@ -190,6 +192,16 @@
 
 func (m *machine) frontAddress() string { return fmt.Sprintf("%s:%d", m.ip, frontPort) }
 
+// smallBounds returns the bounds of the small deployments.
+func smallBounds() map[string]string {
+	return map[string]string{
+		"seedLagS": "3", "reuseAfterS": "2", "contactMs": "3000", "ackMs": "4000", "catchUpS": "4", "drainMs": "2000", "graceS": "8",
+		"lossSlackMs": "200", "configApplyMs": "2000", "downgradeMs": "250", "outerBoundMs": "5000", "strictRevoke": "false",
+		"revokeMs": "5000", "retryBudgetRatio": "0.2", "budgetWindowS": "10", "retryBudgetSlack": "90", "recoverS": "12",
+		"passMs": "120", "retryAfterS": "0", "stall_ms": "1500",
+	}
+}
+
 // settingsText returns the settings file of the machine.
 func (m *machine) settingsText() string {
 	d := m.deployment
@@ -226,11 +238,10 @@
 		fmt.Fprintf(&text, "  - %q\n", contract)
 	}
 	fmt.Fprintf(&text, "faultTolerance:\n  machines: %d\n  zones: 0\n  regions: 0\nbounds:\n", tolerance)
-	text.WriteString("  seedLagS: 3\n  reuseAfterS: 2\n  contactMs: 4000\n  ackMs: 5000\n  catchUpS: 6\n  drainMs: 2500\n  graceS: 8\n")
-	text.WriteString("  lossSlackMs: 200\n  configApplyMs: 2500\n  downgradeMs: 250\n  outerBoundMs: 6000\n  strictRevoke: false\n  revokeMs: 5000\n")
-	text.WriteString("  retryBudgetRatio: 0.2\n  budgetWindowS: 10\n  retryBudgetSlack: 116\n  recoverS: 15\n  passMs: 200\n  retryAfterS: 0\n  stall_ms: 1500\n")
-	for name, value := range d.settings.bounds {
-		fmt.Fprintf(&text, "  %s: %s\n", name, value)
+	bounds := smallBounds()
+	maps.Copy(bounds, d.settings.bounds)
+	for _, name := range slices.Sorted(maps.Keys(bounds)) {
+		fmt.Fprintf(&text, "  %s: %s\n", name, bounds[name])
 	}
 	fmt.Fprintf(&text, "  requireFence: %v\nconfigSource: \"highest\"\n", d.settings.requireFence)
 	return text.String()
--- a/review/rig-2/evacuation.go
+++ b/review/rig-2/evacuation.go
@@ -13,8 +13,8 @@
 	freezeTime = 3500 * time.Millisecond
 	// checkTime is how long requests are sent in a round after the bound.
 	checkTime = 1500 * time.Millisecond
-	// evacuationRounds is the number of rounds.
-	evacuationRounds = 12
+	// roundsTime is how long after the start of the case a round may begin.
+	roundsTime = 100 * time.Second
 	// evacuatedZone is the zone that is evacuated.
 	evacuatedZone = "zone-b"
 	startPath     = "/evacuations/" + evacuatedZone + "/start"
@@ -26,7 +26,7 @@
 func evacuationCase(r *record, hasTrouble bool) (outcome, error) {
 	d, err := newDeployment(deploymentSettings{
 		zones: []string{"zone-a", evacuatedZone, "zone-c"}, entries: 2, contracts: []string{"places"},
-		bounds: map[string]string{"evacuationMs": "5000", "coldOverage": "1.5", "coldSlack": "5"}, requireFence: true,
+		bounds: grownBounds(), requireFence: true,
 	}, r)
 	if err != nil {
 		return invalid, err
@@ -59,7 +59,7 @@
 	if _, err := o.order(o.controls[0], http.MethodPost, startPath, nil); err != nil {
 		return invalid, err
 	}
-	for range evacuationRounds {
+	for time.Since(r.started) < roundsTime {
 		late, err := evacuateAgain(d, o, c, inZone, hasTrouble)
 		if err != nil {
 			return invalid, err
@@ -72,6 +72,14 @@
 	return kept, nil
 }
 
+// grownBounds returns the bounds of the deployment that evacuates zones, as far as they differ from those of the small ones.
+func grownBounds() map[string]string {
+	return map[string]string{
+		"contactMs": "4000", "ackMs": "5000", "catchUpS": "6", "drainMs": "2500", "configApplyMs": "2500", "outerBoundMs": "6000",
+		"retryBudgetSlack": "116", "coldOverage": "1.5", "coldSlack": "5", "evacuationMs": "5000", "recoverS": "15", "passMs": "200",
+	}
+}
+
 // evacuateAgain takes the zone back and evacuates it again. It returns how many requests reached the zone too late.
 func evacuateAgain(d *deployment, o *operator, c *client, inZone *worker, hasTrouble bool) (int, error) {
 	frozen := d.follower()
--- a/review/rig-2/main.go
+++ b/review/rig-2/main.go
@@ -23,6 +23,7 @@
 var cases = map[string]func(r *record, hasTrouble bool) (outcome, error){
 	"deadly":     deadlyCase,
 	"evacuation": evacuationCase,
+	"founding":   foundingCase,
 	"maps":       mapsCase,
 }
 
--- a/review/rig-2/maps.go
+++ b/review/rig-2/maps.go
@@ -16,7 +16,7 @@
 	// minLate and maxLate are how much later an order is carried out.
 	minLate, maxLate = 2 * time.Second, 12 * time.Second
 	// mapsTime is how long requests are sent.
-	mapsTime = 90 * time.Second
+	mapsTime = 85 * time.Second
 )
 
 // mapsCase sends single requests with pauses of seconds to model workers of which a share leaves orders unanswered and carries
