--- a/review/rig-2/main.go
+++ b/review/rig-2/main.go
@@ -1,6 +1,6 @@
 // The rig of the second review. It runs one case: it starts the programs of the project as separate processes on loopback
 // addresses, with stand-ins for clients, workers and the operator, brings a disruption about, and tells whether a rule was
-// broken. With TROUBLE=0 it leaves the disruption out.
+// broken. With TROUBLE=0 it leaves the disruption out. With FENCE=1 the case "maps" has workers that check fencing tokens.
 package main
 
 import (
