--- a/forward/faults_test.go
+++ b/forward/faults_test.go
@@ -1,7 +1,6 @@
 package forward_test
 
 import (
-	"bufio"
 	"bytes"
 	"fmt"
 	"io"
@@ -11,6 +10,8 @@
 	"testing"
 
 	"github.com/stretchr/testify/require"
+
+	"guavahitch.example/guavahitch/fake"
 )
 
 // bytesWritten returns the bytes that a function writes to a connection.
@@ -69,23 +70,13 @@
 // newEarlyUpstream starts an upstream that answers as soon as it has read the head of a request, and then calls
 // proceed.
 func newEarlyUpstream(t *testing.T, proceed func(conn net.Conn, body io.Reader)) *fakeUpstream {
-	listener, err := net.Listen("tcp", "127.0.0.1:0")
-	require.NoError(t, err)
-	t.Cleanup(func() { _ = listener.Close() })
-	go func() {
-		conn, err := listener.Accept()
-		if err != nil {
-			return
-		}
-		defer conn.Close()
-		request, err := http.ReadRequest(bufio.NewReader(conn))
-		if err != nil {
-			return
-		}
+	raw, err := fake.StartEarly(func(conn net.Conn, request *http.Request) {
 		writeResponse(conn, request, 400, "too long")
 		proceed(conn, request.Body)
-	}()
-	return &fakeUpstream{address: listener.Addr().String()}
+	})
+	require.NoError(t, err)
+	t.Cleanup(raw.Stop)
+	return &fakeUpstream{address: raw.Address()}
 }
 
 // An upstream that answers before it has read a long body may continue reading. It must get the rest of that body and
