--- a/upstream/connection.go
+++ b/upstream/connection.go
@@ -51,8 +51,10 @@
 	// idleTimeout is the keep-alive timeout that the upstream announced, less keepAliveMargin. It is 0, and does not
 	// apply, if the upstream announced nothing or a timeout of 0.
 	idleTimeout time.Duration
-	// written receives the result of writing a long body whose response came first, nil if there is none.
+	// written receives the result of writing a long body, nil if none is being written.
 	written chan error
+	// writeErr is the error of the last request that was written.
+	writeErr error
 	// mustClose is set when the connection must not carry another request.
 	mustClose bool
 }
@@ -69,10 +71,10 @@
 
 // NewConnection returns a Connection that uses an open network connection.
 func NewConnection(conn net.Conn) *Connection {
-	input := &limitedReader{source: conn, left: unlimited}
-	return &Connection{
-		conn: conn, input: input, reader: bufio.NewReaderSize(input, readBuffer), writer: bufio.NewWriterSize(conn, writeBuffer),
-	}
+	c := &Connection{conn: conn, writer: bufio.NewWriterSize(conn, writeBuffer)}
+	c.input = &limitedReader{read: c.read, left: unlimited}
+	c.reader = bufio.NewReaderSize(c.input, readBuffer)
+	return c
 }
 
 // IsReused reports whether the connection has carried a request before.
--- a/upstream/limit.go
+++ b/upstream/limit.go
@@ -30,8 +30,8 @@
 type (
 	// limitedReader reads at most left bytes.
 	limitedReader struct {
-		source io.Reader
-		left   int64
+		read func(data []byte) (int, error)
+		left int64
 	}
 
 	// Memory bounds the bytes of large bodies and events that a process holds together. Each may take as much as remains
@@ -50,12 +50,12 @@
 // Read returns ErrTooLong once the limit is used up.
 func (r *limitedReader) Read(data []byte) (int, error) {
 	if r.left == unlimited {
-		return r.source.Read(data)
+		return r.read(data)
 	}
 	if r.left == 0 {
 		return 0, ErrTooLong
 	}
-	n, err := r.source.Read(data[:min(int64(len(data)), r.left)])
+	n, err := r.read(data[:min(int64(len(data)), r.left)])
 	r.left -= int64(n)
 	return n, err
 }
