--- a/upstream/connection.go
+++ b/upstream/connection.go
@@ -16,6 +16,8 @@
 	"time"
 
 	"github.com/rotisserie/eris"
+
+	"guavahitch.example/guavahitch/http1"
 )
 
 const (
@@ -152,7 +154,10 @@
 	response, err := http.ReadResponse(c.reader, request)
 	c.input.left = unlimited
 	_ = c.conn.SetReadDeadline(deadline)
-	return response, err
+	if err != nil {
+		return nil, err
+	}
+	return response, http1.CheckHead(response)
 }
 
 func (c *Connection) readKeepAlive(response *http.Response) {
