--- a/daemon/process.go
+++ b/daemon/process.go
@@ -15,6 +15,7 @@
 	"github.com/uber-go/tally/v4"
 
 	"guavahitch.example/guavahitch/event"
+	"guavahitch.example/guavahitch/http1"
 	"guavahitch.example/guavahitch/keys"
 	"guavahitch.example/guavahitch/leader"
 	"guavahitch.example/guavahitch/lease"
@@ -99,7 +100,7 @@
 	}
 	dialer := &net.Dialer{Timeout: internalDialTimeout}
 	roundTripper := p.transport.RoundTripper(dialer.DialContext)
-	p.scheme, p.client = scheme, &http.Client{Transport: roundTripper}
+	p.scheme, p.client = scheme, http1.NewClient(roundTripper)
 	p.leader = leader.NewClient(scheme, p.settings.ReplicaAddresses(), roundTripper)
 	return nil
 }
--- a/leader/client.go
+++ b/leader/client.go
@@ -11,6 +11,7 @@
 	"time"
 
 	"guavahitch.example/guavahitch/control"
+	"guavahitch.example/guavahitch/http1"
 	"guavahitch.example/guavahitch/outcome"
 	"guavahitch.example/guavahitch/wire"
 )
@@ -44,7 +45,7 @@
 func NewClient(scheme string, addresses []string, transport http.RoundTripper) *Client {
 	c := &Client{addresses: slices.Clone(addresses), clients: map[string]wire.Control{}}
 	for _, address := range addresses {
-		c.clients[address] = wire.NewControlProtobufClient(scheme+"://"+address, &http.Client{Transport: transport})
+		c.clients[address] = wire.NewControlProtobufClient(scheme+"://"+address, http1.NewClient(transport))
 	}
 	return c
 }
--- a/operator/client.go
+++ b/operator/client.go
@@ -15,6 +15,7 @@
 	"github.com/rotisserie/eris"
 
 	"guavahitch.example/guavahitch/document"
+	"guavahitch.example/guavahitch/http1"
 	"guavahitch.example/guavahitch/keys"
 	"guavahitch.example/guavahitch/outcome"
 )
@@ -78,14 +79,16 @@
 	if err != nil {
 		return nil, eris.Wrapf(err, "token file %s", s.TokenFile)
 	}
-	c := &Client{settings: s, token: strings.TrimSpace(string(token)), scheme: "http", http: &http.Client{Timeout: clientTimeout}}
-	if s.Authority == "" {
-		return c, nil
+	c := &Client{settings: s, token: strings.TrimSpace(string(token)), scheme: "http", http: http1.NewClient(nil)}
+	if s.Authority != "" {
+		transport, err := keys.OperatorTransport(s.Authority)
+		if err != nil {
+			return nil, err
+		}
+		c.scheme, c.http = "https", http1.NewClient(transport)
 	}
-	c.scheme = "https"
-	transport, err := keys.OperatorTransport(s.Authority)
-	c.http.Transport = transport
-	return c, err
+	c.http.Timeout = clientTimeout
+	return c, nil
 }
 
 // Submit submits an inventory. A refused change is not an error; its status contains the reason.
--- a/ranks/engine.go
+++ b/ranks/engine.go
@@ -17,6 +17,7 @@
 	"github.com/rotisserie/eris"
 
 	"guavahitch.example/guavahitch/fencing"
+	"guavahitch.example/guavahitch/http1"
 	"guavahitch.example/guavahitch/mapswitch"
 )
 
@@ -72,12 +73,9 @@
 )
 
 func newEngineClient(address string, slot int) *engineClient {
-	return &engineClient{
-		base: fmt.Sprintf("http://%s/ranks/%d", address, slot),
-		http: &http.Client{
-			Timeout: engineTimeout, Transport: &http.Transport{MaxResponseHeaderBytes: maxEngineHead},
-		},
-	}
+	client := http1.NewClient(&http.Transport{MaxResponseHeaderBytes: maxEngineHead})
+	client.Timeout = engineTimeout
+	return &engineClient{base: fmt.Sprintf("http://%s/ranks/%d", address, slot), http: client}
 }
 
 func (c *engineClient) send(ctx context.Context, command fencing.Command) (fencing.Report, error) {
--- a/registry/follower.go
+++ b/registry/follower.go
@@ -17,6 +17,7 @@
 	"google.golang.org/protobuf/encoding/protodelim"
 
 	"guavahitch.example/guavahitch/evacuation"
+	"guavahitch.example/guavahitch/http1"
 	"guavahitch.example/guavahitch/item"
 	"guavahitch.example/guavahitch/quarantine"
 	"guavahitch.example/guavahitch/roster"
@@ -129,12 +130,12 @@
 		items:     item.NewLog(settings.Log, settings.Scope),
 		freshness: newFreshness(time.Now(), settings.Log, settings.Scope),
 		name:      cmp.Or(settings.Name, strconv.FormatUint(rand.Uint64(), 36)),
-		client: &http.Client{Transport: &http.Transport{
+		client: http1.NewClient(&http.Transport{
 			DialContext: dialer.DialContext, DisableCompression: true, DisableKeepAlives: true,
-		}},
-		quotaClient: &http.Client{Transport: &http.Transport{
+		}),
+		quotaClient: http1.NewClient(&http.Transport{
 			DialContext: dialer.DialContext, DisableCompression: true, IdleConnTimeout: quotaIdleTimeout,
-		}},
+		}),
 	}
 }
 
--- a/registry/replica.go
+++ b/registry/replica.go
@@ -15,6 +15,7 @@
 	"github.com/uber-go/tally/v4"
 
 	"guavahitch.example/guavahitch/consensus"
+	"guavahitch.example/guavahitch/http1"
 	"guavahitch.example/guavahitch/item"
 	"guavahitch.example/guavahitch/journal"
 	"guavahitch.example/guavahitch/limit"
@@ -165,9 +166,9 @@
 	r.settings.Scope.Gauge("evacuated_domains").Update(0)
 	r.state.onChange, r.state.onEvacuations, r.state.onDepartures = r.onConfiguration, r.onEvacuations, r.onDepartures
 	dialer := &net.Dialer{Timeout: dialTimeout}
-	r.client = &http.Client{Transport: &http.Transport{
+	r.client = http1.NewClient(&http.Transport{
 		DialContext: dialer.DialContext, MaxIdleConnsPerHost: 4, DisableCompression: true,
-	}}
+	})
 	r.sender = peer.NewSender(peer.Settings{
 		URL: func(id string) string { return "http://" + id }, Client: r.client,
 	})
--- a/sidecar/link.go
+++ b/sidecar/link.go
@@ -11,6 +11,7 @@
 
 	"github.com/rotisserie/eris"
 
+	"guavahitch.example/guavahitch/http1"
 	"guavahitch.example/guavahitch/outcome"
 	"guavahitch.example/guavahitch/wire"
 )
@@ -94,7 +95,7 @@
 	if transport.DialTLSContext != nil {
 		base = "https://" + l.address
 	}
-	client := &http.Client{Transport: l.transport.wrap(transport)}
+	client := http1.NewClient(l.transport.wrap(transport))
 	return &generation{transport: transport, base: base, http: client, client: wire.NewSidecarProtobufClient(base, client)}
 }
 
