--- a/http1/client.go
+++ b/http1/client.go
@@ -1,6 +1,7 @@
 package http1
 
 import (
+	"net"
 	"net/http"
 	"net/http/httptrace"
 	"net/textproto"
@@ -10,14 +11,23 @@
 type transport struct{ inner http.RoundTripper }
 
 // NewClient returns a client that returns ErrMalformed for a malformed response, and for one that follows a malformed interim
-// response. A nil round tripper stands for http.DefaultTransport.
+// response. The connections of an http.Transport, which must not be in use yet, become those of Dial.
 func NewClient(inner http.RoundTripper) *http.Client {
-	if inner == nil {
-		inner = http.DefaultTransport
+	if base, isBase := inner.(*http.Transport); isBase {
+		dial := base.DialContext
+		if dial == nil {
+			dial = (&net.Dialer{}).DialContext
+		}
+		base.DialContext = Dial(dial)
 	}
 	return &http.Client{Transport: transport{inner}}
 }
 
+// NewDefaultClient returns a client with the settings of http.DefaultTransport.
+func NewDefaultClient() *http.Client {
+	return NewClient(http.DefaultTransport.(*http.Transport).Clone())
+}
+
 // RoundTrip sends a request and checks its response.
 func (t transport) RoundTrip(request *http.Request) (*http.Response, error) {
 	ctx := httptrace.WithClientTrace(request.Context(), &httptrace.ClientTrace{
--- a/http1/client_test.go
+++ b/http1/client_test.go
@@ -1,6 +1,7 @@
 package http1_test
 
 import (
+	"bytes"
 	"fmt"
 	"io"
 	"io/fs"
@@ -11,6 +12,7 @@
 	"slices"
 	"strings"
 	"testing"
+	"time"
 
 	"github.com/stretchr/testify/require"
 
@@ -38,7 +40,7 @@
 }
 
 // A malformed response is an error, whatever its status says.
-func ExampleNewClient() {
+func ExampleNewDefaultClient() {
 	raw, err := fake.StartRaw(func(conn net.Conn, _ *http.Request, _ string, _ int) bool {
 		_, _ = io.WriteString(conn, "HTTP/1.1 000 Trouble\r\nContent-Length: 0\r\n\r\n")
 		return false
@@ -47,7 +49,7 @@
 		return
 	}
 	defer raw.Stop()
-	_, err = http1.NewClient(nil).Get("http://" + raw.Address())
+	_, err = http1.NewDefaultClient().Get("http://" + raw.Address())
 	fmt.Println(strings.HasSuffix(err.Error(), `status "000 Trouble": malformed response`))
 	// Output: true
 }
@@ -88,6 +90,30 @@
 	require.True(t, isStream)
 }
 
+// Guards against a part of a body that a client of the standard library takes for a whole one, because a reset cut it while the
+// request was still being written. Which of a read and a write takes the error varies, so it is repeated.
+func TestBodyCutUnderAnUpload(t *testing.T) {
+	raw, err := fake.StartEarly(func(conn net.Conn, _ *http.Request) {
+		_, _ = io.WriteString(conn, "HTTP/1.1 200 OK\r\n\r\npart")
+		time.Sleep(20 * time.Millisecond)
+		_ = conn.(*net.TCPConn).SetLinger(0)
+	})
+	require.NoError(t, err)
+	t.Cleanup(raw.Stop)
+	// upload is more than the buffers of two sockets hold.
+	upload := make([]byte, 12<<20)
+	for range 16 {
+		client := http1.NewClient(&http.Transport{})
+		response, err := client.Post("http://"+raw.Address(), "text/plain", bytes.NewReader(upload))
+		if err != nil {
+			continue
+		}
+		body, err := io.ReadAll(response.Body)
+		_ = response.Body.Close()
+		require.Error(t, err, "the body counts as whole: %q", body)
+	}
+}
+
 // Guards against a client that is made without the checks: only this package makes clients of the standard library.
 func TestAllClientsCheckResponses(t *testing.T) {
 	err := filepath.WalkDir("..", func(path string, entry fs.DirEntry, err error) error {
--- a/http1/response.go
+++ b/http1/response.go
@@ -1,4 +1,4 @@
-// Package http1 holds the rules of HTTP/1.1 by which each reader of responses tells a malformed one. The parser of the standard
+// Package http1 holds the rules of HTTP/1.1 by which each reader of responses tells one that is malformed or was cut. The standard
 // library is more lenient.
 package http1
 
--- a/operator/client.go
+++ b/operator/client.go
@@ -79,7 +79,7 @@
 	if err != nil {
 		return nil, eris.Wrapf(err, "token file %s", s.TokenFile)
 	}
-	c := &Client{settings: s, token: strings.TrimSpace(string(token)), scheme: "http", http: http1.NewClient(nil)}
+	c := &Client{settings: s, token: strings.TrimSpace(string(token)), scheme: "http", http: http1.NewDefaultClient()}
 	if s.Authority != "" {
 		transport, err := keys.OperatorTransport(s.Authority)
 		if err != nil {
--- a/sidecar/link.go
+++ b/sidecar/link.go
@@ -67,7 +67,7 @@
 // PlainTransport returns an HTTP/1.1 transport without TLS.
 func PlainTransport(dial Dial) *http.Transport {
 	return &http.Transport{
-		DialContext: dial, MaxIdleConnsPerHost: maxIdleConnections, IdleConnTimeout: idleTimeout, DisableCompression: true,
+		DialContext: http1.Dial(dial), MaxIdleConnsPerHost: maxIdleConnections, IdleConnTimeout: idleTimeout, DisableCompression: true,
 	}
 }
 
--- a/upstream/connection.go
+++ b/upstream/connection.go
@@ -42,7 +42,7 @@
 	// LastRequest is the ID of the request that the connection carried last. Its user sets it.
 	LastRequest string
 
-	conn   net.Conn
+	conn   *http1.Conn
 	input  *limitedReader
 	reader *bufio.Reader
 	writer *bufio.Writer
@@ -53,10 +53,8 @@
 	// idleTimeout is the keep-alive timeout that the upstream announced, less keepAliveMargin. It is 0, and does not
 	// apply, if the upstream announced nothing or a timeout of 0.
 	idleTimeout time.Duration
-	// written receives the result of writing a long body, nil if none is being written.
+	// written receives the result of writing a long body whose response came first, nil if there is none.
 	written chan error
-	// writeErr is the error of the last request that was written.
-	writeErr error
 	// mustClose is set when the connection must not carry another request.
 	mustClose bool
 }
@@ -73,10 +71,11 @@
 
 // NewConnection returns a Connection that uses an open network connection.
 func NewConnection(conn net.Conn) *Connection {
-	c := &Connection{conn: conn, writer: bufio.NewWriterSize(conn, writeBuffer)}
-	c.input = &limitedReader{read: c.read, left: unlimited}
-	c.reader = bufio.NewReaderSize(c.input, readBuffer)
-	return c
+	checked := http1.NewConn(conn)
+	input := &limitedReader{source: checked, left: unlimited}
+	return &Connection{
+		conn: checked, input: input, reader: bufio.NewReaderSize(input, readBuffer), writer: bufio.NewWriterSize(checked, writeBuffer),
+	}
 }
 
 // IsReused reports whether the connection has carried a request before.
@@ -91,7 +90,7 @@
 // Abort resets the connection. An exchange in progress fails, and data still in transit is discarded instead of
 // reaching the upstream later. It may be called from another goroutine.
 func (c *Connection) Abort() {
-	if tcp, isTCP := c.conn.(*net.TCPConn); isTCP {
+	if tcp, isTCP := c.conn.Conn.(*net.TCPConn); isTCP {
 		// If the option cannot be set, Close still closes the connection, but without a reset.
 		_ = tcp.SetLinger(0)
 	}
@@ -196,7 +195,7 @@
 	if now.Sub(c.idleSince) >= limit {
 		return false
 	}
-	raw, isRaw := c.conn.(syscall.Conn)
+	raw, isRaw := c.conn.Conn.(syscall.Conn)
 	if !isRaw {
 		return true
 	}
--- a/upstream/limit.go
+++ b/upstream/limit.go
@@ -30,9 +30,9 @@
 type (
 	// limitedReader reads at most left bytes. While it reads a head, it looks for folded lines.
 	limitedReader struct {
-		read func(data []byte) (int, error)
-		left int64
-		head foldScanner
+		source io.Reader
+		left   int64
+		head   foldScanner
 	}
 
 	// Memory bounds the bytes of large bodies and events that a process holds together. Each may take as much as remains
@@ -51,12 +51,12 @@
 // Read returns ErrTooLong once the limit is used up.
 func (r *limitedReader) Read(data []byte) (int, error) {
 	if r.left == unlimited {
-		return r.read(data)
+		return r.source.Read(data)
 	}
 	if r.left == 0 {
 		return 0, ErrTooLong
 	}
-	n, err := r.read(data[:min(int64(len(data)), r.left)])
+	n, err := r.source.Read(data[:min(int64(len(data)), r.left)])
 	r.left -= int64(n)
 	r.head.scan(data[:n])
 	return n, err
--- a/upstream/send.go
+++ b/upstream/send.go
@@ -1,18 +1,14 @@
 package upstream
 
 import (
-	"errors"
-	"io"
 	"net/http"
-	"os"
 	"strconv"
-	"syscall"
 	"time"
 
 	"github.com/rotisserie/eris"
 )
 
-// This file writes requests. What a write finds out about the connection also tells how the response ended.
+// This file writes requests.
 
 const (
 	// longBodyBytes is the size in bytes above which a body may fill the buffers of a connection.
@@ -55,16 +51,17 @@
 	if length > longBodyBytes {
 		return c.sendLong(body)
 	}
-	c.writeErr = c.writeAll(body)
-	if c.writeErr != nil && c.hasEarlyResponse() {
+	err := c.writeAll(body)
+	if err != nil && c.hasEarlyResponse() {
 		return nil
 	}
-	return eris.Wrap(c.writeErr, "write request")
+	return eris.Wrap(err, "write request")
 }
 
 // hasEarlyResponse reports whether a response came before the request was written, after which the connection carries no other
 // request.
 func (c *Connection) hasEarlyResponse() bool {
+	c.mustClose = true
 	_ = c.conn.SetReadDeadline(time.Now().Add(earlyResponseTime))
 	_, err := c.reader.Peek(1)
 	_ = c.conn.SetReadDeadline(c.readDeadline)
@@ -75,12 +72,14 @@
 // rest of the body is still written while the response is read.
 func (c *Connection) sendLong(body [][]byte) error {
 	written := make(chan error, 1)
-	c.written = written
 	go func() { written <- c.writeAll(body) }()
-	_, err := c.reader.Peek(1)
-	if err != nil && c.awaitWritten() != nil {
+	if _, err := c.reader.Peek(1); err != nil {
+		if <-written == nil {
+			return nil
+		}
 		return eris.Wrap(err, "write request")
 	}
+	c.written = written
 	return nil
 }
 
@@ -93,53 +92,18 @@
 	return c.writer.Flush()
 }
 
-// awaitWritten waits until the request is written or its writing has failed, and returns the error.
-func (c *Connection) awaitWritten() error {
-	if c.written != nil {
-		c.writeErr = <-c.written
-		c.written = nil
-	}
-	return c.writeErr
-}
-
 // isWritten reports whether the whole request was written.
 func (c *Connection) isWritten() bool {
 	if c.written == nil {
-		return c.writeErr == nil
+		return true
 	}
 	timer := time.NewTimer(lateWriteTime)
 	defer timer.Stop()
 	select {
-	case c.writeErr = <-c.written:
+	case err := <-c.written:
 		c.written = nil
-		return c.writeErr == nil
+		return err == nil
 	case <-timer.C:
 		return false
 	}
 }
-
-// read reads from the network connection. It returns io.EOF only if the upstream has closed its side.
-func (c *Connection) read(data []byte) (int, error) {
-	n, err := c.conn.Read(data)
-	if err == io.EOF {
-		err = c.endError()
-	}
-	return n, err
-}
-
-// endError returns the error that ended the reads of the connection: that of a reset, or io.EOF if there was none. The system
-// reports a reset once, to a read or to a write. When a write has taken it, reads find only the end of the data, as they do
-// after the upstream has closed its side, so the result of the write decides. A write in progress is ended for that.
-func (c *Connection) endError() error {
-	_ = c.conn.SetWriteDeadline(time.Now())
-	if err := c.awaitWritten(); isBroken(err) {
-		return err
-	}
-	return io.EOF
-}
-
-// isBroken reports whether a write failed because the connection broke before the upstream closed its side: with EPIPE it broke
-// afterwards, and after a timeout it is not broken.
-func isBroken(err error) bool {
-	return err != nil && !errors.Is(err, syscall.EPIPE) && !errors.Is(err, os.ErrDeadlineExceeded)
-}
