--- a/consensus/node.go
+++ b/consensus/node.go
@@ -54,6 +54,7 @@
 
 	stop      chan struct{}
 	stopped   chan struct{}
+	ended     chan struct{}
 	workers   sync.WaitGroup
 	closeOnce sync.Once
 }
@@ -95,7 +96,7 @@
 		disk: newDiskWriter(storage), applier: newApplier(settings, storage),
 		inbox: make(chan *wire.ReplicaMessage, inboxSize), proposals: make(chan *proposal, proposalsSize),
 		reads: make(chan *readCall, proposalsSize), calls: make(chan func(*driver)),
-		stop: make(chan struct{}), stopped: make(chan struct{}),
+		stop: make(chan struct{}), stopped: make(chan struct{}), ended: make(chan struct{}),
 	}
 	if recovered.Snapshot.Index > 0 {
 		if err := n.applier.restore(); err != nil {
@@ -281,6 +282,9 @@
 	return err
 }
 
+// Ended returns a channel that is closed once Close was called and the last write has ended. Until then the folder is in use.
+func (n *Node) Ended() <-chan struct{} { return n.ended }
+
 func (n *Node) transferBeforeClose() {
 	if s := n.Status(); s.Role != leader.String() || len(s.Members) == 1 {
 		return
@@ -292,17 +296,16 @@
 
 // closeWhenIdle waits until the goroutines have ended, closes the files and unlocks the folder.
 func (n *Node) closeWhenIdle() error {
-	idle := make(chan struct{})
 	go func() {
 		n.workers.Wait()
 		n.storage.Close()
 		n.unlock()
-		close(idle)
+		close(n.ended)
 	}()
 	timer := time.NewTimer(closeTimeout + n.settings.SyncTimeout)
 	defer timer.Stop()
 	select {
-	case <-idle:
+	case <-n.ended:
 		return nil
 	case <-timer.C:
 		return eris.Errorf("close replica %s: a disk write does not finish", n.settings.ID)
--- a/registry/catch_up.go
+++ b/registry/catch_up.go
@@ -6,11 +6,13 @@
 
 	"github.com/rotisserie/eris"
 
+	"guavahitch.example/guavahitch/consensus"
 	"guavahitch.example/guavahitch/wait"
 	"guavahitch.example/guavahitch/wire"
 )
 
-// This file tells when a replica that has started holds everything that was acknowledged before. Until then its log may lack
+// This file tells when a replica that has started, or has opened its log again after a fault, holds everything that was acknowledged
+// before. Until then its log may lack
 // committed entries or replay them, so followers receive no configuration, no evacuations and no new upstreams from it: an
 // entry that has restarted, too, would act on an older state.
 
@@ -23,11 +25,11 @@
 	appliedPollInterval = 5 * time.Millisecond
 )
 
-// catchUp retries until the replica has caught up or closes.
-func (r *Replica) catchUp() {
-	for r.ctx.Err() == nil {
-		if r.tryCatchUp() == nil {
-			r.hasCaughtUp.Store(true)
+// catchUp retries until the node has caught up, is replaced or the replica closes.
+func (r *Replica) catchUp(node *consensus.Node) {
+	for r.ctx.Err() == nil && r.log.Node() == node {
+		if r.tryCatchUp(node) == nil {
+			r.caughtUp.Store(node)
 			r.settings.Log.Info("replica has caught up")
 			r.mutex.Lock()
 			r.notifyWatchers()
@@ -38,8 +40,8 @@
 	}
 }
 
-// tryCatchUp returns nil once this replica has applied what was acknowledged before the call.
-func (r *Replica) tryCatchUp() error {
+// tryCatchUp returns nil once the node has applied what was acknowledged before the call.
+func (r *Replica) tryCatchUp(node *consensus.Node) error {
 	ctx, cancel := context.WithTimeout(r.ctx, catchUpTimeout)
 	defer cancel()
 	index, err := r.readIndex(ctx)
@@ -47,7 +49,7 @@
 		return err
 	}
 	for ctx.Err() == nil {
-		if node := r.node.Load(); node != nil && node.Status().Applied >= index {
+		if node.Status().Applied >= index {
 			return nil
 		}
 		wait.For(ctx, appliedPollInterval)
@@ -55,6 +57,15 @@
 	return eris.Wrapf(ctx.Err(), "apply up to index %d", index)
 }
 
+// caughtUpNode returns the open node if it has caught up, or nil. What is read of the state between two calls that return the same
+// node is not older than what was acknowledged before that node was opened.
+func (r *Replica) caughtUpNode() *consensus.Node {
+	if node := r.log.Node(); node != nil && r.caughtUp.Load() == node {
+		return node
+	}
+	return nil
+}
+
 // readIndex returns an index of the log that covers everything acknowledged before the call.
 func (r *Replica) readIndex(ctx context.Context) (uint64, error) {
 	node, leader, err := r.leader()
--- a/registry/departures.go
+++ b/registry/departures.go
@@ -176,7 +176,7 @@
 
 // expireDepartures removes the departures that have expired at the present log time, if that is known.
 func (r *Replica) expireDepartures() {
-	node := r.node.Load()
+	node := r.log.Node()
 	if node == nil {
 		return
 	}
--- a/registry/evacuation.go
+++ b/registry/evacuation.go
@@ -125,7 +125,7 @@
 	if set.IsEmpty() {
 		return set
 	}
-	if node := r.node.Load(); node != nil {
+	if node := r.log.Node(); node != nil {
 		if logTimeMs, isKnown := node.LogTimeMs(); isKnown {
 			return r.state.evacuatedAt(time.Now(), logTimeMs)
 		}
--- a/registry/log.go
+++ b/registry/log.go
@@ -68,7 +68,7 @@
 // leader returns the replicated log and the ID of the replica that leads it, as far as this replica knows. It returns
 // ErrNoQuorum if the log is not open or no leader is known.
 func (r *Replica) leader() (node *consensus.Node, id string, err error) {
-	node = r.node.Load()
+	node = r.log.Node()
 	if node == nil {
 		return nil, "", ErrNoQuorum
 	}
--- a/registry/replica.go
+++ b/registry/replica.go
@@ -80,7 +80,8 @@
 		client   *http.Client
 		sender   *peer.Sender
 		receiver *peer.Receiver
-		node     atomic.Pointer[consensus.Node]
+		// log is the replicated log.
+		log *consensus.Restarter
 		// leadingSince is when this replica became leader, nil while it does not lead.
 		leadingSince atomic.Pointer[time.Time]
 		// memory holds what entries know of requests that end upstreams.
@@ -90,8 +91,8 @@
 		// streams records the streams to followers, items the items that are left out of messages.
 		streams *streamLog
 		items   *item.Log
-		// hasCaughtUp reports whether the replica has applied what was acknowledged before it started.
-		hasCaughtUp atomic.Bool
+		// caughtUp is the node that has applied what was acknowledged before it was opened, nil before there is one.
+		caughtUp atomic.Pointer[consensus.Node]
 		// allocator grants requests at upstreams that name rate limits, while this replica leads.
 		allocator *quota.Allocator
 		// table is the lookup table of the configuration in force.
@@ -176,7 +177,8 @@
 	if err := os.MkdirAll(settings.Folder, 0o755); err != nil {
 		return nil, eris.Wrapf(err, "create folder %s", settings.Folder)
 	}
-	if err := r.openLog(); err != nil {
+	r.log = &consensus.Restarter{ID: settings.ID, Open: r.openNode}
+	if err := r.checkLog(); err != nil {
 		settings.Log.WithError(err).Error("cannot open the replicated log")
 	}
 	follower := NewFollower(FollowerSettings{
@@ -184,29 +186,37 @@
 		Memory: r.memory, Scope: r.settings.Scope, Log: settings.Log,
 	})
 	r.done.Go(r.maintain)
-	r.done.Go(r.catchUp)
 	r.done.Go(func() { _ = follower.Run(r.ctx) })
 	return r, nil
 }
 
-// openLog opens the replicated log.
-func (r *Replica) openLog() error {
+// openNode opens the folder of the replica.
+func (r *Replica) openNode() (*consensus.Node, error) {
 	var members []consensus.Member
 	for _, seed := range r.settings.Seeds {
 		members = append(members, consensus.Member{ID: seed, Address: seed, IsVoter: true})
 	}
-	node, err := consensus.Open(consensus.Settings{
+	return consensus.Open(consensus.Settings{
 		ID: r.settings.ID, Address: r.settings.ID, Members: members, Folder: r.settings.Folder, Disk: r.settings.Disk,
 		IsAutoReplacing: true, IsJoining: !r.settings.IsFounding, Voters: r.requiredVoters(),
 		Apply:    r.state.apply,
 		Snapshot: r.state.snapshot, Restore: r.state.restore,
 		Send: r.sender.Send, OnStatusChange: r.onStatusChange,
 	})
-	if err != nil {
-		return err
+}
+
+// checkLog opens the replicated log if it is not open or has stopped because of a fault, for example of its disk. The replica then
+// catches up again.
+func (r *Replica) checkLog() error {
+	if fault := r.log.Status().Fault; fault != "" {
+		r.settings.Log.WithField("fault", fault).Warn("reopening the replicated log after a fault")
 	}
-	r.node.Store(node)
-	return nil
+	isOpened, err := r.log.Check()
+	if isOpened {
+		node := r.log.Node()
+		r.done.Go(func() { r.catchUp(node) })
+	}
+	return err
 }
 
 // requiredVoters returns the number of voters of which a majority survives the loss of the tolerated disks.
@@ -226,21 +236,15 @@
 func (r *Replica) Close() {
 	r.cancel()
 	r.done.Wait()
-	if node := r.node.Load(); node != nil {
-		if err := node.Close(); err != nil {
-			r.settings.Log.WithError(err).Error("cannot close the replicated log")
-		}
+	if err := r.log.Close(); err != nil {
+		r.settings.Log.WithError(err).Error("cannot close the replicated log")
 	}
 	r.sender.Close()
 	r.receiver.Close()
 }
 
 // step passes a message of another replica to the replicated log.
-func (r *Replica) step(m *wire.ReplicaMessage) {
-	if node := r.node.Load(); node != nil {
-		node.Step(m)
-	}
-}
+func (r *Replica) step(m *wire.ReplicaMessage) { r.log.Step(m) }
 
 // onStatusChange records a change of role, leader or members.
 func (r *Replica) onStatusChange(status consensus.Status) {
@@ -314,28 +318,11 @@
 		r.roll.Expire(time.Now())
 		r.mutex.Unlock()
 		r.expireDepartures()
-		r.reopen()
-	}
-}
-
-// reopen opens the replicated log again if it could not be opened or has stopped because of a fault, for example of its
-// disk.
-func (r *Replica) reopen() {
-	node := r.node.Load()
-	if node != nil && node.Status().Fault == "" {
-		return
-	}
-	if node != nil {
-		r.settings.Log.WithField("fault", node.Status().Fault).Warn("reopening the replicated log after a fault")
-		r.node.Store(nil)
-		if err := node.Close(); err != nil {
-			r.settings.Log.WithError(err).Error("cannot close the replicated log")
+		if err := r.checkLog(); err != nil {
+			r.settings.Log.WithError(err).Error("cannot open the replicated log again")
+			wait.For(r.ctx, reopenDelay)
 		}
 	}
-	if err := r.openLog(); err != nil {
-		r.settings.Log.WithError(err).Error("cannot open the replicated log")
-		wait.For(r.ctx, reopenDelay)
-	}
 }
 
 // registryAt returns a client of the replica with the ID.
@@ -348,11 +335,7 @@
 
 // Leading returns the current term and whether this replica is its leader.
 func (r *Replica) Leading() (term uint64, leads bool) {
-	node := r.node.Load()
-	if node == nil {
-		return 0, false
-	}
-	status := node.Status()
+	status := r.log.Status()
 	return status.Term, status.Leader == r.settings.ID
 }
 
--- a/registry/replica_test.go
+++ b/registry/replica_test.go
@@ -55,6 +55,9 @@
 	written atomic.Int64
 	// log receives the log lines of the replicas. If it is nil, they are discarded.
 	log *logrus.Entry
+	// fullDisks holds the disks of the replicas by ID if it is not nil. isPartial is that of these disks.
+	fullDisks map[string]*fullDisk
+	isPartial bool
 }
 
 type replica struct {
@@ -105,7 +108,7 @@
 	id, delay := listener.Addr().String(), g.parseDelay
 	r, err := registry.Open(registry.Settings{
 		ID: id, Seeds: g.seeds, Folder: folder, IsFounding: isFounding, Tolerance: g.tolerance, Log: cmp.Or(g.log, quietLog()),
-		Disk: g.slowDisk(folder),
+		Disk: g.diskOf(id, folder),
 		Parse: func(source []byte) (*route.Configuration, error) {
 			time.Sleep(delay)
 			return parse(source)
@@ -118,6 +121,19 @@
 	g.running[id] = &replica{Replica: r, server: server, folder: folder}
 }
 
+// diskOf returns the disk of a replica, or nil for the files of the folder.
+func (g *group) diskOf(id, folder string) *journal.Disk {
+	if g.fullDisks == nil {
+		return g.slowDisk(folder)
+	}
+	disk, err := journal.NewDisk(folder)
+	require.NoError(g.t, err)
+	if g.fullDisks[id] == nil {
+		g.fullDisks[id] = &fullDisk{isPartial: g.isPartial}
+	}
+	return g.fullDisks[id].wrap(disk)
+}
+
 // slowDisk returns a disk for the folder that delays each sync by syncDelay, or nil if there is no delay.
 func (g *group) slowDisk(folder string) *journal.Disk {
 	if g.syncDelay == 0 {
--- a/registry/watch.go
+++ b/registry/watch.go
@@ -119,11 +119,13 @@
 func (w *watchStream) nextFrame(now time.Time) (*wire.WatchFrame, <-chan struct{}) {
 	r := w.replica
 	frame := &wire.WatchFrame{}
-	hasCaughtUp := r.hasCaughtUp.Load()
+	node := r.caughtUpNode()
+	// The set is read after the version, so that it holds all orders from before that configuration.
+	version := r.state.newest().GetVersion()
+	evacuated := encodeEvacuations(r.Evacuated(), now)
+	hasCaughtUp := node != nil && r.caughtUpNode() == node
 	if hasCaughtUp {
-		// The set is read after the version, so that it holds all orders from before that configuration.
-		frame.Version = r.state.newest().GetVersion()
-		frame.Evacuations = encodeEvacuations(r.Evacuated(), now)
+		frame.Version, frame.Evacuations = version, evacuated
 	}
 	upstreams, renewals, loads, changed := w.addState(frame, now, hasCaughtUp)
 	frame.Upstreams = item.EncodeAll(r.items, kindUpstream, (*wire.AnnouncedUpstream).GetId, upstreams)
@@ -216,8 +218,9 @@
 
 // serveDocument sends the newest committed configuration that this replica has applied, unless the follower holds it.
 func (r *Replica) serveDocument(w http.ResponseWriter, request *http.Request) {
+	node := r.caughtUpNode()
 	document := r.state.newest()
-	if document == nil || !r.hasCaughtUp.Load() {
+	if document == nil || node == nil || r.caughtUpNode() != node {
 		http.Error(w, "there is no configuration", http.StatusNotFound)
 		return
 	}
