--- a/registry/full_disk_test.go
+++ b/registry/full_disk_test.go
@@ -135,6 +135,31 @@
 	require.Eventually(g.t, func() bool { return disk.refused.Load() > refused }, 10*time.Second, time.Millisecond)
 }
 
+// Guards against a replica whose disk was full and that applies its log a second time on top of its state: its set of evacuated
+// domains then has another revision than that of the others, which entries take for a newer one.
+func TestEvacuationsAfterAFullDisk(t *testing.T) {
+	g := newGroupWithFullDisks(t, 3, 1, false)
+	g.submit(1)
+	g.order("west", false)
+	g.order("west", true)
+	g.order("east", false)
+	g.requireEvacuated(3, "east")
+	received := &followed{}
+	defer received.follow(t, g.seeds)()
+	version := 0
+	for _, id := range g.seeds {
+		version += 10
+		g.fill(id, version)
+		g.requireEachWorks(uint64(version))
+		g.requireEvacuated(3, "east")
+	}
+	require.EqualValues(t, 4, g.order("east", true))
+	require.Eventually(t, func() bool {
+		_, set := received.received()
+		return set.Revision() == 4 && set.IsEmpty()
+	}, 10*time.Second, 5*time.Millisecond)
+}
+
 // Guards against an entry that starts and gets an older configuration from a replica whose disk was full: the replica goes back to
 // its last snapshot when it opens its log again, and must not count as caught up until it has heard from a leader.
 func TestReopenedReplicaServesNothingOlder(t *testing.T) {
--- a/registry/replica.go
+++ b/registry/replica.go
@@ -190,8 +190,9 @@
 	return r, nil
 }
 
-// openNode opens the folder of the replica.
+// openNode opens the folder of the replica with an empty state, which the log restores.
 func (r *Replica) openNode() (*consensus.Node, error) {
+	r.state.reset()
 	var members []consensus.Member
 	for _, seed := range r.settings.Seeds {
 		members = append(members, consensus.Member{ID: seed, Address: seed, IsVoter: true})
@@ -270,8 +271,11 @@
 	r.mutex.Unlock()
 }
 
-// onConfiguration puts a newer configuration in force.
+// onConfiguration puts a newer configuration in force. A replica that applies its log again has a newer one already.
 func (r *Replica) onConfiguration(document *wire.RoutingDocument) {
+	if table := r.Table(); table != nil && table.Version() >= document.Version {
+		return
+	}
 	r.settings.Log.WithField("version", document.Version).Info("configuration in force")
 	r.settings.Scope.Gauge("configuration_version").Update(float64(document.Version))
 	if err := r.buildTable(document); err != nil {
--- a/registry/state.go
+++ b/registry/state.go
@@ -42,6 +42,13 @@
 	onDepartures  func([]departure.Departure)
 }
 
+// reset empties the state, for a log that is applied from its beginning.
+func (s *state) reset() {
+	s.mutex.Lock()
+	defer s.mutex.Unlock()
+	s.document, s.evacuations, s.departures = nil, evacuations{}, departure.Set{}
+}
+
 // newest returns the configuration with the highest version, or nil if there is none.
 func (s *state) newest() *wire.RoutingDocument {
 	s.mutex.RLock()
