--- a/claim/store.go
+++ b/claim/store.go
@@ -42,7 +42,9 @@
 	// with each other, but not during a Put or a Restore.
 	Store struct {
 		settings Settings
-		files    files
+		// retention is that of an empty store.
+		retention time.Duration
+		files     files
 		// sequence is the number of the last sealed segment.
 		sequence uint64
 		// active holds the values that are not being sealed yet, activeBytes their total size.
@@ -87,7 +89,25 @@
 	if err != nil {
 		return nil, err
 	}
-	return &Store{settings: settings, files: f, active: make(map[Key]value)}, nil
+	return &Store{settings: settings, retention: settings.Retention, files: f, active: make(map[Key]value)}, nil
+}
+
+// Reset empties the store, as NewStore returns it. The files stay, since a Restore may name them.
+func (s *Store) Reset() {
+	s.sealer.Wait()
+	s.mutex.Lock()
+	defer s.mutex.Unlock()
+	s.replace(nil, 0)
+	s.settings.Retention = s.retention
+}
+
+// replace replaces the segments, and drops everything that is not sealed. The caller holds the mutex.
+func (s *Store) replace(segments []*segment, sequence uint64) {
+	for _, sealed := range s.segments {
+		s.files.close(sealed)
+	}
+	s.segments, s.sealing, s.writeErr, s.dropped = segments, nil, nil, [2][]string{}
+	s.sequence, s.active, s.activeBytes = sequence, make(map[Key]value), 0
 }
 
 // NewMemoryStore returns an empty store that keeps its segments in memory.
--- a/claim/store_snapshot.go
+++ b/claim/store_snapshot.go
@@ -57,11 +57,7 @@
 	}
 	s.mutex.Lock()
 	defer s.mutex.Unlock()
-	for _, sealed := range s.segments {
-		s.files.close(sealed)
-	}
-	s.segments, s.sealing, s.writeErr, s.dropped = segments, nil, nil, [2][]string{}
-	s.sequence, s.active, s.activeBytes = snapshot.Sequence, make(map[Key]value), 0
+	s.replace(segments, snapshot.Sequence)
 	s.settings.Retention = time.Duration(snapshot.RetentionMs) * time.Millisecond
 	for _, stored := range snapshot.Active {
 		if len(stored.Key) != KeySize {
--- a/control/apply_test.go
+++ b/control/apply_test.go
@@ -73,9 +73,33 @@
 			s.Apply(control.Entry{Index: n + 1, Term: 1, TimeMs: 1, Command: command})
 		}
 		require.NoError(t, control.NewState().Restore(s.Snapshot()))
+		s.Reset()
+		require.Equal(t, control.NewState().Snapshot(), s.Snapshot())
 	})
 }
 
+// Guards against a log that is applied again on top of the state that it led to before: after a Reset, it leads to the same state.
+func TestLogIsAppliedAgainAfterAReset(t *testing.T) {
+	s, err := control.OpenState(control.StateSettings{Directory: t.TempDir(), SealKeys: 4})
+	require.NoError(t, err)
+	empty := s.Snapshot()
+	applyAll := func() []byte {
+		apply(s, &wire.Command{Body: &wire.Command_Submit{Submit: &wire.SubmitRequest{ChangeId: "a", Inventory: []byte("{}")}}})
+		apply(s, &wire.Command{Body: &wire.Command_Announce{Announce: &wire.AnnounceRequest{Member: &wire.Member{Name: "m", Epoch: 3}}}})
+		applyDeath(s, "crash", []string{"part"})
+		for n := range 10 {
+			claimAndSettle(s, n)
+		}
+		return s.Snapshot()
+	}
+	first := applyAll()
+	s.Reset()
+	require.Equal(t, empty, s.Snapshot())
+	require.Equal(t, first, applyAll())
+	require.NoError(t, s.Restore(first))
+	require.Equal(t, first, s.Snapshot())
+}
+
 // FuzzRestore checks that no snapshot makes Restore panic.
 func FuzzRestore(f *testing.F) {
 	s := control.NewState()
--- a/control/records.go
+++ b/control/records.go
@@ -12,6 +12,8 @@
 )
 
 const (
+	// firstRecord is the index of the first record.
+	firstRecord = 1
 	// recordRetention is the minimum time for which a record is kept.
 	recordRetention = 400 * 24 * time.Hour
 	// maxRecordsPerPage limits the records in one reply.
@@ -26,7 +28,7 @@
 }
 
 func newRecords(store *claim.Store) *records {
-	return &records{next: 1, store: store}
+	return &records{next: firstRecord, store: store}
 }
 
 func (r *records) add(record *wire.Record, nowMs int64) {
--- a/control/state.go
+++ b/control/state.go
@@ -122,6 +122,21 @@
 	return s, nil
 }
 
+// Reset empties the state, as OpenState returns it, for a log that is applied from its beginning. The contents of the data folder
+// stay, since a snapshot may name them.
+func (s *State) Reset() {
+	s.mutex.Lock()
+	defer s.mutex.Unlock()
+	for _, store := range s.stores() {
+		store.Reset()
+	}
+	s.index, s.term, s.nowMs, s.quarantineVersion, s.storageErr = 0, 0, 0, 0, nil
+	s.configuration = configuration{changes: s.configuration.changes}
+	s.records.next = firstRecord
+	s.reset()
+	s.signal()
+}
+
 // reset clears the part of the state that is not kept in a store.
 func (s *State) reset() {
 	s.members = newMembers()
--- a/daemon/control.go
+++ b/daemon/control.go
@@ -8,7 +8,6 @@
 	"path/filepath"
 	"slices"
 	"strings"
-	"sync"
 	"time"
 
 	"github.com/rotisserie/eris"
@@ -31,6 +30,8 @@
 	stateFolder = "state"
 	// stateCheckInterval is the time between two checks of the state's files for errors.
 	stateCheckInterval = time.Second
+	// logCheckInterval is the time between two checks of the replicated log for a fault.
+	logCheckInterval = 250 * time.Millisecond
 	// segmentTimeout bounds the read of one part of a sealed file from another replica.
 	segmentTimeout = 10 * time.Second
 )
@@ -40,13 +41,12 @@
 type controlRole struct {
 	process  *Process
 	state    *control.State
-	node     *consensus.Node
+	log      *consensus.Restarter
 	sender   *peer.Sender
 	receiver *peer.Receiver
 	server   *control.Server
 	client   *http.Client
 	scheme   string
-	closed   sync.Once
 	// operatorListener accepts the operators' connections; nil when the settings have no address for operators.
 	operatorListener net.Listener
 }
@@ -59,17 +59,13 @@
 	p.control = r
 	p.internal.add(wire.NewControlServer(r.server))
 	p.internal.add(wire.NewSegmentsServer(control.Segments{State: r.state}))
-	r.receiver = peer.NewReceiver(r.node.Step, limit.NewAccount(limit.Settings{}))
+	r.receiver = peer.NewReceiver(r.log.Step, limit.NewAccount(limit.Settings{}))
 	p.internal.mux.Handle(peer.Path, r.receiver.Handler())
 	p.add(control.NewReconciler(r.server, control.AskSidecar(r.sidecarAt)).Run)
 	p.add(r.watchState)
 	p.add(r.server.Run)
 	r.addRankManager()
-	p.add(func(ctx context.Context) error {
-		<-ctx.Done()
-		r.close()
-		return nil
-	})
+	p.add(r.keepLogOpen)
 	return p.addOperatorServer()
 }
 
@@ -81,25 +77,31 @@
 	}
 	r.state = state
 	r.sender = peer.NewSender(peer.Settings{URL: r.url, Client: r.client})
-	r.node, err = consensus.Open(consensus.Settings{
-		ID: r.process.settings.Name, Address: r.process.address(), Members: r.initialMembers(),
-		Folder: filepath.Join(folder, logFolder), IsAutoReplacing: true,
-		Apply: func(e consensus.Entry) []byte {
-			return state.Apply(control.Entry{Index: e.Index, Term: e.Term, TimeMs: e.TimeMs, Command: e.Command})
-		},
-		Snapshot: state.Snapshot, Restore: state.Restore, Send: r.sender.Send, OnStatusChange: r.onStatusChange,
-	})
-	if err != nil {
+	r.log = &consensus.Restarter{ID: r.process.settings.Name, Open: r.openNode}
+	if _, err := r.log.Check(); err != nil {
 		r.sender.Close()
 		return eris.Wrapf(err, "open the replicated log in %s", folder)
 	}
 	r.server = control.NewServer(control.Settings{
-		Name: r.process.settings.Name, State: state, Propose: r.node.Propose, ReadBarrier: r.node.ReadBarrier,
+		Name: r.process.settings.Name, State: state, Propose: r.log.Propose, ReadBarrier: r.log.ReadBarrier,
 		Leader: r.leader, Check: inventory.Check, Retention: retentionOf,
 	})
 	return nil
 }
 
+// openNode opens the folder of the replicated log with an empty state, which the log restores.
+func (r *controlRole) openNode() (*consensus.Node, error) {
+	r.state.Reset()
+	return consensus.Open(consensus.Settings{
+		ID: r.process.settings.Name, Address: r.process.address(), Members: r.initialMembers(),
+		Folder: filepath.Join(r.process.settings.Control.Folder, logFolder), IsAutoReplacing: true,
+		Apply: func(e consensus.Entry) []byte {
+			return r.state.Apply(control.Entry{Index: e.Index, Term: e.Term, TimeMs: e.TimeMs, Command: e.Command})
+		},
+		Snapshot: r.state.Snapshot, Restore: r.state.Restore, Send: r.sender.Send, OnStatusChange: r.onStatusChange,
+	})
+}
+
 // addRankManager adds the manager of the groups' ranks, which is active while this replica leads.
 func (r *controlRole) addRankManager() {
 	p := r.process
@@ -113,7 +115,7 @@
 }
 
 func (r *controlRole) leadership() (term uint64, leads bool) {
-	status := r.node.Status()
+	status := r.log.Status()
 	return status.Term, status.Leader == r.process.settings.Name
 }
 
@@ -143,10 +145,7 @@
 			return replica.Address
 		}
 	}
-	if r.node == nil {
-		return ""
-	}
-	for _, member := range r.node.Status().Members {
+	for _, member := range r.log.Status().Members {
 		if member.ID == id {
 			return member.Address
 		}
@@ -163,7 +162,7 @@
 }
 
 func (r *controlRole) leader() (name, address string) {
-	name = r.node.Status().Leader
+	name = r.log.Status().Leader
 	return name, r.addressOf(name)
 }
 
@@ -233,15 +232,30 @@
 	}
 }
 
-// close closes the replicated log, which transfers leadership first, and the connections to other replicas.
-func (r *controlRole) close() {
-	r.closed.Do(func() {
-		if err := r.node.Close(); err != nil {
-			r.process.log.WithError(err).Error("closing the replicated log failed")
+// keepLogOpen opens the replicated log again after a fault, for example of its disk. When the context ends, it closes the log, which
+// transfers leadership first, and the connections to other replicas.
+func (r *controlRole) keepLogOpen(ctx context.Context) error {
+	ticker := time.NewTicker(logCheckInterval)
+	defer ticker.Stop()
+	for {
+		select {
+		case <-ctx.Done():
+			r.close()
+			return nil
+		case <-ticker.C:
 		}
-		r.sender.Close()
-		r.receiver.Close()
-	})
+		if _, err := r.log.Check(); err != nil {
+			r.process.log.WithError(err).Error("opening the replicated log again failed")
+		}
+	}
+}
+
+func (r *controlRole) close() {
+	if err := r.log.Close(); err != nil {
+		r.process.log.WithError(err).Error("closing the replicated log failed")
+	}
+	r.sender.Close()
+	r.receiver.Close()
 }
 
 // ControlServer returns the server of the control role. The process must have that role.
