--- a/daemon/control.go
+++ b/daemon/control.go
@@ -237,6 +237,7 @@
 func (r *controlRole) keepLogOpen(ctx context.Context) error {
 	ticker := time.NewTicker(logCheckInterval)
 	defer ticker.Stop()
+	isFailing := false
 	for {
 		select {
 		case <-ctx.Done():
@@ -244,9 +245,11 @@
 			return nil
 		case <-ticker.C:
 		}
-		if _, err := r.log.Check(); err != nil {
-			r.process.log.WithError(err).Error("opening the replicated log again failed")
+		_, err := r.log.Check()
+		if err != nil && !isFailing {
+			r.process.log.WithError(err).Error("the replicated log can't be opened again; it is tried until that succeeds")
 		}
+		isFailing = err != nil
 	}
 }
 
--- a/registry/catch_up.go
+++ b/registry/catch_up.go
@@ -12,9 +12,8 @@
 )
 
 // This file tells when a replica that has started, or has opened its log again after a fault, holds everything that was acknowledged
-// before. Until then its log may lack
-// committed entries or replay them, so followers receive no configuration, no evacuations and no new upstreams from it: an
-// entry that has restarted, too, would act on an older state.
+// before. Until then its log may lack committed entries or replay them, so followers receive no configuration, no evacuations and no
+// new upstreams from it: an entry that has restarted, too, would act on an older state.
 
 const (
 	// catchUpInterval is the pause between two attempts to catch up.
