--- a/review/rig-3/late_orders.go
+++ b/review/rig-3/late_orders.go
@@ -18,10 +18,10 @@
 	lateShare = 0.5
 	// shiftInterval is the pause between two changes of the demand.
 	shiftInterval = 3 * time.Second
-	// killPause is the least time between two herd kills, a little over recoverS. darkTime is the time until the processes are
-	// started again.
-	killPause    = 12500 * time.Millisecond
-	darkTime     = time.Second
+	// darkTime is the time from a kill until the processes are started again, and killPause the least time between two kills: darkTime,
+	// catchUpS and a second.
+	darkTime     = 2 * time.Second
+	killPause    = 7 * time.Second
 	callersOfLLM = 24
 	// minArms and maxArms bound the orders to arm of one change of the map after which the processes are killed.
 	minArms, maxArms = 12, 18
