--- a/review/build-3.sh
+++ b/review/build-3.sh
@@ -1,5 +1,5 @@
 #!/bin/sh
-# Builds the stand-ins that the scripts of the third review start. Run it in the root of the repository after the build of the deploy
+# Builds the stand-ins of the third review, which REPORT-3.md names. Run it in the root of the repository after the build of the deploy
 # file.
 set -e
 cd "$(dirname "$0")/.."
