--- a/review/rig-3/group.go
+++ b/review/rig-3/group.go
@@ -55,6 +55,9 @@
 		held                         uint64
 		counts                       []float64
 		running                      int
+		// server answers while the worker is up. incarnation counts its starts.
+		server      *http.Server
+		incarnation int
 	}
 
 	// group is a group of ranks that run all passes together.
@@ -71,6 +74,12 @@
 		passed    *sync.Cond
 		switches  uint64
 		late      int
+		// epoch counts how often the group has opened. culprit is the ID of the rank that is down, empty while the group is open.
+		epoch   uint64
+		culprit string
+		// brokenAt is when the group broke, opened the pass after which it opened last.
+		brokenAt time.Time
+		opened   uint64
 		// onOrder is called for each order that arrives, outside of the mutex.
 		onOrder func(r *rank, o *order, isLate bool)
 	}
@@ -88,7 +97,7 @@
 
 // newGroup starts a group of workers on the machines of the sidecars.
 func newGroup(c *cluster, r *record) (*group, error) {
-	g := &group{cluster: c, record: r}
+	g := &group{cluster: c, record: r, epoch: 1}
 	g.passed = sync.NewCond(&g.mutex)
 	for n, side := range c.sides {
 		w := &rank{
@@ -100,18 +109,31 @@
 	}
 	g.shift(1)
 	for _, w := range g.ranks {
-		listener, err := net.Listen("tcp", fmt.Sprintf("%s:%d", w.ip, workerPort))
-		if err != nil {
+		if err := w.start(); err != nil {
 			return nil, err
 		}
-		server := &http.Server{Handler: w.handler(), ReadHeaderTimeout: 10 * time.Second}
-		go func() { _ = server.Serve(listener) }()
-		go w.sendHeartbeats()
 	}
 	go g.runPasses()
 	return g, nil
 }
 
+// start lets the worker listen and send heartbeats.
+func (w *rank) start() error {
+	listener, err := net.Listen("tcp", fmt.Sprintf("%s:%d", w.ip, workerPort))
+	if err != nil {
+		return err
+	}
+	server := &http.Server{Handler: w.handler(), ReadHeaderTimeout: 10 * time.Second}
+	w.group.mutex.Lock()
+	w.server = server
+	w.incarnation++
+	incarnation := w.incarnation
+	w.group.mutex.Unlock()
+	go func() { _ = server.Serve(listener) }()
+	go w.sendHeartbeats(incarnation)
+	return nil
+}
+
 // mapZero assigns the experts in turn.
 func mapZero(number int) [][]int {
 	sets := make([][]int, setsOfGroup)
@@ -187,7 +209,7 @@
 			return time.Millisecond
 		}
 	}
-	if running == 0 {
+	if running == 0 || g.culprit != "" {
 		return time.Millisecond
 	}
 	g.step = next
@@ -242,7 +264,11 @@
 }
 
 func (w *rank) describeGroup() map[string]any {
-	return map[string]any{"name": "g1", "epoch": 1, "rank": w.number, "state": "open"}
+	state := "open"
+	if w.group.culprit != "" {
+		state = "broken"
+	}
+	return map[string]any{"name": "g1", "epoch": w.group.epoch, "rank": w.number, "state": state}
 }
 
 func (w *rank) report(writer http.ResponseWriter, _ *http.Request) {
@@ -259,7 +285,7 @@
 
 func (w *rank) picked(writer http.ResponseWriter, r *http.Request) {
 	w.group.mutex.Lock()
-	answer := map[string]any{"step": w.group.step, "epoch": 1}
+	answer := map[string]any{"step": w.group.step, "epoch": w.group.epoch}
 	if r.URL.Query().Has("lists") {
 		answer["mapping"] = map[string]any{"version": w.mapping, "experts": w.maps[w.mapping]}
 	} else {
@@ -317,7 +343,7 @@
 	g := w.group
 	g.mutex.Lock()
 	defer g.mutex.Unlock()
-	if o.Epoch != nil && *o.Epoch != 1 {
+	if o.Epoch != nil && *o.Epoch != g.epoch {
 		return http.StatusConflict
 	}
 	if o.Expect != nil && *o.Expect != w.sequence {
@@ -433,8 +459,11 @@
 	if id != "" {
 		writer.Header().Set("Guavahitch-Attempt-Id", id)
 	}
-	if expected := r.Header.Get("Guavahitch-Expect-Instance"); expected != "" && expected != w.id {
-		writer.Header().Set("Guavahitch-Instance-Id", w.id)
+	w.group.mutex.Lock()
+	own := w.id
+	w.group.mutex.Unlock()
+	if expected := r.Header.Get("Guavahitch-Expect-Instance"); expected != "" && expected != own {
+		writer.Header().Set("Guavahitch-Instance-Id", own)
 		writer.WriteHeader(http.StatusMisdirectedRequest)
 		return
 	}
@@ -461,7 +490,11 @@
 	writer.Header().Set("Content-Type", "text/event-stream")
 	writer.Header().Set("Guavahitch-Server-Seal", "seal-"+id)
 	for event := last + 1; event <= eventsOfStream; event++ {
-		if !w.awaitPass(r) {
+		switch w.awaitPass(r) {
+		case callerGone:
+			return
+		case groupBroken:
+			w.giveUp(writer, event > last+1)
 			return
 		}
 		fmt.Fprintf(writer, "id: %d\ndata: %s %d\n\n", event, id, event)
@@ -471,8 +504,8 @@
 	}
 }
 
-// awaitPass waits for the next pass. It returns false if the caller has gone.
-func (w *rank) awaitPass(r *http.Request) bool {
+// awaitPass waits for the next pass.
+func (w *rank) awaitPass(r *http.Request) waitResult {
 	g := w.group
 	stop := make(chan struct{})
 	defer close(stop)
@@ -487,19 +520,30 @@
 	}()
 	g.mutex.Lock()
 	defer g.mutex.Unlock()
-	for began := g.step; g.step == began; {
-		if r.Context().Err() != nil {
-			return false
+	began, epoch := g.step, g.epoch
+	for g.step == began {
+		switch {
+		case r.Context().Err() != nil:
+			return callerGone
+		case g.epoch != epoch || g.culprit != "" && time.Since(g.brokenAt) >= stallTime:
+			return groupBroken
 		}
 		g.passed.Wait()
 	}
-	return r.Context().Err() == nil
+	if r.Context().Err() != nil {
+		return callerGone
+	}
+	return passBegan
 }
 
-// sendHeartbeats announces the worker to the control processes in turn.
-func (w *rank) sendHeartbeats() {
+// sendHeartbeats announces an incarnation of the worker to the control processes in turn.
+func (w *rank) sendHeartbeats(incarnation int) {
 	for {
 		w.group.mutex.Lock()
+		if w.incarnation != incarnation {
+			w.group.mutex.Unlock()
+			return
+		}
 		w.beat++
 		body := map[string]any{
 			"backend": "llm", "address": fmt.Sprintf("%s:%d", w.ip, workerPort), "zone": "z1", "version": "v1", "slots": slotsOfWorker,
@@ -507,10 +551,11 @@
 			"models": []any{map[string]any{"name": "m", "version": 1, "adapters": []any{}}}, "sequence": w.beat, "born": w.born,
 			"group": w.describeGroup(), "size": ranksOfGroup,
 		}
+		id := w.id
 		w.group.mutex.Unlock()
 		for n := range controls {
 			status, _ := w.group.cluster.call(http.MethodPost,
-				w.group.cluster.controlURL(rand.IntN(controls)+n)+"/instances/"+w.id+"/heartbeat", body)
+				w.group.cluster.controlURL(rand.IntN(controls)+n)+"/instances/"+id+"/heartbeat", body)
 			if status/100 == 2 {
 				break
 			}
--- a/review/rig-3/main.go
+++ b/review/rig-3/main.go
@@ -14,8 +14,12 @@
 
 // cases are the scripts by their verb. The second argument tells whether the disruption takes place.
 var cases = map[string]func(r *record, withTrouble bool) error{
-	"late-orders": lateOrders,
-	"evacuation":  lateWithdrawal,
+	"late-orders":  lateOrders,
+	"evacuation":   lateWithdrawal,
+	"shared-part":  sharedPart,
+	"deadly-body":  deadlyBody,
+	"deadly-dark":  deadlySilence,
+	"other-writer": otherWriter,
 }
 
 func main() { os.Exit(run()) }
