--- a/review/rig-3/main.go
+++ b/review/rig-3/main.go
@@ -20,6 +20,7 @@
 	"deadly-body":  deadlyBody,
 	"deadly-dark":  deadlySilence,
 	"other-writer": otherWriter,
+	"version-zero": versionZero,
 }
 
 func main() { os.Exit(run()) }
