--- a/soak/malformed_test.go
+++ b/soak/malformed_test.go
@@ -5,6 +5,7 @@
 	"net/http"
 	"net/url"
 	"strings"
+	"time"
 )
 
 // malformedPercent is the chance that another sender sends a malformed message in a step.
@@ -15,16 +16,27 @@
 
 // malformedBodies are bodies of heartbeats, some of them well formed.
 var malformedBodies = []string{
-	`{"backend":"unknown","address":"10.9.9.9:80","zone":"z","state":"ready","slots":4,"born":17,"sequence":1}`,
-	`{"backend":"unknown","address":"10.9.9.9:80","zone":"z","state":"draining","slots":4,"born":17,"sequence":2}`,
-	`{"backend":"unknown","address":"::1:8169","zone":"z","state":"ready","born":9223372036854775807}`,
-	"{\"backend\":\"unknown\",\"address\":\"10.9.9.9:80\",\"zone\":\"\xff\x80\",\"state\":\"ready\"}",
+	`{"backend":"unknown","address":"10.9.9.9:80","zone":"z","version":"v1","slots":4,"state":"ready","coldRemainingMs":0,"born":17,"sequence":1}`,
+	`{"backend":"unknown","address":"10.9.9.9:80","zone":"z","version":"v1","slots":4,"state":"draining","coldRemainingMs":0,"born":17,"sequence":2}`,
+	`{"backend":"unknown","address":"::1:8169","zone":"z","version":"v1","slots":4,"state":"ready","coldRemainingMs":0,"born":9223372036854775807,"sequence":1}`,
+	"{\"backend\":\"unknown\",\"address\":\"10.9.9.9:80\",\"zone\":\"\xff\x80\",\"version\":\"v1\",\"slots\":4,\"state\":\"ready\",\"coldRemainingMs\":0,\"born\":17,\"sequence\":1}",
 	`[[[[[[`, ``,
 }
 
+// incompleteHeartbeat returns a heartbeat that names the address of an upstream with a later start, and lacks fields.
+func (w *cluster) incompleteHeartbeat() string {
+	u := w.upstreams[w.malformed.intN(len(w.upstreams))]
+	return fmt.Sprintf(`{"backend":"ledger","address":%q,"state":"ready","born":%d}`, u.proxy.address(), time.Now().UnixMilli())
+}
+
 // sendMalformedMessage sends a malformed heartbeat or departure of another sender. Whatever it is, configurations must go on to come into force
 // and upstreams to be used, which the other checks show.
 func (w *cluster) sendMalformedMessage() {
+	if w.malformed.chance(30) {
+		w.recordStep("incomplete heartbeat of another sender")
+		w.sendMalformed("agent", "heartbeat", w.incompleteHeartbeat())
+		return
+	}
 	id := malformedIDs[w.malformed.intN(len(malformedIDs))]
 	if strings.Contains(id, "%d") {
 		id = fmt.Sprintf(id, w.malformed.intN(1000))
--- a/soak/upstream_test.go
+++ b/soak/upstream_test.go
@@ -109,7 +109,7 @@
 	id, state := u.id, u.state
 	body := map[string]any{
 		"backend": "ledger", "address": u.proxy.address(), "zone": "z", "version": "v1", "slots": 8, "state": state,
-		"sequence": u.sequence, "born": u.startedMs,
+		"coldRemainingMs": 0, "sequence": u.sequence, "born": u.startedMs,
 	}
 	u.mutex.Unlock()
 	status, _ := u.cluster.call("POST", u.cluster.anyControl()+"/instances/"+id+"/heartbeat", body)
