--- a/registry/follower.go
+++ b/registry/follower.go
@@ -93,11 +93,11 @@
 		freshness *freshness
 		mutex     sync.Mutex
 		replicas  map[string]*followedReplica
-		// newestVersion is the version of the newest configuration passed to OnDocument. fetchStarted is the start of
-		// the fetch under way, zero if there is none.
-		newestVersion uint64
-		fetchStarted  time.Time
-		done          sync.WaitGroup
+		// newest is the version of the newest configuration passed to OnDocument. fetchStarted is the start of the fetch
+		// under way, zero if there is none.
+		newest       heldVersion
+		fetchStarted time.Time
+		done         sync.WaitGroup
 	}
 
 	// followedReplica is the state of the stream to one replica.
@@ -239,7 +239,7 @@
 			return true, eris.Wrap(err, "read watch frame")
 		}
 		idleTimer.Reset(streamIdleTimeout)
-		f.freshness.recordFrame(time.Now(), frame.Version)
+		f.freshness.recordFrame(time.Now(), versionOf(frame.Version))
 		f.handleFrame(ctx, address, frame)
 	}
 }
@@ -250,7 +250,7 @@
 	if frame.Evacuations != nil && f.settings.OnEvacuations != nil {
 		f.settings.OnEvacuations(decodeEvacuations(frame.Evacuations, now))
 	}
-	if f.settings.OnDocument != nil && f.claimFetch(frame.Version, now) {
+	if f.settings.OnDocument != nil && f.claimFetch(versionOf(frame.Version), now) {
 		f.done.Go(func() { f.fetchDocument(ctx, address) })
 	}
 	announced := decodeEntries(f.items, address, frame.Upstreams, now)
@@ -271,10 +271,10 @@
 
 // claimFetch reports whether the caller is to fetch a version: it is newer than the last one and no fetch is under way.
 // It then records the start of the fetch.
-func (f *Follower) claimFetch(version uint64, now time.Time) bool {
+func (f *Follower) claimFetch(version heldVersion, now time.Time) bool {
 	f.mutex.Lock()
 	defer f.mutex.Unlock()
-	if version <= f.newestVersion || now.Sub(f.fetchStarted) < fetchTimeout {
+	if !f.newest.isOlderThan(version) || now.Sub(f.fetchStarted) < fetchTimeout {
 		return false
 	}
 	f.fetchStarted = now
@@ -284,7 +284,7 @@
 // fetchDocument reads the newest configuration of one replica and passes it to OnDocument. If that fails, the next
 // frame with a newer version starts another fetch.
 func (f *Follower) fetchDocument(ctx context.Context, address string) {
-	document, err := f.readDocument(ctx, address, 0)
+	document, err := f.readDocument(ctx, address, heldVersion{})
 	if err != nil {
 		f.settings.Log.WithError(err).WithField("replica", address).Warn("cannot fetch the configuration")
 	}
@@ -301,7 +301,7 @@
 		return
 	}
 	f.mutex.Lock()
-	held := f.newestVersion
+	held := f.newest
 	f.mutex.Unlock()
 	// A replica that has ended does not answer. The loss of its stream was logged.
 	document, _ := f.readDocument(ctx, address, held)
@@ -310,23 +310,28 @@
 
 // adopt passes a configuration to OnDocument if it is newer than the ones before. A nil one is ignored.
 func (f *Follower) adopt(document *wire.RoutingDocument) {
-	f.mutex.Lock()
-	isNewer := document.GetVersion() > f.newestVersion
-	if isNewer {
-		f.newestVersion = document.Version
+	if document == nil {
+		return
 	}
+	version := heldVersion{version: document.Version, isHeld: true}
+	f.mutex.Lock()
+	isNewer := f.newest.isOlderThan(version)
+	f.newest = f.newest.withNewer(version)
 	f.mutex.Unlock()
 	if isNewer {
 		f.settings.OnDocument(document)
-		f.freshness.recordFetched(document.Version)
+		f.freshness.recordFetched(version)
 	}
 }
 
 // readDocument returns the newest configuration of a replica, or nil if it is not newer than the held version.
-func (f *Follower) readDocument(ctx context.Context, address string, held uint64) (*wire.RoutingDocument, error) {
+func (f *Follower) readDocument(ctx context.Context, address string, held heldVersion) (*wire.RoutingDocument, error) {
 	ctx, cancel := context.WithTimeout(ctx, fetchTimeout)
 	defer cancel()
-	url := "http://" + address + documentPath + "?" + heldVersionField + "=" + strconv.FormatUint(held, 10)
+	url := "http://" + address + documentPath
+	if held.isHeld {
+		url += "?" + heldVersionField + "=" + strconv.FormatUint(held.version, 10)
+	}
 	request, err := http.NewRequestWithContext(ctx, http.MethodGet, url, http.NoBody)
 	if err != nil {
 		return nil, eris.Wrap(err, "create configuration request")
--- a/registry/freshness.go
+++ b/registry/freshness.go
@@ -22,7 +22,7 @@
 	// lastLoss is why a stream ended last.
 	lastLoss error
 	// offered is the newest version that a replica told, since offeredSince. fetched is the newest version that was fetched.
-	offered, fetched uint64
+	offered, fetched heldVersion
 	offeredSince     time.Time
 	isSilent         bool
 	isBehind         bool
@@ -33,20 +33,20 @@
 }
 
 // recordFrame records a frame that offers a version.
-func (f *freshness) recordFrame(now time.Time, version uint64) {
+func (f *freshness) recordFrame(now time.Time, version heldVersion) {
 	f.mutex.Lock()
 	defer f.mutex.Unlock()
 	f.lastFrame = now
-	if version > f.offered {
+	if f.offered.isOlderThan(version) {
 		f.offered, f.offeredSince = version, now
 	}
 }
 
 // recordFetched records that a version was fetched and passed on.
-func (f *freshness) recordFetched(version uint64) {
+func (f *freshness) recordFetched(version heldVersion) {
 	f.mutex.Lock()
 	defer f.mutex.Unlock()
-	f.fetched = max(f.fetched, version)
+	f.fetched = f.fetched.withNewer(version)
 }
 
 // recordLoss records why a stream ended.
@@ -63,20 +63,20 @@
 	defer f.mutex.Unlock()
 	age := now.Sub(f.lastFrame)
 	f.scope.Gauge("frame_age_seconds").Update(age.Seconds())
-	f.scope.Gauge("offered_version").Update(float64(f.offered))
-	f.scope.Gauge("fetched_version").Update(float64(f.fetched))
+	f.scope.Gauge("offered_version").Update(float64(f.offered.version))
+	f.scope.Gauge("fetched_version").Update(float64(f.fetched.version))
 	if isSilent := age > staleTime; isSilent != f.isSilent {
 		f.isSilent = isSilent
-		line := f.log.WithField("age_ms", age.Milliseconds()).WithField("version", f.fetched)
+		line := f.log.WithField("age_ms", age.Milliseconds()).WithField("version", f.fetched.version)
 		if isSilent {
 			line.WithError(f.lastLoss).Warn("no frame from any replica")
 		} else {
 			line.Info("frames arrive from replicas")
 		}
 	}
-	isBehind := f.fetched > 0 && f.fetched < f.offered && now.Sub(f.offeredSince) > staleTime
+	isBehind := f.fetched.isHeld && f.fetched.isOlderThan(f.offered) && now.Sub(f.offeredSince) > staleTime
 	if isBehind && !f.isBehind {
-		f.log.WithField("version", f.fetched).WithField("offered", f.offered).Warn("the newest configuration is not fetched")
+		f.log.WithField("version", f.fetched.version).WithField("offered", f.offered.version).Warn("the newest configuration is not fetched")
 	}
 	f.isBehind = isBehind
 }
--- a/registry/watch.go
+++ b/registry/watch.go
@@ -51,7 +51,7 @@
 	// limitsRevision is that of the rate limits that were sent last.
 	limitsRevision uint64
 	// sentVersion is the version of the configuration that was sent last.
-	sentVersion uint64
+	sentVersion heldVersion
 }
 
 // serveWatch streams frames until the follower disconnects or the replica closes.
@@ -84,9 +84,9 @@
 		if cause, err := sendFrame(writer, frame); err != nil {
 			return cause, err
 		}
-		if frame.Version != w.sentVersion {
-			w.sentVersion = frame.Version
-			r.streams.recordSent(w.follower, frame.Version)
+		if sent := versionOf(frame.Version); sent != w.sentVersion {
+			w.sentVersion = sent
+			r.streams.recordSent(w.follower, sent.version)
 		}
 		timer.Reset(renewalInterval)
 		select {
@@ -121,11 +121,14 @@
 	frame := &wire.WatchFrame{}
 	node := r.caughtUpNode()
 	// The set is read after the version, so that it holds all orders from before that configuration.
-	version := r.state.newest().GetVersion()
+	document := r.state.newest()
 	evacuated := encodeEvacuations(r.Evacuated(), now)
 	hasCaughtUp := node != nil && r.caughtUpNode() == node
 	if hasCaughtUp {
-		frame.Version, frame.Evacuations = version, evacuated
+		frame.Evacuations = evacuated
+	}
+	if hasCaughtUp && document != nil {
+		frame.Version = &document.Version
 	}
 	upstreams, renewals, loads, changed := w.addState(frame, now, hasCaughtUp)
 	frame.Upstreams = item.EncodeAll(r.items, kindUpstream, (*wire.AnnouncedUpstream).GetId, upstreams)
