--- a/registry/encoding.go
+++ b/registry/encoding.go
@@ -21,7 +21,7 @@
 		Group: i.Group.Name, GroupEpoch: i.Group.Epoch, GroupRank: int32(i.Group.Rank),
 		GroupSize: int32(i.Group.Size), GroupOpen: i.Group.IsOpen,
 		SilenceMs: now.Sub(entry.LastHeartbeat).Milliseconds(),
-		ColdMs:    max(i.ColdUntil.Sub(now).Milliseconds(), 0),
+		ColdMs:    max(i.ColdUntil.Sub(now).Milliseconds(), 0), Superseded: i.IsSuperseded, Returned: i.HasReturned,
 	}
 }
 
@@ -35,6 +35,7 @@
 			Group: roster.Group{
 				Name: m.Group, Epoch: m.GroupEpoch, Rank: int(m.GroupRank), Size: int(m.GroupSize), IsOpen: m.GroupOpen,
 			},
+			IsSuperseded: m.Superseded, HasReturned: m.Returned,
 		},
 	}
 	if m.ColdMs > 0 {
--- a/registry/malformed_heartbeats_test.go
+++ b/registry/malformed_heartbeats_test.go
@@ -49,3 +49,30 @@
 		})
 	}
 }
+
+// Guards against a complete heartbeat of another sender for the address of a healthy upstream that keeps it out of use at the entries for as
+// long as it runs, although its own heartbeats go on.
+func TestUpstreamReturnsAfterAForgedTakeover(t *testing.T) {
+	const returnTimeout = 15 * time.Second
+	t.Parallel()
+	g := newGroup(t, 3, 1)
+	g.submit(1)
+	first, second := g.observe(), g.observe()
+	healthy, forged := heartbeat("u", 7, 1, roster.Ready), heartbeat("x", 9, 1, roster.Ready)
+	forged.Address = healthy.Address
+	g.announce(healthy)
+	require.Eventually(t, func() bool { return first.stateOf("u") == roster.Ready }, 10*time.Second, 5*time.Millisecond)
+	g.announce(forged)
+	require.Eventually(t, func() bool { return first.stateOf("u") == roster.Gone }, 10*time.Second, 5*time.Millisecond)
+	forgedAt := time.Now()
+	require.Eventually(t, func() bool {
+		healthy.Sequence++
+		g.announce(healthy)
+		isBack := true
+		for _, o := range []*observer{first, second} {
+			isBack = isBack && o.stateOf("u") == roster.Ready && o.stateOf("x") == roster.Gone
+		}
+		return isBack
+	}, returnTimeout, 300*time.Millisecond)
+	t.Logf("back after %v", time.Since(forgedAt))
+}
--- a/roster/roster.go
+++ b/roster/roster.go
@@ -26,6 +26,9 @@
 	// coldTolerance is the difference up to which two announcements name the same end of the cold time. Heartbeats that are
 	// delayed on their way make it appear later.
 	coldTolerance = 2 * time.Second
+	// successorTimeout is the silence after which the upstream that took over an address no longer keeps out the earlier one, whose
+	// heartbeats go on. It is longer than a heartbeat can be delayed.
+	successorTimeout = 10 * time.Second
 )
 
 type (
@@ -48,6 +51,10 @@
 		Group    Group
 		// ColdUntil is the time until which the upstream is cold, by its own account. It is zero for a warm one.
 		ColdUntil time.Time
+		// IsSuperseded is set for an upstream that is Gone only because another one took over its address.
+		IsSuperseded bool
+		// HasReturned is set for an upstream that was superseded and whose heartbeats have outlived the other one's.
+		HasReturned bool
 	}
 
 	// Group is the position of an upstream in a group of ranks that run in lock-step. Size is the number of ranks, 0
@@ -67,6 +74,8 @@
 		LastHeartbeat time.Time
 		// MinBorn is the earliest start that an incarnation in use may have: earlier ones have left.
 		MinBorn int64
+		// SupersededAt is when another upstream took over the address.
+		SupersededAt time.Time
 		// Changed is the revision of the roster at which the instance changed last.
 		Changed uint64
 
@@ -119,18 +128,19 @@
 	for _, entry := range r.Entries() {
 		successor := latest[entry.Instance.Address]
 		if successor != nil && entry.Instance.State != Gone && entry.Instance.Born < successor.Instance.Born {
-			r.end(entry)
+			r.supersede(entry, successor.LastHeartbeat)
 		}
 	}
 	r.evict(&r.served)
 	r.evict(&r.unserved)
 }
 
-// end records that an upstream has left.
-func (r *Roster) end(entry *Entry) {
+// supersede records that another upstream took over the address of an upstream.
+func (r *Roster) supersede(entry *Entry, at time.Time) {
 	next := entry.Instance
-	next.State = Gone
+	next.State, next.IsSuperseded, next.HasReturned = Gone, true, false
 	r.setInstance(entry, next)
+	entry.SupersededAt = at
 	entry.MinBorn = max(entry.MinBorn, next.Born+1)
 	r.markChanged(entry)
 }
@@ -142,18 +152,17 @@
 // sequence, the time and the countdown to ColdUntil changed. Announcements of older incarnations are ignored. Older announcements of the same
 // incarnation only renew the time.
 func (r *Roster) Announce(next Instance, receivedAt time.Time) bool {
-	if !r.accepts(next) {
-		return false
-	}
 	held := r.entries[next.ID]
-	if held != nil && !r.supersedes(next, held.Instance) {
-		if next.Born == held.Instance.Born {
-			r.renew(held, receivedAt)
-		}
+	isReturn := r.isReturn(next, receivedAt)
+	if !isReturn && !r.isAccepted(next, receivedAt) {
 		return false
 	}
-	if next.State != Gone && r.hasNewerAtAddress(next) {
-		return false
+	if isReturn {
+		next.HasReturned = true
+		held.MinBorn = 0
+		r.supersedeSilent(next)
+	} else if held != nil && held.Instance.Born == next.Born {
+		next.HasReturned = held.Instance.HasReturned
 	}
 	if !next.ColdUntil.After(receivedAt) {
 		next.ColdUntil = time.Time{}
@@ -172,6 +181,7 @@
 	entry.LastHeartbeat = receivedAt
 	if next.State == Gone {
 		entry.MinBorn = max(entry.MinBorn, next.Born+1)
+		entry.SupersededAt = receivedAt
 	}
 	if isChange {
 		r.markChanged(entry)
@@ -179,13 +189,29 @@
 	r.classify(entry)
 	entry.class.touch(entry)
 	if next.State != Gone {
-		r.endPredecessors(next)
+		r.supersedeEarlier(next, receivedAt)
 	}
 	r.evict(entry.class)
 	r.evictAtAddress(next.Address)
 	return isChange
 }
 
+// isAccepted reports whether an announcement replaces what is held under its ID and at its address. It renews the heartbeat of the
+// same incarnation if not.
+func (r *Roster) isAccepted(next Instance, receivedAt time.Time) bool {
+	if !r.accepts(next) {
+		return false
+	}
+	held := r.entries[next.ID]
+	if held != nil && !r.supersedes(next, held.Instance) {
+		if next.Born == held.Instance.Born {
+			r.renew(held, receivedAt)
+		}
+		return false
+	}
+	return next.State == Gone || !r.hasNewerAtAddress(next)
+}
+
 // accepts reports whether an announcement names an upstream that may be used. One of a service that is not served names none,
 // so it does not replace an upstream of a served service.
 func (r *Roster) accepts(next Instance) bool {
@@ -241,7 +267,7 @@
 		}
 		next = held.Instance
 	}
-	next.Born, next.State = born, state
+	next.Born, next.State, next.IsSuperseded, next.HasReturned = born, state, false, false
 	return r.Announce(next, now)
 }
 
