quarantine: Release only what the culprit explains

The release of requests that were refused together looked at all records. One whose crashes are no longer kept would have been let in when an unrelated request was found to be deadly. Only requests of the culprit's own crashes are looked at now. Found by reading the change, not seen in a run; TestRequestsBesideADeadlyOneAreReleased passes before and after.

--- a/quarantine/verdict.go
+++ b/quarantine/verdict.go
@@ -26,7 +26,7 @@
 		r.prove(now, t.provedFor(r, t.deaths(r)))
 		t.proved[r.key] = r
 		t.expireBy(r.expires)
-		t.releaseExplained()
+		t.releaseExplained(r)
 	}
 	for _, r := range overLimit {
 		// What the culprit explains does not count any more.
@@ -54,12 +54,15 @@
 	})
 }
 
-// releaseExplained ends the refusal of those that were refused because the cause of their crashes could not be told, and whose
-// crashes are explained now.
-func (t *Tracker) releaseExplained() {
-	for _, r := range t.records {
-		if r.proved && r.provedTerm == 0 && !t.isOverSharedLimit(r) {
-			r.proved = false
+// releaseExplained ends the refusal of those that were refused because the cause of their crashes could not be told, where the culprit
+// explains these crashes.
+func (t *Tracker) releaseExplained(culprit *record) {
+	for _, c := range culprit.crashes {
+		for _, k := range c.subjects() {
+			r := t.records[k]
+			if r != nil && r.proved && r.provedTerm == 0 && !t.isOverSharedLimit(r) {
+				r.proved = false
+			}
 		}
 	}
 }
