--- a/registry/fetch.go
+++ b/registry/fetch.go
@@ -98,5 +98,8 @@
 	if err := options.UnmarshalFrom(bufio.NewReader(response.Body), document); err != nil {
 		return nil, eris.Wrap(err, "read configuration")
 	}
+	if len(document.Compressed) == 0 {
+		return nil, eris.New("read configuration: it has no text")
+	}
 	return document, nil
 }
--- a/registry/follower.go
+++ b/registry/follower.go
@@ -128,7 +128,7 @@
 	return &Follower{
 		settings: settings, replicas: map[string]*followedReplica{},
 		items:     item.NewLog(settings.Log, settings.Scope),
-		freshness: newFreshness(time.Now(), settings.Log, settings.Scope),
+		freshness: newFreshness(time.Now(), settings.OnDocument != nil, settings.Log, settings.Scope),
 		name:      cmp.Or(settings.Name, strconv.FormatUint(rand.Uint64(), 36)),
 		client: http1.NewClient(&http.Transport{
 			DialContext: dialer.DialContext, DisableCompression: true, DisableKeepAlives: true,
--- a/registry/freshness.go
+++ b/registry/freshness.go
@@ -16,6 +16,8 @@
 type freshness struct {
 	log   *logrus.Entry
 	scope tally.Scope
+	// isFetching is set if the follower fetches configurations.
+	isFetching bool
 
 	mutex     sync.Mutex
 	lastFrame time.Time
@@ -28,8 +30,8 @@
 	isBehind         bool
 }
 
-func newFreshness(now time.Time, log *logrus.Entry, scope tally.Scope) *freshness {
-	return &freshness{log: log, scope: scope, lastFrame: now}
+func newFreshness(now time.Time, isFetching bool, log *logrus.Entry, scope tally.Scope) *freshness {
+	return &freshness{log: log, scope: scope, isFetching: isFetching, lastFrame: now}
 }
 
 // recordFrame records a frame that offers a version.
@@ -74,7 +76,7 @@
 			line.Info("frames arrive from replicas")
 		}
 	}
-	isBehind := f.fetched.isHeld && f.fetched.isOlderThan(f.offered) && now.Sub(f.offeredSince) > staleTime
+	isBehind := f.isFetching && f.fetched.isOlderThan(f.offered) && now.Sub(f.offeredSince) > staleTime
 	if isBehind && !f.isBehind {
 		f.log.WithField("version", f.fetched.version).WithField("offered", f.offered.version).Warn("the newest configuration is not fetched")
 	}
