--- a/forward/job.go
+++ b/forward/job.go
@@ -65,6 +65,8 @@
 	fill     float64
 	isRemote bool
 
+	// lastCrash is the ID of the crash of the upstream that broke off the last attempt, if it has ended; empty before.
+	lastCrash string
 	// tried holds the upstreams of earlier attempts, including those that could not be reached.
 	tried []*Upstream
 	// sent counts the earlier attempts that sent the request, unsent those that sent nothing.
--- a/forward/quarantine.go
+++ b/forward/quarantine.go
@@ -7,6 +7,7 @@
 	"time"
 
 	"guavahitch.example/guavahitch/quarantine"
+	"guavahitch.example/guavahitch/roster"
 	"guavahitch.example/guavahitch/upstream"
 	"guavahitch.example/guavahitch/wire"
 )
@@ -31,7 +32,10 @@
 		return
 	}
 	j := a.job
-	if a.upstream.crash.add(j.subject().Suspect(), a.isAnswering, a.started, time.Now()) {
+	suspect := j.subject().Suspect()
+	suspect.AfterCrash = j.lastCrash
+	j.lastCrash = crashID(a.upstream.Instance())
+	if a.upstream.crash.add(suspect, a.isAnswering, a.started, time.Now()) {
 		go j.server.probeCrash(a.upstream)
 	}
 }
@@ -51,7 +55,7 @@
 	}
 	now := time.Now()
 	verdicts := s.settings.Memory.RecordDeath(now, &wire.DeathReport{
-		Upstream: instance.ID, CrashId: fmt.Sprintf("%s/%d", instance.ID, instance.Born), Running: found.early,
+		Upstream: instance.ID, CrashId: crashID(instance), Running: found.early,
 		Answering: found.answering, AgeMs: now.Sub(at).Milliseconds(),
 	})
 	if s.settings.OnCrash != nil {
@@ -61,6 +65,11 @@
 	}
 }
 
+// crashID returns the ID of the crash that ends an upstream.
+func crashID(instance *roster.Instance) string {
+	return fmt.Sprintf("%s/%d", instance.ID, instance.Born)
+}
+
 // recordProgress tells the memory that the answer to the request has gone on well so far.
 func (a *attempt) recordProgress() {
 	if a.isAnswering {
--- a/quarantine/crash.go
+++ b/quarantine/crash.go
@@ -10,9 +10,6 @@
 
 // This file keeps the crashes that were reported and counts those that speak against a request.
 
-// sequenceSlack allows for the rounding of times when it is told whether a request was sent after a crash.
-const sequenceSlack = 5 * time.Millisecond
-
 type (
 	// crash is one end of an upstream, with the requests that were running there according to all reports.
 	crash struct {
@@ -33,6 +30,8 @@
 		parts []key
 		// sent is when the request was sent to the upstream; zero if that is not known.
 		sent time.Time
+		// after is the ID of the crash after which the request was sent again, empty if it is not known to follow one.
+		after string
 		// isAnswering is set if the answer had gone on well. Such a run speaks against the request alone, not against its
 		// parts.
 		isAnswering bool
@@ -45,9 +44,13 @@
 )
 
 // crash returns the crash with the ID, which it adds if it is new. It returns nil if the crash is older than all kept
-// and none may be added.
+// and none may be added. Reports are late by the time on their way, so the earliest of the times that they give is kept where
+// the order of crashes counts.
 func (t *Tracker) crash(id string, at time.Time) *crash {
 	if c := t.crashes[id]; c != nil {
+		if t.settings.InSequence && at.Before(c.at) {
+			t.moveCrash(c, at)
+		}
 		return c
 	}
 	if len(t.byTime) >= t.settings.Crashes {
@@ -64,6 +67,23 @@
 	return c
 }
 
+// moveCrash corrects the time of a crash, and with it the times at which its requests were sent.
+func (t *Tracker) moveCrash(c *crash, at time.Time) {
+	correction := at.Sub(c.at)
+	c.at = at
+	slices.SortFunc(t.byTime, (*crash).compare)
+	for n := range c.runs {
+		if s := &c.runs[n]; !s.sent.IsZero() {
+			s.sent = s.sent.Add(correction)
+		}
+	}
+	for _, k := range c.subjects() {
+		if r := t.records[k]; r != nil {
+			slices.SortFunc(r.crashes, (*crash).compare)
+		}
+	}
+}
+
 // compare orders crashes by time.
 func (c *crash) compare(other *crash) int {
 	return cmp.Or(c.at.Compare(other.at), cmp.Compare(c.id, other.id))
@@ -113,7 +133,7 @@
 	if !ok {
 		return false
 	}
-	s := run{request: key{organisation: suspect.GetOrganisation(), fingerprint: f}, isAnswering: isAnswering}
+	s := run{request: key{organisation: suspect.GetOrganisation(), fingerprint: f}, after: suspect.GetAfterCrash(), isAnswering: isAnswering}
 	if !isAnswering {
 		s.parts = partKeys(suspect.GetParts())
 	}
@@ -185,47 +205,51 @@
 	r.keepProgress()
 }
 
-// total returns the number of crashes.
-func (d deathCount) total() int { return d.early + d.answering }
-
 // deaths returns the number of crashes that speak against a request or part: those since an answer last went on well that
 // nothing else explains. Of crashes at the same time only one counts, because upstreams also end together for other
 // reasons: the request must have been sent after the crash that counted before (Settings.InSequence). For a part, each
 // crash must be that of another request, so that a request that is resent does not speak against its parts.
 func (t *Tracker) deaths(r *record) deathCount {
 	count := deathCount{early: r.earlierDeaths}
+	crashes := slices.DeleteFunc(slices.Clone(r.crashes), func(c *crash) bool {
+		return !c.at.After(r.progress) || t.isExplained(c, r)
+	})
+	switch {
+	case r.key.isPart:
+		count.early += countDistinct(crashes, r.key)
+	case t.settings.InSequence:
+		count = count.plus(countInSequence(crashes, r.key))
+	default:
+		for _, c := range crashes {
+			count = count.plus(c.runOf(r.key).deaths())
+		}
+	}
+	return count
+}
+
+// countDistinct counts the crashes, earliest first, that speak against a part. Each is that of another request, which was sent
+// after the crash that counted before.
+func countDistinct(crashes []*crash, part key) int {
 	var last time.Time
 	var counted []key
-	for _, c := range r.crashes {
-		if !c.at.After(r.progress) || t.isExplained(c, r) {
-			continue
-		}
-		s := c.countedRun(r.key, last, counted)
-		if s == nil {
-			continue
-		}
-		if r.key.isPart {
+	for _, c := range crashes {
+		if s := c.countedRun(part, last, counted); s != nil {
 			counted = append(counted, s.request)
-		}
-		if s.isAnswering {
-			count.answering++
-		} else {
-			count.early++
-		}
-		if r.key.isPart || t.settings.InSequence {
 			last = c.at
 		}
 	}
-	return count
+	return len(counted)
 }
 
+// runOf returns the run of a request that ran in the crash.
+func (c *crash) runOf(request key) *run { return &c.runs[c.carriers[request][0]] }
+
 // countedRun returns a run of a request with the key that was sent after a time and is not among those counted, nil if
 // there is none.
 func (c *crash) countedRun(k key, after time.Time, counted []key) *run {
 	for _, n := range c.carriers[k] {
 		s := &c.runs[n]
-		isEarlier := !s.sent.IsZero() && s.sent.Add(sequenceSlack).Before(after)
-		if !isEarlier && !slices.Contains(counted, s.request) {
+		if s.isSentAfter(after) && !slices.Contains(counted, s.request) {
 			return s
 		}
 	}
--- a/quarantine/evidence.go
+++ b/quarantine/evidence.go
@@ -109,7 +109,7 @@
 func (c *crash) report(now time.Time) *wire.DeathReport {
 	report := &wire.DeathReport{CrashId: c.id, AgeMs: now.Sub(c.at).Milliseconds()}
 	for _, s := range c.runs {
-		suspect := &wire.Suspect{Fingerprint: s.request.fingerprint.Bytes(), Organisation: s.request.organisation}
+		suspect := &wire.Suspect{Fingerprint: s.request.fingerprint.Bytes(), Organisation: s.request.organisation, AfterCrash: s.after}
 		for _, part := range s.parts {
 			suspect.Parts = append(suspect.Parts, part.fingerprint.Bytes())
 		}
