--- a/forward/decision.go
+++ b/forward/decision.go
@@ -35,6 +35,8 @@
 	Objective, GapObjective time.Duration
 	// Waited is how long the request waited for a place, Expected the time to its end that admission predicted last.
 	Waited, Expected time.Duration
+	// RivalWait is how long the request was held back while others that are suspect because of the same crashes ran.
+	RivalWait time.Duration
 	// InFlight and Limit are the concurrent requests of the service and their limit at admission. Limit is 0 if no
 	// limit was applied, as for a service without engines; InFlight then counts this entry only.
 	InFlight, Limit int
--- a/forward/job.go
+++ b/forward/job.go
@@ -100,9 +100,11 @@
 	turn *turn
 	// waiting is set while the stream waits for a place, waited is how long it did. expected is the time to its end that
 	// admission predicted last.
-	waiting  *waitingStream
-	waited   time.Duration
-	expected time.Duration
+	waiting *waitingStream
+	waited  time.Duration
+	// rivalWait is how long awaitRivals held the request back.
+	rivalWait time.Duration
+	expected  time.Duration
 	// backlog is the estimator that counts the stream, nil if none does. begun is when its first event arrived.
 	backlog *backlog.Estimator
 	begun   time.Time
@@ -132,6 +134,7 @@
 	s.budget(j.service).RecordFirstAttempt(time.Now())
 	defer j.stopOutput()
 	for {
+		j.awaitRivals()
 		u := j.nextUpstream()
 		if u == nil || !j.mayStart() {
 			j.giveUp()
@@ -309,7 +312,7 @@
 	d := Decision{
 		Request: j.id, Status: status, Reason: reason, Service: j.service, Attempts: j.sent, Unsent: j.unsent, Migrated: j.migrated,
 		Took: time.Since(j.arrived), TimeToFirstEvent: j.first, LongestPause: j.longestPause,
-		Waited: j.waited, Expected: j.expected, InFlight: j.inFlight, Limit: j.limit, Group: j.group.name, Fill: j.fill, IsRemote: j.isRemote,
+		Waited: j.waited, Expected: j.expected, RivalWait: j.rivalWait, InFlight: j.inFlight, Limit: j.limit, Group: j.group.name, Fill: j.fill, IsRemote: j.isRemote,
 		Buffered: j.server.readers.used.Load(), BufferLimit: j.server.readers.settings.TotalBytes,
 	}
 	if j.turn != nil {
--- a/quarantine/subject.go
+++ b/quarantine/subject.go
@@ -11,9 +11,12 @@
 
 // keys returns the keys of the request and of its parts.
 func (s Subject) keys() []key {
-	return append([]key{{organisation: s.Organisation, fingerprint: s.Request}}, s.partKeys()...)
+	return append([]key{s.requestKey()}, s.partKeys()...)
 }
 
+// requestKey returns the key of the request.
+func (s Subject) requestKey() key { return key{organisation: s.Organisation, fingerprint: s.Request} }
+
 // partKeys returns the keys of the parts.
 func (s Subject) partKeys() []key {
 	keys := make([]key, 0, len(s.Parts))
--- a/routed/request_log.go
+++ b/routed/request_log.go
@@ -60,6 +60,9 @@
 	if decision.Waited > 0 {
 		service.Histogram("waited_seconds", latencyBuckets).RecordDuration(decision.Waited)
 	}
+	if decision.RivalWait > 0 {
+		service.Histogram("rival_wait_seconds", latencyBuckets).RecordDuration(decision.RivalWait)
+	}
 	if decision.TimeToFirstEvent > 0 {
 		service.Histogram("first_event_seconds", latencyBuckets).RecordDuration(decision.TimeToFirstEvent)
 		service.Histogram("longest_pause_seconds", latencyBuckets).RecordDuration(decision.LongestPause)
@@ -113,6 +116,9 @@
 	if decision.Expected > 0 {
 		fields["expected_ms"], fields["waited_ms"] = milliseconds(decision.Expected), milliseconds(decision.Waited)
 	}
+	if decision.RivalWait > 0 {
+		fields["rival_wait_ms"] = milliseconds(decision.RivalWait)
+	}
 	if late := decision.Late(); late != "" {
 		fields["late"] = late
 	}
