--- a/forward/job.go
+++ b/forward/job.go
@@ -65,7 +65,7 @@
 	fill     float64
 	isRemote bool
 
-	// lastCrash is the ID of the crash of the upstream that broke off the last attempt, if it has ended; empty before.
+	// lastCrash is the ID of the crash that broke off the last attempt if its upstream has ended, empty before the first.
 	lastCrash string
 	// tried holds the upstreams of earlier attempts, including those that could not be reached.
 	tried []*Upstream
--- a/forward/rivals.go
+++ b/forward/rivals.go
@@ -12,7 +12,7 @@
 // which one is deadly.
 
 const (
-	// rivalWait is how long a request is held back while its rivals run. It is longer than most runs that end an upstream.
+	// rivalWait is how long a request is held back at most while its rivals run.
 	rivalWait = time.Second
 	// rivalWaitShare limits the wait to a share of the time to the deadline.
 	rivalWaitShare = 0.25
