forward, quarantine: Read rivals once, bound corrections of crash times

An attempt asked for the rivals of its request up to three times, each with the memory locked: before it waited and with each list of candidates. They are now read once, and again when a wait ends.

The earliest time that is reported of a crash counts, without a limit. An entry that had lost the upstream before reports the same crash with a time long before, which could be earlier than an answer that cleared the request, so that a crash of a deadly request no longer counted. Corrections are now bounded by one second; reports are on their way for milliseconds.

An attempt that follows no crash was taken to follow a crash that was reported without an ID.

TestEarlierLossDoesNotHideACrash and TestCrashWithoutAnIDPrecedesNone failed before. isCrowdedByRivals is renamed to what it decides.

--- a/forward/job.go
+++ b/forward/job.go
@@ -102,7 +102,8 @@
 	// admission predicted last.
 	waiting *waitingStream
 	waited  time.Duration
-	// rivalWait is how long awaitRivals held the request back.
+	// rivals are those of the next attempt, rivalWait is how long awaitRivals held the request back.
+	rivals    quarantine.Rivals
 	rivalWait time.Duration
 	expected  time.Duration
 	// backlog is the estimator that counts the stream, nil if none does. begun is when its first event arrived.
--- a/forward/pick.go
+++ b/forward/pick.go
@@ -214,7 +214,7 @@
 	if j.group.group == nil {
 		best = s.withoutHeld(j.service, best, len(j.tried) == 0, now)
 	}
-	return j.apartFromRivals(best, now), meanLatency
+	return j.apartFromRivals(best), meanLatency
 }
 
 // bestTier returns the candidates of the lowest tier that is present.
--- a/forward/rivals.go
+++ b/forward/rivals.go
@@ -18,38 +18,33 @@
 	rivalWaitShare = 0.25
 )
 
-// rivals returns the rivals of the request.
-func (j *job) rivals(now time.Time) quarantine.Rivals {
-	memory := j.server.settings.Memory
-	if memory.IsEmpty() {
-		return quarantine.Rivals{}
+// readRivals reads the rivals that the request has in its next attempt.
+func (j *job) readRivals(now time.Time) {
+	j.rivals = quarantine.Rivals{}
+	if memory := j.server.settings.Memory; !memory.IsEmpty() {
+		j.rivals = memory.Rivals(now, j.subject())
 	}
-	return memory.Rivals(now, j.subject())
 }
 
 // apartFromRivals returns the candidates that are left to a request when its rivals get a share of them, too. All entries
 // divide the same candidates alike.
-func (j *job) apartFromRivals(candidates []candidate, now time.Time) []candidate {
-	if len(candidates) < 2 {
-		return candidates
-	}
-	rivals := j.rivals(now)
-	if rivals.Count < 2 {
+func (j *job) apartFromRivals(candidates []candidate) []candidate {
+	if len(candidates) < 2 || j.rivals.Count < 2 {
 		return candidates
 	}
 	slices.SortFunc(candidates, func(a, b candidate) int { return cmp.Compare(a.Instance().ID, b.Instance().ID) })
-	shares := min(rivals.Count, len(candidates))
+	shares := min(j.rivals.Count, len(candidates))
 	own := make([]candidate, 0, len(candidates)/shares+1)
-	for n := rivals.Index % shares; n < len(candidates); n += shares {
+	for n := j.rivals.Index % shares; n < len(candidates); n += shares {
 		own = append(own, candidates[n])
 	}
 	return own
 }
 
-// awaitRivals holds a request back for a while if it has more rivals than there are upstreams to keep them apart.
+// awaitRivals reads the rivals of a request, and holds it back for a while if there are too few upstreams to keep them apart.
 func (j *job) awaitRivals() {
 	now := time.Now()
-	if !j.isCrowdedByRivals(now) {
+	if !j.mustAwaitRivals(now) {
 		return
 	}
 	defer func() { j.rivalWait += time.Since(now) }()
@@ -58,7 +53,7 @@
 	defer timer.Stop()
 	for {
 		changed := j.server.settings.Memory.Changes()
-		if !j.isCrowdedByRivals(time.Now()) {
+		if !j.mustAwaitRivals(time.Now()) {
 			return
 		}
 		select {
@@ -71,10 +66,10 @@
 	}
 }
 
-// isCrowdedByRivals reports whether the rivals that go first leave no upstream to the request.
-func (j *job) isCrowdedByRivals(now time.Time) bool {
-	rivals := j.rivals(now)
-	return rivals.Index > 0 && rivals.Index >= j.countServing(now)
+// mustAwaitRivals reads the rivals of the request and reports whether those that go first leave no upstream to it.
+func (j *job) mustAwaitRivals(now time.Time) bool {
+	j.readRivals(now)
+	return j.rivals.Index > 0 && j.rivals.Index >= j.countServing(now)
 }
 
 // countServing returns the number of upstreams that may get the request now.
--- a/quarantine/crash.go
+++ b/quarantine/crash.go
@@ -10,6 +10,9 @@
 
 // This file keeps the crashes that were reported and counts those that speak against a request.
 
+// maxReportDelay is the longest time on its way by which a report of a crash is corrected.
+const maxReportDelay = time.Second
+
 type (
 	// crash is one end of an upstream, with the requests that were running there according to all reports.
 	crash struct {
@@ -45,10 +48,10 @@
 
 // crash returns the crash with the ID, which it adds if it is new. It returns nil if the crash is older than all kept
 // and none may be added. Reports are late by the time on their way, so the earliest of the times that they give is kept where
-// the order of crashes counts.
+// the order of crashes counts. A much earlier time is that of an entry that had lost the upstream before.
 func (t *Tracker) crash(id string, at time.Time) *crash {
 	if c := t.crashes[id]; c != nil {
-		if t.settings.InSequence && at.Before(c.at) {
+		if early := c.at.Sub(at); t.settings.InSequence && 0 < early && early <= maxReportDelay {
 			t.moveCrash(c, at)
 		}
 		return c
--- a/quarantine/sequence.go
+++ b/quarantine/sequence.go
@@ -22,6 +22,9 @@
 	return s.sent.IsZero() || !s.sent.Add(sequenceSlack).Before(at)
 }
 
+// follows reports whether a request is known to be sent again after a crash.
+func (s *run) follows(c *crash) bool { return s.after != "" && s.after == c.id }
+
 // countInSequence counts the crashes of the longest sequence in which a request was sent after each crash before the next one.
 func countInSequence(crashes []*crash, request key) deathCount {
 	attempts := attemptsOf(crashes, request)
@@ -53,7 +56,7 @@
 		if s.sent.IsZero() {
 			a.begun = c.at
 		}
-		if n := slices.IndexFunc(crashes, func(other *crash) bool { return other.id == s.after }); n >= 0 {
+		if n := slices.IndexFunc(crashes, s.follows); n >= 0 {
 			a.begun = later(a.begun, crashes[n].at)
 		}
 		attempts = append(attempts, a)
--- a/quarantine/sequence_test.go
+++ b/quarantine/sequence_test.go
@@ -65,3 +65,25 @@
 		require.Equal(t, c.isRefused, isRefused(m, start.Add(time.Second), "deadly"), c.after)
 	}
 }
+
+// Guards against a deadly request that is not refused because an entry that had lost the upstream long before reports the crash, too.
+func TestEarlierLossDoesNotHideACrash(t *testing.T) {
+	m := quarantine.NewMemory()
+	m.RecordDeath(start.Add(-time.Minute), crashReport("0", ran("elsewhere", time.Second)))
+	m.RecordDeath(start, crashReport("1", ran("deadly", time.Second)))
+	progressOf(m, start.Add(5*time.Second), "deadly")
+	m.RecordDeath(start.Add(10*time.Second), crashReport("2", ran("deadly", time.Second)))
+	lost := crashReport("2", ran("beside", time.Second))
+	lost.AgeMs = 8_000
+	m.RecordDeath(start.Add(11*time.Second), lost)
+	m.RecordDeath(start.Add(20*time.Second), crashReport("3", ran("deadly", time.Second)))
+	require.True(t, isRefused(m, start.Add(21*time.Second), "deadly"))
+}
+
+// Guards against attempts that seem to follow a crash that was reported without an ID.
+func TestCrashWithoutAnIDPrecedesNone(t *testing.T) {
+	m := quarantine.NewMemory()
+	m.RecordDeath(start.Add(50*time.Millisecond), crashReport("", ran("sound", 200*time.Millisecond)))
+	m.RecordDeath(start, crashReport("second", ran("sound", 100*time.Millisecond)))
+	require.False(t, isRefused(m, start.Add(time.Second), "sound"))
+}
